--- /dev/null
+++ b/packages/pomelobank-cli/src/pomelobank_cli/__init__.py
@@ -0,0 +1,6 @@
+"""The operators' command line of pomelobank."""
+
+from pomelobank_cli._exit_status import ExitStatus
+from pomelobank_cli._main import main
+
+__all__ = ["ExitStatus", "main"]
--- /dev/null
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -0,0 +1,249 @@
+"""The commands; each talks to one node."""
+
+import argparse
+import getpass
+import json
+import time
+import uuid
+
+import attrs
+import grpc
+
+from pomelobank_cli._exit_status import ExitStatus
+from pomelobank_cli._output import as_document, print_json, print_table
+from pomelobank_cli._plan import PlannedStep, object_fields, object_key, plan
+from pomelobank_schema import build, read_yaml
+from pomelobank_schema.generated import operator_pb2 as pb
+from pomelobank_schema.generated.operator_pb2_grpc import OperatorStub
+from pomelobank_schema.generated.records import ConfigDocument
+
+_STATUS_NAMES = {
+    pb.CHANGE_UNKNOWN: "unknown",
+    pb.CHANGE_ACCEPTED: "accepted",
+    pb.CHANGE_REJECTED: "rejected",
+}
+_STATUS_EXITS = {
+    pb.CHANGE_UNKNOWN: ExitStatus.UNKNOWN,
+    pb.CHANGE_ACCEPTED: ExitStatus.OK,
+    pb.CHANGE_REJECTED: ExitStatus.REJECTED,
+}
+_POLL_S = 0.1
+_SECONDS_PER_MS = 0.001
+
+
+@attrs.frozen
+class Client:
+    """A connection to one node.
+
+    Attributes:
+        stub: The node's remote procedure calls.
+        timeout_s: Longest wait for one call, in seconds.
+    """
+
+    stub: OperatorStub
+    timeout_s: float
+
+    @classmethod
+    def connect(cls, address: str, timeout_s: float) -> "Client":
+        """Opens a connection."""
+        return cls(OperatorStub(grpc.insecure_channel(address)), timeout_s)
+
+
+def run_apply(client: Client, options: argparse.Namespace) -> ExitStatus:
+    """Makes the configuration match a file."""
+    document = build(ConfigDocument, read_yaml(options.file))
+    current = client.stub.GetConfig(
+        pb.GetConfigRequest(), timeout=client.timeout_s
+    )
+    steps = plan(current, document)
+    if not steps:
+        return _print_unchanged(current, options)
+    request = pb.ApplyRequest(
+        change_id=options.change_id or uuid.uuid4().hex,
+        author=options.author or document.author or getpass.getuser(),
+        reason=options.reason or document.reason,
+        operations=[step.operation for step in steps],
+        dry_run=options.dry_run,
+    )
+    reply = client.stub.Apply(request, timeout=client.timeout_s)
+    if options.output == "json":
+        print_json(_apply_document(reply, steps, options.dry_run))
+    else:
+        _print_steps(steps)
+        _print_verdict(reply, options.dry_run)
+    return _STATUS_EXITS[reply.status]
+
+
+def _print_unchanged(
+    current: pb.GetConfigReply, options: argparse.Namespace
+) -> ExitStatus:
+    if options.output == "json":
+        print_json(
+            {"status": "unchanged", "version": current.version, "steps": []}
+        )
+    else:
+        print(
+            f"unchanged: everything is as written at version {current.version}"
+        )
+    return ExitStatus.OK
+
+
+def _apply_document(
+    reply: pb.ApplyReply, steps: list[PlannedStep], dry_run: bool
+) -> dict[str, object]:
+    return {
+        "status": _STATUS_NAMES[reply.status],
+        "dry_run": dry_run,
+        "change_id": reply.change_id,
+        "version": reply.version,
+        "problems": [as_document(item) for item in reply.problems],
+        "steps": [{"mark": step.mark, "object": step.key} for step in steps],
+    }
+
+
+def _print_steps(steps: list[PlannedStep]) -> None:
+    for step in steps:
+        print(f"{step.mark} {step.key}")
+        for name in sorted(step.before.keys() | step.after.keys()):
+            before, after = step.before.get(name), step.after.get(name)
+            if before != after and name != "name":
+                print(f"    {name}: {_text(before)} -> {_text(after)}")
+
+
+def _text(value: object) -> str:
+    return "(none)" if value is None else json.dumps(value)
+
+
+def _print_verdict(reply: pb.ApplyReply, dry_run: bool) -> None:
+    if reply.status == pb.CHANGE_ACCEPTED:
+        where = (
+            "would be accepted"
+            if dry_run
+            else f"accepted: version {reply.version}"
+        )
+        print(where)
+    elif reply.status == pb.CHANGE_REJECTED:
+        print("rejected: nothing was changed")
+        for problem in reply.problems:
+            print(f"  {problem.object}: {problem.message} ({problem.kind})")
+    else:
+        print(
+            f"unknown: ask again with 'pomelobank change {reply.change_id}'"
+            f" in {reply.retry_after_ms} ms"
+        )
+
+
+def run_change(client: Client, options: argparse.Namespace) -> ExitStatus:
+    """Looks up an earlier change."""
+    reply = client.stub.GetChange(
+        pb.ChangeRequest(change_id=options.change_id), timeout=client.timeout_s
+    )
+    if options.output == "json":
+        print_json(_apply_document(reply, [], False))
+    else:
+        _print_verdict(reply, False)
+    return _STATUS_EXITS[reply.status]
+
+
+def run_get(client: Client, options: argparse.Namespace) -> ExitStatus:
+    """Prints the configuration."""
+    reply = client.stub.GetConfig(
+        pb.GetConfigRequest(), timeout=client.timeout_s
+    )
+    if options.output == "json":
+        print_json(as_document(reply))
+        return ExitStatus.OK
+    rows = [
+        [object_key(item), str(item.revision), json.dumps(object_fields(item))]
+        for item in reply.objects
+    ]
+    print(f"version {reply.version}")
+    print_table(["OBJECT", "REVISION", "FIELDS"], rows)
+    return ExitStatus.OK
+
+
+def run_audit(client: Client, options: argparse.Namespace) -> ExitStatus:
+    """Prints the audit trail, newest first."""
+    request = pb.AuditRequest(
+        limit=options.limit, author=options.author, object=options.object
+    )
+    reply = client.stub.GetAudit(request, timeout=client.timeout_s)
+    if options.output == "json":
+        print_json(as_document(reply))
+        return ExitStatus.OK
+    rows = [
+        [
+            str(entry.version),
+            time.strftime(
+                "%Y-%m-%d %H:%M:%S", time.gmtime(entry.at_ms * _SECONDS_PER_MS)
+            ),
+            entry.author,
+            _STATUS_NAMES[entry.status],
+            ", ".join(entry.objects),
+            entry.reason,
+            entry.change_id,
+        ]
+        for entry in reply.entries
+    ]
+    header = [
+        "VERSION",
+        "UTC",
+        "AUTHOR",
+        "VERDICT",
+        "OBJECTS",
+        "REASON",
+        "CHANGE",
+    ]
+    print_table(header, rows)
+    return ExitStatus.OK
+
+
+def run_status(client: Client, options: argparse.Namespace) -> ExitStatus:
+    """Prints the fleet's state, waiting for a version where asked to."""
+    deadline = time.monotonic() + options.timeout
+    while True:
+        reply = client.stub.GetStatus(
+            pb.StatusRequest(), timeout=client.timeout_s
+        )
+        behind = _behind(reply, options.wait)
+        if not behind or options.wait is None or time.monotonic() > deadline:
+            break
+        time.sleep(_POLL_S)
+    _print_status(reply, behind, options.output)
+    return ExitStatus.TIMED_OUT if behind else ExitStatus.OK
+
+
+def _behind(reply: pb.StatusReply, wanted: int | None) -> list[str]:
+    if wanted is None:
+        return []
+    return [
+        member.node
+        for member in reply.members
+        if member.state != "gone" and member.version < wanted
+    ]
+
+
+def _print_status(
+    reply: pb.StatusReply, behind: list[str], output: str
+) -> None:
+    if output == "json":
+        print_json({**as_document(reply), "behind": behind})
+        return
+    print(
+        f"node {reply.node} in {reply.data_centre}: version {reply.version},"
+        f" log {reply.log_state}"
+    )
+    rows = [
+        [
+            member.node,
+            member.data_centre,
+            member.state,
+            str(member.version),
+            member.upstream or "-",
+            "behind" if member.node in behind else "",
+        ]
+        for member in sorted(reply.members, key=lambda item: item.node)
+    ]
+    print_table(
+        ["NODE", "DATA CENTRE", "STATE", "VERSION", "UPSTREAM", ""], rows
+    )
--- /dev/null
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
@@ -0,0 +1,129 @@
+"""Works out the operations that lead from a configuration to a document."""
+
+import attrs
+from google.protobuf.json_format import MessageToDict
+
+from pomelobank_schema import SchemaError, SchemaErrorKind
+from pomelobank_schema.generated import operator_pb2 as pb
+from pomelobank_schema.generated.records import ConfigDocument, RouteObject
+
+_KINDS = ("service", "upstream", "route")
+
+
+@attrs.frozen
+class PlannedStep:
+    """One operation and how it reads for people.
+
+    Attributes:
+        mark: "+" for a new object, "~" for a changed one, "-" for a deleted.
+        key: The object's key, such as "route/stock".
+        operation: The operation.
+        before: The object's fields before, none for a new one.
+        after: The object's fields after, none for a deleted one.
+    """
+
+    mark: str
+    key: str
+    operation: pb.Operation
+    before: dict[str, object]
+    after: dict[str, object]
+
+
+def object_key(message: pb.ConfigObject) -> str:
+    """Returns the key of an object, such as "route/stock"."""
+    kind = message.WhichOneof("object")
+    return f"{kind}/{getattr(message, kind).name}"
+
+
+def object_fields(message: pb.ConfigObject) -> dict[str, object]:
+    """Returns the fields of an object by name."""
+    inner = getattr(message, message.WhichOneof("object"))
+    return dict(MessageToDict(inner, preserving_proto_field_name=True))
+
+
+def plan(
+    current: pb.GetConfigReply, document: ConfigDocument
+) -> list[PlannedStep]:
+    """Returns the steps that make the configuration match the document.
+
+    Args:
+        current: The configuration as it was read.
+        document: What the operator wants.
+
+    Returns:
+        The steps; none where everything is as written.
+
+    Raises:
+        SchemaError: If the document deletes what is not there.
+    """
+    known = {object_key(item): item for item in current.objects}
+    steps = [_put_step(known, item) for item in _wanted(document)]
+    steps += [_delete_step(known, key) for key in document.delete]
+    return [step for step in steps if step is not None]
+
+
+def _wanted(document: ConfigDocument) -> list[pb.ConfigObject]:
+    wanted = [
+        pb.ConfigObject(
+            service=pb.Service(name=item.name, description=item.description)
+        )
+        for item in document.services
+    ]
+    wanted += [
+        pb.ConfigObject(
+            upstream=pb.Upstream(name=item.name, service=item.service)
+        )
+        for item in document.upstreams
+    ]
+    return wanted + [
+        pb.ConfigObject(route=_route(item)) for item in document.routes
+    ]
+
+
+def _route(item: RouteObject) -> pb.Route:
+    return pb.Route(
+        name=item.name,
+        service=item.service,
+        path_prefix=item.path_prefix,
+        destinations=[
+            pb.Destination(upstream=share.upstream, weight=share.weight)
+            for share in item.destinations
+        ],
+        timeout_ms=item.timeout_ms,
+        traffic_class=item.traffic_class,
+        idempotent_methods=item.idempotent_methods,
+    )
+
+
+def _put_step(
+    known: dict[str, pb.ConfigObject], wanted: pb.ConfigObject
+) -> PlannedStep | None:
+    key = object_key(wanted)
+    found = known.get(key)
+    after = object_fields(wanted)
+    before = object_fields(found) if found is not None else {}
+    if found is not None and before == after:
+        return None
+    operation = pb.Operation(
+        kind=pb.Operation.PUT,
+        object=wanted,
+        expected_revision=found.revision if found is not None else 0,
+    )
+    return PlannedStep("~" if found else "+", key, operation, before, after)
+
+
+def _delete_step(known: dict[str, pb.ConfigObject], key: str) -> PlannedStep:
+    found = known.get(key)
+    if found is None:
+        raise SchemaError(
+            SchemaErrorKind.OUT_OF_RANGE,
+            "delete",
+            f"{key!r} does not exist; keys look like route/NAME, with"
+            f" {', '.join(_KINDS)}",
+        )
+    operation = pb.Operation(
+        kind=pb.Operation.DELETE,
+        object=found,
+        expected_revision=found.revision,
+    )
+    return PlannedStep("-", key, operation, object_fields(found), {})
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -0,0 +1,54 @@
+"""Decisions of pomelobank, without sockets or a real clock."""
+
+from pomelobank_core._clock import Clock, ManualClock
+from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._members import MemberState, MemberTable
+from pomelobank_core._objects import (
+    ConfigObject,
+    ObjectKey,
+    ObjectKind,
+    Snapshot,
+    VersionedObject,
+    object_key,
+    operation_object,
+)
+from pomelobank_core._placing import RoundRobin
+from pomelobank_core._replay import (
+    ChangeVerdict,
+    ConfigState,
+    evaluate,
+    replay_change,
+    skip_record,
+)
+from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._validation import Problem, ProblemKind, check_objects
+
+__all__ = [
+    "ANSWERS",
+    "Answer",
+    "ChangeVerdict",
+    "Clock",
+    "ConfigObject",
+    "ConfigState",
+    "ErrorKind",
+    "ManualClock",
+    "MemberState",
+    "MemberTable",
+    "ObjectKey",
+    "ObjectKind",
+    "Problem",
+    "ProblemKind",
+    "RoundRobin",
+    "RouteTable",
+    "RunState",
+    "Snapshot",
+    "VersionedObject",
+    "check_objects",
+    "evaluate",
+    "is_idempotent",
+    "object_key",
+    "operation_object",
+    "pick_upstream",
+    "replay_change",
+    "skip_record",
+]
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -0,0 +1,152 @@
+"""The closed list of error kinds and what a caller is answered for each."""
+
+import enum
+
+import attrs
+
+
+class RunState(enum.Enum):
+    """What is known about whether a request ran.
+
+    Attributes:
+        NOT_RUN: No byte of it reached an upstream; sending it again is safe.
+        UNKNOWN: Bytes may have reached an upstream.
+        RAN: An upstream ran it.
+    """
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+
+
+class ErrorKind(enum.Enum):
+    """Every way in which the system itself ends a request."""
+
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    NO_ROUTE = "no_route"
+    NOT_READY = "not_ready"
+    NO_TARGET = "no_target"
+    OVERLOADED = "overloaded"
+    DRAINING = "draining"
+    QUARANTINED = "quarantined"
+    DEADLINE_NOT_RUN = "deadline_not_run"
+    DEADLINE_UNKNOWN = "deadline_unknown"
+    PEER_UNREACHABLE = "peer_unreachable"
+    PEER_LOST = "peer_lost"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_LOST = "upstream_lost"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    ANSWER_TRUNCATED = "answer_truncated"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_UNKNOWN = "claim_unknown"
+    KEY_IN_USE = "key_in_use"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Answer:
+    """What the caller is told for an error kind.
+
+    Attributes:
+        status: HTTP status.
+        run_state: Whether the request ran.
+        retry_after_ms: When coming back is worthwhile, where the error itself
+            carries no better time; 0 where coming back does not help.
+        message: One sentence for people.
+    """
+
+    status: int
+    run_state: RunState
+    retry_after_ms: int
+    message: str
+
+
+_NOT_RUN = RunState.NOT_RUN
+_UNKNOWN = RunState.UNKNOWN
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(
+        400, _NOT_RUN, 0, "The request is malformed."
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(
+        413, _NOT_RUN, 0, "The request's body is larger than this mesh allows."
+    ),
+    ErrorKind.NO_ROUTE: Answer(
+        404, _NOT_RUN, 0, "No route matches the service and path."
+    ),
+    ErrorKind.NOT_READY: Answer(
+        503,
+        _NOT_RUN,
+        1000,
+        "This node has not caught up with the configuration yet.",
+    ),
+    ErrorKind.NO_TARGET: Answer(
+        503, _NOT_RUN, 1000, "No target of the route can serve requests now."
+    ),
+    ErrorKind.OVERLOADED: Answer(
+        503, _NOT_RUN, 500, "The route's targets have no room for this request."
+    ),
+    ErrorKind.DRAINING: Answer(
+        503, _NOT_RUN, 200, "The node is stopping and takes no new requests."
+    ),
+    ErrorKind.QUARANTINED: Answer(
+        503,
+        _NOT_RUN,
+        60000,
+        "Requests like this one crashed several targets.",
+    ),
+    ErrorKind.DEADLINE_NOT_RUN: Answer(
+        504, _NOT_RUN, 500, "The deadline passed before the request could run."
+    ),
+    ErrorKind.DEADLINE_UNKNOWN: Answer(
+        504,
+        _UNKNOWN,
+        1000,
+        "The deadline passed while the request was at a target.",
+    ),
+    ErrorKind.PEER_UNREACHABLE: Answer(
+        503, _NOT_RUN, 500, "The target's node could not be reached."
+    ),
+    ErrorKind.PEER_LOST: Answer(
+        502,
+        _UNKNOWN,
+        1000,
+        "The stream to the target's node broke while the request was there.",
+    ),
+    ErrorKind.UPSTREAM_UNREACHABLE: Answer(
+        503, _NOT_RUN, 500, "The target did not accept a connection."
+    ),
+    ErrorKind.UPSTREAM_LOST: Answer(
+        502,
+        _UNKNOWN,
+        1000,
+        "The target broke the connection before a whole answer.",
+    ),
+    ErrorKind.ANSWER_TOO_LARGE: Answer(
+        502, RunState.RAN, 0, "The answer is larger than this mesh allows."
+    ),
+    ErrorKind.ANSWER_TRUNCATED: Answer(
+        502, _UNKNOWN, 1000, "The answer broke off before its end."
+    ),
+    ErrorKind.CLAIM_UNAVAILABLE: Answer(
+        503,
+        _NOT_RUN,
+        1000,
+        "The idempotency key cannot be claimed while the log is unavailable.",
+    ),
+    ErrorKind.CLAIM_UNKNOWN: Answer(
+        409,
+        _UNKNOWN,
+        1000,
+        "An earlier request with this key may have run.",
+    ),
+    ErrorKind.KEY_IN_USE: Answer(
+        409, _UNKNOWN, 500, "A request with this idempotency key is under way."
+    ),
+    ErrorKind.CANCELLED: Answer(499, _UNKNOWN, 0, "The caller went away."),
+    ErrorKind.INTERNAL: Answer(
+        500, _UNKNOWN, 1000, "The node failed while it handled the request."
+    ),
+}
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_objects.py
@@ -0,0 +1,112 @@
+"""Objects of the configuration and the immutable snapshot that holds them."""
+
+import enum
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import attrs
+
+from pomelobank_schema.generated.records import (
+    OperationRecord,
+    RouteObject,
+    ServiceObject,
+    UpstreamObject,
+)
+
+ConfigObject = ServiceObject | UpstreamObject | RouteObject
+
+
+class ObjectKind(enum.Enum):
+    """The three kinds of object that operators create."""
+
+    SERVICE = "service"
+    UPSTREAM = "upstream"
+    ROUTE = "route"
+
+
+@attrs.frozen
+class ObjectKey:
+    """Identifies an object.
+
+    Attributes:
+        kind: The object's kind.
+        name: Its name, unique within the kind.
+
+    >>> str(ObjectKey(ObjectKind.ROUTE, "stock"))
+    'route/stock'
+    """
+
+    kind: ObjectKind
+    name: str
+
+    def __str__(self) -> str:
+        return f"{self.kind.value}/{self.name}"
+
+
+@attrs.frozen
+class VersionedObject:
+    """An object and the version of the change that wrote it last.
+
+    Attributes:
+        value: The object.
+        revision: Version of that change.
+    """
+
+    value: ConfigObject
+    revision: int
+
+
+@attrs.frozen
+class Snapshot:
+    """A whole configuration; it never changes once it is made.
+
+    Attributes:
+        version: Log position up to which every record is applied: the change
+            at offset n is in force from version n + 1 on.
+        objects: Every object by its key.
+    """
+
+    version: int = 0
+    objects: Mapping[ObjectKey, VersionedObject] = attrs.field(
+        factory=lambda: MappingProxyType({})
+    )
+
+    def service(self, name: str) -> ServiceObject | None:
+        """Returns a service, None where there is none of that name."""
+        found = self.objects.get(ObjectKey(ObjectKind.SERVICE, name))
+        return found.value if found else None  # type: ignore[return-value]
+
+    def upstream(self, name: str) -> UpstreamObject | None:
+        """Returns an upstream, None where there is none of that name."""
+        found = self.objects.get(ObjectKey(ObjectKind.UPSTREAM, name))
+        return found.value if found else None  # type: ignore[return-value]
+
+    def routes(self) -> list[RouteObject]:
+        """Returns all routes."""
+        return [
+            item.value
+            for item in self.objects.values()
+            if isinstance(item.value, RouteObject)
+        ]
+
+
+def operation_object(operation: OperationRecord) -> ConfigObject | None:
+    """Returns the object of an operation, None unless there is exactly one."""
+    objects = [
+        item
+        for item in (operation.service, operation.upstream, operation.route)
+        if item is not None
+    ]
+    return objects[0] if len(objects) == 1 else None
+
+
+def object_key(value: ConfigObject) -> ObjectKey:
+    """Returns the key of an object."""
+    return ObjectKey(_KINDS[type(value)], value.name)
+
+
+_KINDS: dict[type, ObjectKind] = {
+    ServiceObject: ObjectKind.SERVICE,
+    UpstreamObject: ObjectKind.UPSTREAM,
+    RouteObject: ObjectKind.ROUTE,
+}
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_replay.py
@@ -0,0 +1,195 @@
+"""The configuration as a state machine that is replayed from the log."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from pomelobank_core._objects import (
+    ObjectKey,
+    Snapshot,
+    VersionedObject,
+    object_key,
+    operation_object,
+)
+from pomelobank_core._validation import (
+    ANY_REVISION,
+    MUST_NOT_EXIST,
+    Problem,
+    ProblemKind,
+    check_objects,
+)
+from pomelobank_schema.generated.records import ChangeRecord, OperationRecord
+
+# An entry takes about 1 KB; at 420 changes a day 2,000 cover four days and a
+# node holds 2 MB of them at most.
+MAX_AUDIT_ENTRIES = 2000
+
+
+@attrs.frozen
+class ChangeVerdict:
+    """What replay decided about a change.
+
+    Attributes:
+        version: Version from which the change counts: its offset plus one.
+        record: The change.
+        problems: Why it was rejected; none where it was accepted.
+    """
+
+    version: int
+    record: ChangeRecord
+    problems: tuple[Problem, ...] = ()
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the change is in force from its version on."""
+        return not self.problems
+
+
+@attrs.frozen
+class ConfigState:
+    """Everything that replay derives from the log.
+
+    Attributes:
+        snapshot: The configuration in force.
+        verdicts: What was decided, by change id, oldest first and bounded.
+    """
+
+    snapshot: Snapshot = attrs.field(factory=Snapshot)
+    verdicts: Mapping[str, ChangeVerdict] = attrs.field(
+        factory=lambda: MappingProxyType({})
+    )
+
+
+def replay_change(
+    state: ConfigState, offset: int, record: ChangeRecord
+) -> ConfigState:
+    """Applies one change record.
+
+    Every node runs this same pure function over the same records in the same
+    order, so all agree on each verdict without asking each other.
+
+    Args:
+        state: State before the record; its version must equal the offset.
+        offset: The record's offset in the log.
+        record: The change.
+
+    Returns:
+        The state after the record. A rejected or repeated change moves the
+        version on and leaves every object as it was.
+
+    Raises:
+        ValueError: If the record is not the next one.
+    """
+    if offset != state.snapshot.version:
+        raise ValueError(
+            f"offset {offset} does not follow version {state.snapshot.version}"
+        )
+    if record.change_id in state.verdicts:
+        return skip_record(state, offset)
+    return _decide(state, offset, record)
+
+
+def skip_record(state: ConfigState, offset: int) -> ConfigState:
+    """Moves past a record that changes nothing."""
+    moved = attrs.evolve(state.snapshot, version=offset + 1)
+    return attrs.evolve(state, snapshot=moved)
+
+
+def _decide(
+    state: ConfigState, offset: int, record: ChangeRecord
+) -> ConfigState:
+    version = offset + 1
+    match evaluate(state.snapshot, version, record):
+        case Success(objects):
+            verdict = ChangeVerdict(version, record)
+        case Failure(problems):
+            verdict = ChangeVerdict(version, record, problems)
+            objects = state.snapshot.objects
+    return ConfigState(
+        snapshot=Snapshot(version, objects),
+        verdicts=_remember(state.verdicts, verdict),
+    )
+
+
+def evaluate(
+    snapshot: Snapshot, version: int, record: ChangeRecord
+) -> Result[Mapping[ObjectKey, VersionedObject], tuple[Problem, ...]]:
+    """Works out the configuration that a change leads to.
+
+    Args:
+        snapshot: Configuration before the change.
+        version: Version that the change would get.
+        record: The change.
+
+    Returns:
+        Every object after the change, or the problems that reject it whole.
+    """
+    if not record.operations:
+        empty = Problem(
+            ProblemKind.EMPTY_CHANGE, "", "a change needs an operation"
+        )
+        return Failure((empty,))
+    objects = dict(snapshot.objects)
+    problems: list[Problem] = []
+    for operation in record.operations:
+        problem = _apply_operation(objects, operation, version)
+        if problem is not None:
+            problems.append(problem)
+    problems.extend(check_objects(objects))
+    if problems:
+        return Failure(tuple(problems))
+    return Success(MappingProxyType(objects))
+
+
+def _apply_operation(
+    objects: dict[ObjectKey, VersionedObject],
+    operation: OperationRecord,
+    version: int,
+) -> Problem | None:
+    value = operation_object(operation)
+    if value is None:
+        return Problem(
+            ProblemKind.MALFORMED_OPERATION,
+            "",
+            "an operation needs exactly one of service, upstream and route",
+        )
+    key = object_key(value)
+    found = objects.get(key)
+    problem = _check_revision(key, found, operation.expected_revision)
+    if problem is not None:
+        return problem
+    if operation.kind == "put":
+        objects[key] = VersionedObject(value, version)
+        return None
+    if found is None:
+        return Problem(ProblemKind.NOT_FOUND, str(key), "does not exist")
+    del objects[key]
+    return None
+
+
+def _check_revision(
+    key: ObjectKey, found: VersionedObject | None, expected: int
+) -> Problem | None:
+    # Two operators who read the same route and both write it would silently
+    # undo each other; the one whose record comes later in the log sees that
+    # the revision has moved and is rejected whole.
+    current = found.revision if found else MUST_NOT_EXIST
+    if expected in (ANY_REVISION, current):
+        return None
+    return Problem(
+        ProblemKind.REVISION_MISMATCH,
+        str(key),
+        f"expected revision {expected}, it is at {current}",
+    )
+
+
+def _remember(
+    verdicts: Mapping[str, ChangeVerdict], verdict: ChangeVerdict
+) -> Mapping[str, ChangeVerdict]:
+    kept = dict(verdicts)
+    kept[verdict.record.change_id] = verdict
+    while len(kept) > MAX_AUDIT_ENTRIES:
+        del kept[next(iter(kept))]
+    return MappingProxyType(kept)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -0,0 +1,137 @@
+"""The application object: owns every part of a node and cleans it up."""
+
+import asyncio
+import logging
+from typing import Protocol
+
+import attrs
+
+from pomelobank_core import MemberState, MemberTable
+from pomelobank_node._admin import Admin
+from pomelobank_node._clock import SystemClock
+from pomelobank_node._config_feed import LogPoller
+from pomelobank_node._config_store import ConfigStore
+from pomelobank_node._dispatcher import Dispatcher
+from pomelobank_node._entry import Entry
+from pomelobank_node._http_server import HttpServer
+from pomelobank_node._log_client import LogClient
+from pomelobank_node._membership import Membership
+from pomelobank_node._operator import OperatorServer, OperatorService
+from pomelobank_node._owner import Owner
+from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
+from pomelobank_node._peer_server import PeerServer
+from pomelobank_schema.generated.peer import Hello, MemberEntry
+from pomelobank_schema.generated.settings import NodeSettings
+
+_logger = logging.getLogger(__name__)
+
+
+class Component(Protocol):
+    """A part of the node with life-cycle hooks."""
+
+    async def start(self) -> None:
+        """Begins its work; called once, in order."""
+
+    async def stop(self) -> None:
+        """Ends its work; called once, in reverse order."""
+
+
+@attrs.define(eq=False, slots=False)
+class NodeApplication:
+    """One node.
+
+    Attributes:
+        settings: Its settings.
+        started: Parts to stop, in the order of their start.
+    """
+
+    settings: NodeSettings
+    started: list[Component] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.clock = SystemClock()
+        incarnation = self.clock.wall_ms()
+        hello = Hello(
+            protocol=PROTOCOL_VERSION,
+            node=settings.node,
+            incarnation=incarnation,
+            data_centre=settings.data_centre,
+        )
+        own = MemberEntry(
+            node=settings.node,
+            incarnation=incarnation,
+            data_centre=settings.data_centre,
+        )
+        self.store = ConfigStore()
+        self.log = LogClient(settings.log)
+        self.feed = LogPoller(self.log, self.store)
+        self.links = PeerLinks(hello)
+        self.table = MemberTable(own)
+        self.owner = Owner(settings.requests, self.clock)
+        self.membership = Membership(
+            self.table,
+            settings.membership,
+            self.log,
+            self.links,
+            self.store,
+            self.clock,
+        )
+        self._build_servers()
+
+    def _build_servers(self) -> None:
+        settings = self.settings
+        dispatcher = Dispatcher(
+            self.store, self.table, self.owner, self.links, self.clock
+        )
+        entry = Entry(dispatcher, settings.requests.max_body_bytes)
+        admin = Admin(self.owner, self.membership)
+        operator = OperatorService(
+            self.store, self.log, self.feed, self.membership, self.clock
+        )
+        listen = settings.listen
+        self.http = HttpServer(listen.http, entry)
+        self.admin = HttpServer(listen.admin, admin.application())
+        self.peers = PeerServer(listen.peer, self.owner, self.membership)
+        self.operator = OperatorServer(listen.operator, operator)
+
+    async def start(self) -> None:
+        """Starts every part; the first requests are taken at the end."""
+        for part in (self.log, self.links, self.peers, self.operator):
+            await self._start(part)
+        await self._start(self.feed)
+        for server in (self.http, self.admin):
+            await self._start(server)
+        self.table.update_own(
+            peer_address=self.peers.address, http_address=self.http.address
+        )
+        await self._start(self.membership)
+        _logger.info(
+            "node.ready",
+            extra={
+                "http": self.http.address,
+                "admin": self.admin.address,
+                "peer": self.peers.address,
+                "operator": self.operator.address,
+            },
+        )
+
+    async def _start(self, part: Component) -> None:
+        await part.start()
+        self.started.append(part)
+
+    async def stop(self) -> None:
+        """Drains, then stops every part in reverse order."""
+        self.table.update_own(state=MemberState.DRAINING.value)
+        await self.membership.tell_all()
+        await self.owner.drain(self.settings.requests.drain_timeout_ms)
+        for part in reversed(self.started):
+            await part.stop()
+        _logger.info("node.stopped")
+
+
+async def run_until(application: NodeApplication, ended: asyncio.Event) -> None:
+    """Runs a node until an event is set, then stops it cleanly."""
+    await application.start()
+    await ended.wait()
+    await application.stop()
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
@@ -0,0 +1,134 @@
+"""Converts between operators' messages and the log's records."""
+
+import functools
+from collections.abc import Iterable
+
+from pomelobank_core import ConfigObject, Problem, VersionedObject
+from pomelobank_schema.generated import operator_pb2 as pb
+from pomelobank_schema.generated.records import (
+    ChangeRecord,
+    OperationRecord,
+    RouteObject,
+    ServiceObject,
+    UpstreamObject,
+    WeightedDestination,
+)
+
+_DEFAULT_TIMEOUT_MS = 5000
+_KIND_NAMES = {pb.Operation.PUT: "put", pb.Operation.DELETE: "delete"}
+
+
+def change_record(
+    request: pb.ApplyRequest, change_id: str, at_ms: int
+) -> ChangeRecord:
+    """Returns the record of a transaction.
+
+    Args:
+        request: What the operator sent.
+        change_id: Id of the change.
+        at_ms: Time since the epoch.
+
+    Returns:
+        The record.
+
+    Raises:
+        SchemaError: If an object breaks a limit.
+    """
+    return ChangeRecord(
+        change_id=change_id,
+        author=request.author,
+        reason=request.reason,
+        at_ms=at_ms,
+        operations=tuple(map(_operation, request.operations)),
+    )
+
+
+def _operation(operation: pb.Operation) -> OperationRecord:
+    message = operation.object
+    return OperationRecord(
+        kind=_KIND_NAMES.get(operation.kind, ""),
+        service=_service(message) if message.HasField("service") else None,
+        upstream=_upstream(message) if message.HasField("upstream") else None,
+        route=_route(message.route) if message.HasField("route") else None,
+        expected_revision=operation.expected_revision,
+    )
+
+
+def _service(message: pb.ConfigObject) -> ServiceObject:
+    return ServiceObject(
+        name=message.service.name, description=message.service.description
+    )
+
+
+def _upstream(message: pb.ConfigObject) -> UpstreamObject:
+    return UpstreamObject(
+        name=message.upstream.name, service=message.upstream.service
+    )
+
+
+def _route(route: pb.Route) -> RouteObject:
+    return RouteObject(
+        name=route.name,
+        service=route.service,
+        path_prefix=route.path_prefix,
+        destinations=tuple(
+            WeightedDestination(upstream=item.upstream, weight=item.weight)
+            for item in route.destinations
+        ),
+        timeout_ms=route.timeout_ms or _DEFAULT_TIMEOUT_MS,
+        traffic_class=route.traffic_class or "interactive",
+        idempotent_methods=tuple(route.idempotent_methods),
+    )
+
+
+def config_object(item: VersionedObject) -> pb.ConfigObject:
+    """Returns the operators' message of an object."""
+    message = _message(item.value)
+    message.revision = item.revision
+    return message
+
+
+@functools.singledispatch
+def _message(value: ConfigObject) -> pb.ConfigObject:
+    raise TypeError(f"no message for {type(value).__name__}")
+
+
+@_message.register
+def _(value: ServiceObject) -> pb.ConfigObject:
+    service = pb.Service(name=value.name, description=value.description)
+    return pb.ConfigObject(service=service)
+
+
+@_message.register
+def _(value: UpstreamObject) -> pb.ConfigObject:
+    upstream = pb.Upstream(name=value.name, service=value.service)
+    return pb.ConfigObject(upstream=upstream)
+
+
+@_message.register
+def _(value: RouteObject) -> pb.ConfigObject:
+    route = pb.Route(
+        name=value.name,
+        service=value.service,
+        path_prefix=value.path_prefix,
+        destinations=[
+            pb.Destination(upstream=item.upstream, weight=item.weight)
+            for item in value.destinations
+        ],
+        timeout_ms=value.timeout_ms,
+        traffic_class=value.traffic_class,
+        idempotent_methods=value.idempotent_methods,
+    )
+    return pb.ConfigObject(route=route)
+
+
+def problem_messages(problems: Iterable[Problem]) -> list[pb.ChangeProblem]:
+    """Returns the operators' messages of problems."""
+    return [
+        pb.ChangeProblem(
+            kind=problem.kind.value,
+            object=problem.object,
+            message=problem.message,
+        )
+        for problem in problems
+    ]
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -0,0 +1,138 @@
+"""Accepts the streams of peers."""
+
+import asyncio
+import functools
+import logging
+
+import attrs
+
+from pomelobank_node._frames import FrameStream
+from pomelobank_node._membership import Membership
+from pomelobank_node._owner import Owner
+from pomelobank_schema import SchemaError, WireMessage, parse_address
+from pomelobank_schema.generated.peer import (
+    CancelRequest,
+    ForwardRequest,
+    Gossip,
+    Hello,
+)
+
+_logger = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class PeerConnection:
+    """One accepted stream.
+
+    Attributes:
+        stream: The stream.
+        owner: Runs the peer's requests.
+        membership: Takes the peer's gossip.
+        running: Tasks of the peer's requests, by request id.
+    """
+
+    stream: FrameStream
+    owner: Owner
+    membership: Membership
+    running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
+
+    async def run(self) -> None:
+        """Handles frames until the stream ends."""
+        try:
+            while (frame := await self.stream.receive()) is not None:
+                handle_frame(frame, self)
+        except (OSError, SchemaError) as error:
+            _logger.warning("peer.stream_broken", extra={"error": str(error)})
+        finally:
+            for task in list(self.running.values()):
+                task.cancel()
+            await self.stream.close()
+
+    def start(self, request: ForwardRequest) -> None:
+        """Runs one request in a task of its own."""
+        task = asyncio.create_task(self._answer(request))
+        self.running[request.request_id] = task
+
+    async def _answer(self, request: ForwardRequest) -> None:
+        try:
+            reply = await self.owner.serve(request)
+            self.stream.send(reply)
+            await self.stream.writer.drain()
+        except OSError:
+            return
+        finally:
+            del self.running[request.request_id]
+
+
+@functools.singledispatch
+def handle_frame(frame: WireMessage, connection: PeerConnection) -> None:
+    """Handles one frame of a peer; frames without a handler are ignored."""
+
+
+@handle_frame.register
+def _(frame: Hello, connection: PeerConnection) -> None:
+    _logger.debug("peer.hello", extra={"peer": frame.node})
+
+
+@handle_frame.register
+def _(frame: ForwardRequest, connection: PeerConnection) -> None:
+    connection.start(frame)
+
+
+@handle_frame.register
+def _(frame: CancelRequest, connection: PeerConnection) -> None:
+    task = connection.running.get(frame.request_id)
+    if task is not None:
+        task.cancel()
+
+
+@handle_frame.register
+def _(frame: Gossip, connection: PeerConnection) -> None:
+    connection.membership.receive(frame)
+
+
+@attrs.define(eq=False)
+class PeerServer:
+    """Listens for peers.
+
+    Attributes:
+        listen: Address to listen on.
+        owner: Runs peers' requests.
+        membership: Takes peers' gossip.
+        address: Address that is really used, once it listens.
+    """
+
+    listen: str
+    owner: Owner
+    membership: Membership
+    address: str = ""
+    server: asyncio.Server | None = None
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def start(self) -> None:
+        """Starts listening."""
+        host, port = parse_address(self.listen)
+        self.server = await asyncio.start_server(self._accept, host, port)
+        bound = self.server.sockets[0].getsockname()
+        self.address = f"{bound[0]}:{bound[1]}"
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        stream = FrameStream(reader, writer)
+        connection = PeerConnection(stream, self.owner, self.membership)
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        try:
+            await connection.run()
+        finally:
+            self.tasks.discard(task)
+
+    async def stop(self) -> None:
+        """Stops listening and ends every stream."""
+        if self.server is not None:
+            self.server.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/pomelobank-schema/src/pomelobank_schema/_checks.py
@@ -0,0 +1,102 @@
+"""Validators that generated classes attach to their fields."""
+
+import ipaddress
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from pomelobank_schema._errors import SchemaError, SchemaErrorKind
+
+MAX_PORT = 65535
+
+Validator = Callable[[Any, "attrs.Attribute[Any]", Any], None]
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Splits an address of the form IP:PORT.
+
+    Args:
+        text: The address, such as "127.0.0.1:8080" or "[::1]:8080".
+
+    Returns:
+        The IP number and the port.
+
+    Raises:
+        SchemaError: If it has another form.
+
+    >>> parse_address("127.0.0.1:8080")
+    ('127.0.0.1', 8080)
+    """
+    host, separator, port = text.rpartition(":")
+    host = host.removeprefix("[").removesuffix("]")
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        separator = ""
+    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+        raise SchemaError(
+            SchemaErrorKind.OUT_OF_RANGE,
+            "",
+            f"{text!r} is not an address of the form IP:PORT",
+        )
+    return host, int(port)
+
+
+def in_range(low: int | None, high: int | None) -> Validator:
+    """Returns a validator for whole numbers from `low` to `high`."""
+
+    def check(
+        _: object, attribute: "attrs.Attribute[Any]", value: object
+    ) -> None:
+        assert isinstance(value, int)
+        if (low is None or value >= low) and (high is None or value <= high):
+            return
+        raise SchemaError(
+            SchemaErrorKind.OUT_OF_RANGE,
+            attribute.name,
+            f"{value} is out of range, allowed is {low} to {high}",
+        )
+
+    return check
+
+
+def one_of(*allowed: str) -> Validator:
+    """Returns a validator for strings out of a closed list."""
+
+    def check(
+        _: object, attribute: "attrs.Attribute[Any]", value: object
+    ) -> None:
+        if value not in allowed:
+            raise SchemaError(
+                SchemaErrorKind.OUT_OF_RANGE,
+                attribute.name,
+                f"{value!r} is not one of {', '.join(allowed)}",
+            )
+
+    return check
+
+
+def not_empty(
+    _: object, attribute: "attrs.Attribute[Any]", value: object
+) -> None:
+    """Validates that a string has at least one character."""
+    if value == "":
+        raise SchemaError(
+            SchemaErrorKind.MISSING, attribute.name, "must not be empty"
+        )
+
+
+def address(
+    _: object, attribute: "attrs.Attribute[Any]", value: object
+) -> None:
+    """Validates one IP:PORT or a tuple of them; empty is allowed."""
+    for text in value if isinstance(value, tuple) else (value,):
+        if text == "":
+            continue
+        try:
+            parse_address(str(text))
+        except SchemaError as error:
+            raise SchemaError(
+                error.kind, attribute.name, error.message
+            ) from None
--- /dev/null
+++ b/packages/pomelobank-schema/src/pomelobank_schema/generate.py
@@ -0,0 +1,282 @@
+"""Generates the code in `generated/` from `protos/`.
+
+Run as `python -m pomelobank_schema.generate`; needs `grpcio-tools`.
+"""
+
+import argparse
+import importlib
+import re
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from google.protobuf import descriptor_pb2
+
+PACKAGE = Path(__file__).parent
+PROTOS = PACKAGE / "protos"
+GENERATED = PACKAGE / "generated"
+CLASS_MODULES = ("peer", "records", "settings")
+PROTOC_MODULES = ("options", "operator")
+
+_FIELD = descriptor_pb2.FieldDescriptorProto
+_PLAIN_TYPES = {
+    _FIELD.TYPE_INT32: ("int", "0"),
+    _FIELD.TYPE_INT64: ("int", "0"),
+    _FIELD.TYPE_STRING: ("str", '""'),
+    _FIELD.TYPE_BYTES: ("bytes", 'b""'),
+    _FIELD.TYPE_BOOL: ("bool", "False"),
+}
+_MESSAGE_TYPE_NUMBER = 4
+_FIELD_NUMBER = 2
+
+
+def main() -> int:
+    """Writes the generated modules; returns the exit status."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--out", type=Path, default=GENERATED)
+    write_all(parser.parse_args().out)
+    return 0
+
+
+def write_all(out: Path) -> None:
+    """Writes every generated module into a directory."""
+    out.mkdir(parents=True, exist_ok=True)
+    (out / "__init__.py").write_text('"""Generated code; do not edit."""\n')
+    _run_protoc(out)
+    for module in CLASS_MODULES:
+        (out / f"{module}.py").write_text(_module_source(module))
+
+
+def _run_protoc(out: Path) -> None:
+    arguments = [
+        f"--{kind}_out={out}" for kind in ("python", "pyi", "grpc_python")
+    ]
+    _protoc([*arguments, *(f"{name}.proto" for name in PROTOC_MODULES)])
+    (out / "options_pb2_grpc.py").unlink()
+    stub = out / "operator_pb2_grpc.py"
+    text = stub.read_text()
+    stub.write_text(
+        re.sub(
+            r"^import operator_pb2",
+            "from pomelobank_schema.generated import operator_pb2",
+            text,
+            flags=re.MULTILINE,
+        )
+    )
+
+
+def _protoc(arguments: list[str]) -> None:
+    tools = importlib.import_module("grpc_tools")
+    include = Path(str(tools.__file__)).parent / "_proto"
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "grpc_tools.protoc",
+            f"-I{PROTOS}",
+            f"-I{include}",
+            *arguments,
+        ],
+        check=True,
+    )
+
+
+def _descriptor(module: str) -> descriptor_pb2.FileDescriptorProto:
+    with tempfile.TemporaryDirectory() as scratch:
+        target = Path(scratch) / "set.bin"
+        _protoc(
+            [
+                "--include_source_info",
+                f"--descriptor_set_out={target}",
+                f"{module}.proto",
+            ]
+        )
+        files = descriptor_pb2.FileDescriptorSet.FromString(target.read_bytes())
+    return files.file[-1]
+
+
+def _options() -> Any:
+    return importlib.import_module("pomelobank_schema.generated.options_pb2")
+
+
+def _module_source(module: str) -> str:
+    _options()  # Registers the extensions before the descriptors are parsed.
+    file = _descriptor(module)
+    comments = {
+        tuple(place.path): " ".join(place.leading_comments.split())
+        for place in file.source_code_info.location
+    }
+    parts = [
+        f'"""Generated from {module}.proto; do not edit."""\n\n'
+        "from __future__ import annotations\n\n"
+        "from collections.abc import Sequence\n"
+        "from typing import ClassVar, cast\n\n"
+        "import attrs\n\n"
+        "from pomelobank_schema import _checks, _wire\n"
+    ]
+    for index, message in enumerate(file.message_type):
+        parts.append(_class_source(message, index, comments))
+    parts.append(_kinds_source(file))
+    return "\n".join(parts)
+
+
+def _kinds_source(file: descriptor_pb2.FileDescriptorProto) -> str:
+    options = _options()
+    kinds = [
+        m.name for m in file.message_type if m.options.Extensions[options.kind]
+    ]
+    lines = ["", "KINDS: dict[int, type[_wire.WireMessage]] = {"]
+    lines += [f"    {name}.KIND: {name}," for name in kinds]
+    lines += ["}", ""]
+    return "\n".join(lines)
+
+
+def _class_source(
+    message: descriptor_pb2.DescriptorProto,
+    index: int,
+    comments: dict[tuple[int, ...], str],
+) -> str:
+    options = _options()
+    place = (_MESSAGE_TYPE_NUMBER, index)
+    lines = ["", "@attrs.frozen(kw_only=True)", f"class {message.name}:"]
+    lines.append(f'    """{comments.get(place, message.name)}')
+    lines += ["", "    Attributes:"]
+    for number, field in enumerate(message.field):
+        text = comments.get((*place, _FIELD_NUMBER, number), "")
+        unit = field.options.Extensions[options.unit]
+        lines.append(
+            f"        {field.name}: {text}" + (f" In {unit}." if unit else "")
+        )
+    lines += ['    """', ""]
+    kind = message.options.Extensions[options.kind]
+    lines += [f"    KIND: ClassVar[int] = {kind}", ""]
+    lines += [f"    {_field_source(field)}" for field in message.field]
+    lines += [
+        "",
+        *_to_wire_source(message),
+        "",
+        *_from_wire_source(message),
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def _type_name(field: descriptor_pb2.FieldDescriptorProto) -> str:
+    if field.type == _FIELD.TYPE_MESSAGE:
+        base = field.type_name.rsplit(".", 1)[-1]
+    else:
+        base = _PLAIN_TYPES[field.type][0]
+    if field.label == _FIELD.LABEL_REPEATED:
+        return f"tuple[{base}, ...]"
+    return f"{base} | None" if field.proto3_optional else base
+
+
+def _default(field: descriptor_pb2.FieldDescriptorProto) -> str | None:
+    options = _options()
+    extensions = field.options.Extensions
+    default = extensions[options.default_value]
+    if field.label == _FIELD.LABEL_REPEATED:
+        return "()"
+    if field.proto3_optional:
+        return "None"
+    if extensions[options.required]:
+        return None
+    if field.type == _FIELD.TYPE_MESSAGE:
+        return f"attrs.Factory({_type_name(field)})"
+    if default:
+        return repr(default) if field.type == _FIELD.TYPE_STRING else default
+    choices = extensions[options.one_of]
+    if choices:
+        return repr(choices.split(",")[0])
+    return _PLAIN_TYPES[field.type][1]
+
+
+def _validators(field: descriptor_pb2.FieldDescriptorProto) -> list[str]:
+    options = _options()
+    extensions = field.options.Extensions
+    found = []
+    plain_required = (
+        extensions[options.required] and field.type == _FIELD.TYPE_STRING
+    )
+    if plain_required:
+        found.append("_checks.not_empty")
+    if extensions[options.ip_port]:
+        found.append("_checks.address")
+    choices = extensions[options.one_of]
+    if choices:
+        names = ", ".join(repr(choice) for choice in choices.split(","))
+        found.append(f"_checks.one_of({names})")
+    low, high = extensions[options.min], extensions[options.max]
+    if low or high:
+        found.append(f"_checks.in_range({low}, {high})")
+    return found
+
+
+def _field_source(field: descriptor_pb2.FieldDescriptorProto) -> str:
+    default = _default(field)
+    arguments = [] if default is None else [f"default={default}"]
+    validators = _validators(field)
+    if len(validators) == 1:
+        arguments.append(f"validator={validators[0]}")
+    elif validators:
+        arguments.append(f"validator=[{', '.join(validators)}]")
+    inside = ", ".join(arguments)
+    return f"{field.name}: {_type_name(field)} = attrs.field({inside})"
+
+
+def _to_wire_source(message: descriptor_pb2.DescriptorProto) -> list[str]:
+    lines = ["    def to_wire(self) -> list[object]:"]
+    lines += ['        """Returns the fields in the order of their numbers."""']
+    lines += ["        return ["]
+    for field in message.field:
+        name = f"self.{field.name}"
+        if (
+            field.label == _FIELD.LABEL_REPEATED
+            and field.type == _FIELD.TYPE_MESSAGE
+        ):
+            name = f"[item.to_wire() for item in {name}]"
+        elif field.label == _FIELD.LABEL_REPEATED:
+            name = f"list({name})"
+        elif field.type == _FIELD.TYPE_MESSAGE:
+            name = f"None if {name} is None else {name}.to_wire()"
+        lines.append(f"            {name},")
+    return [*lines, "        ]"]
+
+
+def _from_wire_source(message: descriptor_pb2.DescriptorProto) -> list[str]:
+    lines = ["    @classmethod"]
+    lines += [
+        f"    def from_wire(cls, values: Sequence[object]) -> {message.name}:"
+    ]
+    lines += ['        """Builds the message; further fields are ignored."""']
+    lines += ["        return cls("]
+    for index, field in enumerate(message.field):
+        lines.append(f"            {field.name}={_take_source(field, index)},")
+    return [*lines, "        )"]
+
+
+def _take_source(field: descriptor_pb2.FieldDescriptorProto, index: int) -> str:
+    repeated = field.label == _FIELD.LABEL_REPEATED
+    if field.type == _FIELD.TYPE_MESSAGE:
+        base = field.type_name.rsplit(".", 1)[-1]
+        function = "take_messages" if repeated else "take_message"
+        arguments = f'values, {index}, {base}.from_wire, "{field.name}"'
+        source = f"_wire.{function}({arguments})"
+        if repeated or field.proto3_optional:
+            return source
+        return f"cast({base!r}, {source})"
+    base, empty = _PLAIN_TYPES[field.type]
+    if repeated:
+        return (
+            f"cast('tuple[{base}, ...]', "
+            f'_wire.take_many(values, {index}, {base}, "{field.name}"))'
+        )
+    default = _default(field) or empty
+    arguments = f'values, {index}, {base}, {default}, "{field.name}"'
+    return f"cast({base}, _wire.take({arguments}))"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/pomelobank-schema/src/pomelobank_schema/tests/test_generated.py
@@ -0,0 +1,14 @@
+"""The committed generated code matches the schema."""
+
+from pathlib import Path
+
+from pomelobank_schema import generate
+
+
+def test_regenerating_changes_nothing(tmp_path: Path) -> None:
+    generate.write_all(tmp_path)
+    fresh = {item.name: item.read_text() for item in tmp_path.glob("*.py*")}
+    kept = {
+        item.name: item.read_text() for item in generate.GENERATED.glob("*.py*")
+    }
+    assert fresh == kept
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -0,0 +1,20 @@
+"""Tools for trying and measuring: `python -m pomelobank_testing demo`."""
+
+import sys
+
+from pomelobank_testing._demo import main as demo
+
+_TOOLS = {"demo": demo}
+
+
+def main() -> int:
+    """Runs one tool; returns its exit status."""
+    name = sys.argv[1] if len(sys.argv) > 1 else ""
+    if name not in _TOOLS:
+        print(f"usage: python -m pomelobank_testing {{{','.join(_TOOLS)}}} ...")
+        return 2
+    return _TOOLS[name](sys.argv[2:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_demo.py
@@ -0,0 +1,79 @@
+"""The demonstration: a whole mesh of today's size on embedded stand-ins."""
+
+import argparse
+import asyncio
+import json
+import time
+from collections import Counter
+
+from pomelobank_testing._harness import TestMesh
+from pomelobank_testing._meshes import MESHES, Mesh
+from pomelobank_testing._upstream_service import UpstreamService
+
+_OK = 200
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Runs the demonstration; returns 0 where all requests were answered."""
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--mesh", choices=sorted(MESHES), default="derwent")
+    parser.add_argument("--requests", type=int, default=30)
+    options = parser.parse_args(arguments)
+    return asyncio.run(_run(MESHES[options.mesh], options.requests))
+
+
+async def start_mesh(test_mesh: TestMesh, mesh: Mesh) -> list[str]:
+    """Starts every node and target of a mesh; returns the nodes' ids."""
+    starts = []
+    names = []
+    for service in mesh.services:
+        for index in range(service.targets):
+            name = f"{service.name}-{index}"
+            data_centre = mesh.data_centres[index % len(mesh.data_centres)]
+            upstream = UpstreamService(name, f"{service.name}-main", mesh.slots)
+            starts.append(test_mesh.add_node(name, data_centre, upstream))
+            names.append(name)
+    await asyncio.gather(*starts)
+    return names
+
+
+async def _run(mesh: Mesh, requests: int) -> int:
+    async with TestMesh() as test_mesh:
+        begun = time.monotonic()
+        names = await start_mesh(test_mesh, mesh)
+        print(f"{len(names)} nodes started in {time.monotonic() - begun:.1f} s")
+        status, output = await test_mesh.apply(names[0], mesh.document())
+        document = json.loads(output)
+        verdict = f"{document['status']}, version {document['version']}"
+        print(f"apply through {names[0]}: {verdict}")
+        if status:
+            return status
+        await test_mesh.wait_members(len(names))
+        await test_mesh.wait_version(names[0], document["version"])
+        print(f"version {document['version']} is in force on every node")
+        return await _send_requests(test_mesh, mesh, names, requests)
+
+
+async def _send_requests(
+    test_mesh: TestMesh, mesh: Mesh, names: list[str], requests: int
+) -> int:
+    instances: Counter[str] = Counter()
+    failed = 0
+    for index in range(requests):
+        service = mesh.services[index % len(mesh.services)]
+        entry = names[index % len(names)]
+        status, _, body = await test_mesh.request(
+            entry, service.name, f"{service.path}/{index}"
+        )
+        if status == _OK:
+            instances[json.loads(body)["instance"]] += 1
+        else:
+            failed += 1
+            print(f"request {index}: status {status} {body.decode()}")
+        if index < len(mesh.services):
+            line = f"GET {service.path}/{index} at {entry}: {status}"
+            print(f"{line} {body.decode()}")
+    print(f"{requests - failed} of {requests} requests answered, by instance:")
+    for instance, count in sorted(instances.items()):
+        print(f"  {instance}: {count}")
+    return 1 if failed else 0
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_upstream_service.py
@@ -0,0 +1,142 @@
+"""Stand-in of an upstream instance of the platform."""
+
+import asyncio
+import contextlib
+import json
+import os
+from collections import Counter
+from typing import Any
+
+import aiohttp
+import attrs
+
+_S_PER_MS = 0.001
+_ANNOUNCE_PERIOD_S = 0.5
+
+
+@attrs.define(eq=False)
+class UpstreamService:
+    """A plain ASGI application with slots and switches for its behaviour.
+
+    Requests are steered by their headers: `x-work-ms` is how long the work
+    takes, `x-size` the bytes of the answer, `x-crash` ends the instance in the
+    middle of the work, `x-run-id` is counted.
+
+    Attributes:
+        name: Name of the instance.
+        upstream: Name of the upstream that it belongs to.
+        slots: Requests that it runs at once; more are shed.
+        cold_start_ms: Time after its start in which it sheds everything.
+        work_ms: Work of a request that does not say so itself.
+        healthy: What its health page says; it may mislead.
+        runs: How often each `x-run-id` ran.
+        busy: Requests under way.
+        shed: Requests that were turned away.
+        cancelled: Requests whose caller went away.
+        crashes: Whether `x-crash` ends the process.
+        crashed: Set once it crashed.
+    """
+
+    name: str
+    upstream: str
+    slots: int = 10
+    cold_start_ms: int = 0
+    work_ms: int = 0
+    healthy: bool = True
+    runs: Counter[str] = attrs.field(factory=Counter)
+    busy: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    crashes: bool = False
+    crashed: bool = False
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answers one request."""
+        if scope["type"] != "http":
+            return
+        if scope["path"] == "/runs":
+            await _answer(send, 200, json.dumps(self.runs).encode())
+            return
+        if scope["path"] == "/health":
+            status = 200 if self.healthy else 503
+            await _answer(send, status, b"{}")
+            return
+        await self._work(scope, receive, send)
+
+    async def _work(self, scope: Any, receive: Any, send: Any) -> None:
+        headers = dict(scope["headers"])
+        body = await _read_body(receive)
+        if self.busy >= self.slots:
+            self.shed += 1
+            await _answer(send, 503, b'{"shed": true}')
+            return
+        self.busy += 1
+        try:
+            await self._run(headers, scope, body, send)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.busy -= 1
+
+    async def _run(
+        self, headers: dict[bytes, bytes], scope: Any, body: bytes, send: Any
+    ) -> None:
+        run_id = headers.get(b"x-run-id", b"").decode()
+        if run_id:
+            self.runs[run_id] += 1
+        if b"x-crash" in headers and self.crashes:
+            self.crashed = True
+            os._exit(70)
+        work_ms = int(headers.get(b"x-work-ms", b"%d" % self.work_ms))
+        if work_ms:
+            await asyncio.sleep(work_ms * _S_PER_MS)
+        document = {
+            "instance": self.name,
+            "path": scope["path"],
+            "run_id": run_id,
+            "body_bytes": len(body),
+        }
+        data = json.dumps(document).encode()
+        size = int(headers.get(b"x-size", b"0"))
+        await _answer(send, 200, data + b" " * max(0, size - len(data)))
+
+
+async def _read_body(receive: Any) -> bytes:
+    chunks = []
+    while True:
+        message = await receive()
+        chunks.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def _answer(send: Any, status: int, body: bytes) -> None:
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", b"%d" % len(body)),
+    ]
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    await send({"type": "http.response.body", "body": body})
+
+
+async def announce(service: UpstreamService, address: str, admin: str) -> None:
+    """Announces an instance to its node until it is cancelled.
+
+    Args:
+        service: The instance.
+        address: Its address.
+        admin: Address of the node's own pages.
+    """
+    document = {
+        "upstream": service.upstream,
+        "address": address,
+        "slots": service.slots,
+    }
+    async with aiohttp.ClientSession() as session:
+        while True:
+            with contextlib.suppress(aiohttp.ClientError):
+                await session.post(f"http://{admin}/v1/target", json=document)
+            await asyncio.sleep(_ANNOUNCE_PERIOD_S)
