Metrics over HTTP, reference pages generated from the program's own lists

Cause: an operator could not see what a node does; settings, metrics and error kinds were described nowhere.

Change: OpenTelemetry instruments read plain counters when the page is asked for, so that a request pays an addition only; ./generate writes the generated code and docs/reference/, and a test fails where either is out of date.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -16,6 +16,8 @@
 from pomelobank_node._http_server import HttpServer
 from pomelobank_node._log_client import LogClient
 from pomelobank_node._membership import Membership
+from pomelobank_node._metrics import Metrics
+from pomelobank_node._observations import observe_node
 from pomelobank_node._operator import OperatorServer, OperatorService
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
@@ -84,20 +86,30 @@
         dispatcher = Dispatcher(
             self.store, self.table, self.owner, self.links, self.clock
         )
-        entry = Entry(dispatcher, settings.requests.max_body_bytes)
+        self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
+        self.metrics = Metrics(settings.node, settings.data_centre)
+        observe_node(self.metrics, self)
         admin = Admin(self.owner, self.membership)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
         listen = settings.listen
-        self.http = HttpServer(listen.http, entry)
-        self.admin = HttpServer(listen.admin, admin.application())
+        pages = admin.application()
+        pages.add_route("/metrics", self.metrics.page)
+        self.http = HttpServer(listen.http, self.entry)
+        self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(listen.peer, self.owner, self.membership)
         self.operator = OperatorServer(listen.operator, operator)
 
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
-        for part in (self.log, self.links, self.peers, self.operator):
+        for part in (
+            self.metrics,
+            self.log,
+            self.links,
+            self.peers,
+            self.operator,
+        ):
             await self._start(part)
         await self._start(self.feed)
         for server in (self.http, self.admin):
--- a/packages/pomelobank-node/src/pomelobank_node/_entry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_entry.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import uuid
+from collections import Counter
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
@@ -31,6 +32,7 @@
 KEY_HEADER = b"idempotency-key"
 _OWN_HEADERS = frozenset({SERVICE_HEADER, TIMEOUT_HEADER, TRACE_HEADER})
 _MS_PER_S = 1000
+_ANSWERED = "answered"
 
 
 @attrs.define(eq=False)
@@ -40,10 +42,12 @@
     Attributes:
         dispatcher: Takes requests to targets.
         max_body_bytes: Largest body that is taken, in bytes.
+        outcomes: How many requests ended in which way, for the metrics.
     """
 
     dispatcher: Dispatcher
     max_body_bytes: int
+    outcomes: Counter[str] = attrs.field(factory=Counter)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -55,18 +59,23 @@
             caller = await self._read(scope, receive)
             reply = await self.dispatcher.dispatch(caller)
         except RequestError as error:
-            await _send_error(send, error)
+            await self._refuse(send, error)
             return
         except Exception:
             _logger.exception("request.failed")
-            await _send_error(send, RequestError(ErrorKind.INTERNAL))
+            await self._refuse(send, RequestError(ErrorKind.INTERNAL))
             return
         reported = reply_error(reply)
         if reported is not None:
-            await _send_error(send, reported)
+            await self._refuse(send, reported)
             return
+        self.outcomes[_ANSWERED] += 1
         await _send_answer(send, reply)
 
+    async def _refuse(self, send: Send, error: RequestError) -> None:
+        self.outcomes[error.kind.value] += 1
+        await _send_error(send, error)
+
     async def _read(self, scope: Scope, receive: Receive) -> CallerRequest:
         headers = dict(scope["headers"])
         trace_id = headers.get(TRACE_HEADER, b"").decode("latin-1")
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_reference.py
@@ -0,0 +1,71 @@
+"""Writes the reference pages from the lists that the program itself uses.
+
+Run as `python -m pomelobank_node._reference DOCS`.
+"""
+
+import sys
+from pathlib import Path
+
+from pomelobank_core import ANSWERS
+from pomelobank_node import _instruments
+
+
+def metrics_page() -> str:
+    """Returns the page of all metrics."""
+    rows = [
+        f"| `{item.name}` | {item.unit} | {item.label or '-'} |"
+        f" {'counter' if item.monotonic else 'gauge'} | {item.description} |"
+        for item in _instruments.ALL
+    ]
+    return "\n".join(
+        [
+            "# Metrics",
+            "",
+            "Read them at `http://ADMIN-ADDRESS/metrics`; the page shows the"
+            " names with underscores for dots. Each carries the labels `node`"
+            " and `data_centre` besides its own.",
+            "",
+            "| name | unit | label | kind | what it tells |",
+            "|---|---|---|---|---|",
+            *rows,
+            "",
+        ]
+    )
+
+
+def errors_page() -> str:
+    """Returns the page of all error kinds."""
+    rows = [
+        f"| `{kind.value}` | {answer.status} | {answer.run_state.value} |"
+        f" {answer.retry_after_ms or '-'} | {answer.message} |"
+        for kind, answer in ANSWERS.items()
+    ]
+    return "\n".join(
+        [
+            "# Error kinds",
+            "",
+            "What a caller is answered when the system itself ends a request:"
+            " the kind in the header `x-pomelobank-error`, whether it ran in"
+            " `x-pomelobank-run`, and when to come back in `retry-after`"
+            " (seconds) and in the body's `retry_after_ms`. The times below"
+            " are the usual ones; an answer may carry a better one.",
+            "",
+            "| kind | status | ran | come back after (ms) | meaning |",
+            "|---|---|---|---|---|",
+            *rows,
+            "",
+        ]
+    )
+
+
+PAGES = {"metrics.md": metrics_page, "errors.md": errors_page}
+
+
+def write_all(folder: Path) -> None:
+    """Writes every page into a folder."""
+    for name, page in PAGES.items():
+        (folder / name).write_text(page())
+
+
+if __name__ == "__main__":
+    write_all(Path(sys.argv[1]))
--- a/packages/pomelobank-schema/src/pomelobank_schema/generate.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/generate.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+import attrs
 from google.protobuf import descriptor_pb2
 
 PACKAGE = Path(__file__).parent
@@ -83,6 +84,84 @@
     )
 
 
+@attrs.frozen
+class Limits:
+    """What the schema says of a field beside its type.
+
+    Attributes:
+        unit: Unit of a number.
+        default: Value where a document leaves it out.
+        allowed: Range or list of values, for people.
+        reason: Why the default or the limit is what it is.
+        required: Whether it may not be left out.
+    """
+
+    unit: str
+    default: str
+    allowed: str
+    reason: str
+    required: bool
+
+
+def limits_of(field: descriptor_pb2.FieldDescriptorProto) -> Limits:
+    """Returns what the schema says of a field beside its type."""
+    options = _options()
+    extensions = field.options.Extensions
+    low, high = extensions[options.min], extensions[options.max]
+    allowed = extensions[options.one_of].replace(",", ", ")
+    if low or high:
+        allowed = f"{low} to {high}"
+    if extensions[options.ip_port]:
+        allowed = "IP:PORT"
+    return Limits(
+        unit=extensions[options.unit],
+        default=extensions[options.default_value],
+        allowed=allowed,
+        reason=extensions[options.reason],
+        required=extensions[options.required],
+    )
+
+
+@attrs.frozen
+class Schema:
+    """One schema file with its comments.
+
+    Attributes:
+        file: The file's descriptor.
+        comments: Its comments by place.
+    """
+
+    file: descriptor_pb2.FileDescriptorProto
+    comments: dict[tuple[int, ...], str]
+
+    @classmethod
+    def read(cls, module: str) -> "Schema":
+        """Reads a schema file by its module's name."""
+        _options()  # Registers the extensions before descriptors are parsed.
+        file = _descriptor(module)
+        comments = {
+            tuple(place.path): " ".join(place.leading_comments.split())
+            for place in file.source_code_info.location
+        }
+        return cls(file, comments)
+
+    def comment(
+        self,
+        message: descriptor_pb2.DescriptorProto,
+        field: descriptor_pb2.FieldDescriptorProto,
+    ) -> str:
+        """Returns the comment of a field."""
+        names = [item.name for item in self.file.message_type]
+        numbers = [item.name for item in message.field]
+        place = (
+            _MESSAGE_TYPE_NUMBER,
+            names.index(message.name),
+            _FIELD_NUMBER,
+            numbers.index(field.name),
+        )
+        return self.comments.get(place, "")
+
+
 def _descriptor(module: str) -> descriptor_pb2.FileDescriptorProto:
     with tempfile.TemporaryDirectory() as scratch:
         target = Path(scratch) / "set.bin"
@@ -102,12 +181,8 @@
 
 
 def _module_source(module: str) -> str:
-    _options()  # Registers the extensions before the descriptors are parsed.
-    file = _descriptor(module)
-    comments = {
-        tuple(place.path): " ".join(place.leading_comments.split())
-        for place in file.source_code_info.location
-    }
+    schema = Schema.read(module)
+    file, comments = schema.file, schema.comments
     parts = [
         f'"""Generated from {module}.proto; do not edit."""\n\n'
         "from __future__ import annotations\n\n"
--- /dev/null
+++ b/packages/pomelobank-schema/src/pomelobank_schema/reference.py
@@ -0,0 +1,76 @@
+"""Writes the settings reference from the schema.
+
+Run as `python -m pomelobank_schema.reference DOCS`; needs `grpcio-tools`.
+"""
+
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+from google.protobuf import descriptor_pb2
+
+from pomelobank_schema import generate
+
+_ROOT = "NodeSettings"
+
+
+def settings_page() -> str:
+    """Returns the page of all settings."""
+    schema = generate.Schema.read("settings")
+    messages = {item.name: item for item in schema.file.message_type}
+    rows = list(_rows(schema, messages, messages[_ROOT], ""))
+    return "\n".join(
+        [
+            "# Settings",
+            "",
+            "A node reads one YAML file; `pomelobankd --check-settings FILE`"
+            " checks it and ends with status 0, or with status 2 and one line"
+            " that names the key and what is allowed.",
+            "",
+            "| key | unit | default | allowed | what it is, and why so |",
+            "|---|---|---|---|---|",
+            *rows,
+            "",
+        ]
+    )
+
+
+def _rows(
+    schema: generate.Schema,
+    messages: dict[str, descriptor_pb2.DescriptorProto],
+    message: descriptor_pb2.DescriptorProto,
+    prefix: str,
+) -> Iterator[str]:
+    for field in message.field:
+        key = f"{prefix}{field.name}"
+        inner = messages.get(field.type_name.rsplit(".", 1)[-1])
+        if inner is not None:
+            yield from _rows(schema, messages, inner, f"{key}.")
+        else:
+            yield _row(schema, message, field, key)
+
+
+def _row(
+    schema: generate.Schema,
+    message: descriptor_pb2.DescriptorProto,
+    field: descriptor_pb2.FieldDescriptorProto,
+    key: str,
+) -> str:
+    limits = generate.limits_of(field)
+    text = schema.comment(message, field)
+    if limits.reason:
+        text = f"{text} {limits.reason}"
+    default = "required" if limits.required else f"`{limits.default or '-'}`"
+    return (
+        f"| `{key}` | {limits.unit or '-'} | {default} |"
+        f" {limits.allowed or '-'} | {text} |"
+    )
+
+
+def write_all(folder: Path) -> None:
+    """Writes every page into a folder."""
+    (folder / "settings.md").write_text(settings_page())
+
+
+if __name__ == "__main__":
+    write_all(Path(sys.argv[1]))
--- a/packages/pomelobank-schema/src/pomelobank_schema/tests/test_generated.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/tests/test_generated.py
@@ -11,4 +11,4 @@
     kept = {
         item.name: item.read_text() for item in generate.GENERATED.glob("*.py*")
     }
-    assert fresh == kept
+    assert fresh == kept, "run ./generate"
--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -350,3 +350,10 @@
                     return
                 await asyncio.sleep(_POLL_S)
         raise TimeoutError(f"{name} never saw {count} members {state}")
+
+    async def metrics(self, node: str) -> str:
+        """Returns a node's metrics page."""
+        assert self.session is not None
+        url = f"http://{self.nodes[node].addresses['admin']}/metrics"
+        async with self.session.get(url) as response:
+            return await response.text()
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
@@ -0,0 +1,34 @@
+"""The docs match the program: reference pages, links and named files."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from pomelobank_node import _reference as node_reference
+from pomelobank_schema import reference as settings_reference
+
+ROOT = Path(__file__).parents[5]
+DOCS = ROOT / "docs"
+PAGES = sorted([*DOCS.rglob("*.md"), *ROOT.glob("*.md")])
+LINK = re.compile(r"\[[^\]]*\]\(([^)#\s]+)(?:#[^)]*)?\)")
+NAMED_FILE = re.compile(r"`((?:packages|docs|examples|benchmarks)/[\w./-]+)`")
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_links_lead_somewhere(page: Path) -> None:
+    text = page.read_text()
+    targets = [page.parent / target for target in LINK.findall(text)]
+    targets += [ROOT / name for name in NAMED_FILE.findall(text)]
+    missing = [str(item) for item in targets if not item.exists()]
+    assert missing == []
+
+
+def test_reference_pages_are_current(tmp_path: Path) -> None:
+    node_reference.write_all(tmp_path)
+    settings_reference.write_all(tmp_path)
+    fresh = {item.name: item.read_text() for item in tmp_path.iterdir()}
+    kept = {
+        item.name: item.read_text() for item in (DOCS / "reference").iterdir()
+    }
+    assert fresh == kept, "run ./generate"
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_metrics.py
@@ -0,0 +1,36 @@
+"""Every metric of the list is on the page, and every one is documented."""
+
+from pathlib import Path
+
+from pomelobank_node import INSTRUMENTS
+from pomelobank_testing import MESHES, TestMesh, UpstreamService
+
+MESH = MESHES["derwent"]
+DOCS = Path(__file__).parents[5] / "docs"
+
+
+def shown_name(name: str) -> str:
+    return name.replace(".", "_")
+
+
+async def test_every_instrument_is_on_the_page() -> None:
+    async with TestMesh() as mesh:
+        upstream = UpstreamService("a", "counter-desk-main")
+        await mesh.add_node("a", "hobart", upstream)
+        await mesh.apply("a", MESH.document())
+        await mesh.wait_members(1)
+        await mesh.request("a", "counter-desk", "/stock/1")
+        await mesh.request("a", "nobody", "/stock/1")
+        page = await mesh.metrics("a")
+        names = {line.split("{")[0] for line in page.splitlines()}
+        missing = [
+            item.name
+            for item in INSTRUMENTS
+            if not item.label
+            and not any(
+                name.startswith(shown_name(item.name)) for name in names
+            )
+        ]
+        assert missing == []
+        assert 'outcome="answered"} 1.0' in page
+        assert 'outcome="no_route"} 1.0' in page
