Command line: roll back from an exported document, name the nodes behind

Cause: a configuration could be applied but not taken back as a whole, and status did not say which nodes lack a version, or why.

Examples of settings and configuration for both meshes, checked by a test.

--- a/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -10,8 +10,19 @@
 import grpc
 
 from pomelobank_cli._exit_status import ExitStatus
-from pomelobank_cli._output import as_document, print_json, print_table
-from pomelobank_cli._plan import PlannedStep, object_fields, object_key, plan
+from pomelobank_cli._output import (
+    as_document,
+    print_json,
+    print_table,
+    print_yaml,
+)
+from pomelobank_cli._plan import (
+    PlannedStep,
+    document_of,
+    object_fields,
+    object_key,
+    plan,
+)
 from pomelobank_schema import build, read_yaml
 from pomelobank_schema.generated import operator_pb2 as pb
 from pomelobank_schema.generated.operator_pb2_grpc import OperatorStub
@@ -55,7 +66,7 @@
     current = client.stub.GetConfig(
         pb.GetConfigRequest(), timeout=client.timeout_s
     )
-    steps = plan(current, document)
+    steps = plan(current, document, options.prune)
     if not steps:
         return _print_unchanged(current, options)
     request = pb.ApplyRequest(
@@ -153,6 +164,9 @@
     if options.output == "json":
         print_json(as_document(reply))
         return ExitStatus.OK
+    if options.output == "yaml":
+        print_yaml(document_of(reply))
+        return ExitStatus.OK
     rows = [
         [object_key(item), str(item.revision), json.dumps(object_fields(item))]
         for item in reply.objects
@@ -213,18 +227,29 @@
     return ExitStatus.TIMED_OUT if behind else ExitStatus.OK
 
 
-def _behind(reply: pb.StatusReply, wanted: int | None) -> list[str]:
+def _behind(reply: pb.StatusReply, wanted: int | None) -> dict[str, str]:
+    """Returns the nodes that lack a version, and why as far as is known."""
     if wanted is None:
-        return []
-    return [
-        member.node
+        return {}
+    return {
+        member.node: _reason(reply, member)
         for member in reply.members
         if member.state != "gone" and member.version < wanted
-    ]
+    }
+
+
+def _reason(reply: pb.StatusReply, member: pb.MemberStatus) -> str:
+    if member.state == "suspect":
+        return "does not answer other members"
+    if member.state == "starting":
+        return "is still starting"
+    if reply.log_state != "up" and member.node == reply.node:
+        return "cannot read the log"
+    return "has not received the records yet"
 
 
 def _print_status(
-    reply: pb.StatusReply, behind: list[str], output: str
+    reply: pb.StatusReply, behind: dict[str, str], output: str
 ) -> None:
     if output == "json":
         print_json({**as_document(reply), "behind": behind})
@@ -240,10 +265,10 @@
             member.state,
             str(member.version),
             member.upstream or "-",
-            "behind" if member.node in behind else "",
+            behind.get(member.node, ""),
         ]
         for member in sorted(reply.members, key=lambda item: item.node)
     ]
     print_table(
-        ["NODE", "DATA CENTRE", "STATE", "VERSION", "UPSTREAM", ""], rows
+        ["NODE", "DATA CENTRE", "STATE", "VERSION", "UPSTREAM", "BEHIND"], rows
     )
--- a/packages/pomelobank-cli/src/pomelobank_cli/_main.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_main.py
@@ -20,6 +20,8 @@
   pomelobank --node 127.0.0.1:7004 apply mesh.yaml --dry-run
   pomelobank apply mesh.yaml --reason "new shade range"
   pomelobank status --wait 12 --timeout 11
+  pomelobank get --output yaml > before.yaml     # keep, to roll back with
+  pomelobank apply before.yaml --prune           # roll back to it
   pomelobank audit --limit 5 --output json
 
 exit status: 0 done, 1 rejected, 2 bad input, 3 outcome unknown (ask again
@@ -89,7 +91,8 @@
     command: argparse.ArgumentParser = commands.add_parser(  # type: ignore[attr-defined]
         name, help=text, description=text
     )
-    command.add_argument("--output", choices=("table", "json"), default="table")
+    formats = ("table", "json", "yaml") if name == "get" else ("table", "json")
+    command.add_argument("--output", choices=formats, default="table")
     return command
 
 
@@ -104,6 +107,11 @@
     command.add_argument(
         "--dry-run", action="store_true", help="show the difference only"
     )
+    command.add_argument(
+        "--prune",
+        action="store_true",
+        help="also delete every object that the file does not name",
+    )
     command.set_defaults(run=_commands.run_apply)
 
 
--- a/packages/pomelobank-cli/src/pomelobank_cli/_output.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_output.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Sequence
 
+import yaml
 from google.protobuf.json_format import MessageToDict
 from google.protobuf.message import Message
 
@@ -12,6 +13,11 @@
     print(json.dumps(document, indent=2, ensure_ascii=False))
 
 
+def print_yaml(document: object) -> None:
+    """Prints one YAML document."""
+    print(yaml.safe_dump(document, sort_keys=False), end="")
+
+
 def as_document(message: Message) -> dict[str, object]:
     """Returns a message as a JSON document that names every field."""
     return dict(
--- a/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
@@ -42,13 +42,14 @@
 
 
 def plan(
-    current: pb.GetConfigReply, document: ConfigDocument
+    current: pb.GetConfigReply, document: ConfigDocument, prune: bool = False
 ) -> list[PlannedStep]:
     """Returns the steps that make the configuration match the document.
 
     Args:
         current: The configuration as it was read.
         document: What the operator wants.
+        prune: Whether to delete every object that the document does not name.
 
     Returns:
         The steps; none where everything is as written.
@@ -57,11 +58,27 @@
         SchemaError: If the document deletes what is not there.
     """
     known = {object_key(item): item for item in current.objects}
-    steps = [_put_step(known, item) for item in _wanted(document)]
-    steps += [_delete_step(known, key) for key in document.delete]
+    wanted = {object_key(item): item for item in _wanted(document)}
+    deleted = list(document.delete)
+    if prune:
+        deleted += [key for key in known if key not in wanted]
+    steps = [_put_step(known, item) for item in wanted.values()]
+    steps += [_delete_step(known, key) for key in dict.fromkeys(deleted)]
     return [step for step in steps if step is not None]
 
 
+def document_of(current: pb.GetConfigReply) -> dict[str, object]:
+    """Returns a configuration as a document that `apply` takes again."""
+    return {
+        f"{kind}s": [
+            object_fields(item)
+            for item in current.objects
+            if item.WhichOneof("object") == kind
+        ]
+        for kind in _KINDS
+    }
+
+
 def _wanted(document: ConfigDocument) -> list[pb.ConfigObject]:
     wanted = [
         pb.ConfigObject(
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
@@ -6,7 +6,11 @@
 import pytest
 
 from pomelobank_node import _reference as node_reference
+from pomelobank_schema import build, read_yaml
 from pomelobank_schema import reference as settings_reference
+from pomelobank_schema.generated.records import ConfigDocument
+from pomelobank_schema.generated.settings import NodeSettings
+from pomelobank_testing import MESHES
 
 ROOT = Path(__file__).parents[5]
 DOCS = ROOT / "docs"
@@ -32,3 +36,13 @@
         item.name: item.read_text() for item in (DOCS / "reference").iterdir()
     }
     assert fresh == kept, "run ./generate"
+
+
+@pytest.mark.parametrize("mesh", ["derwent", "lone-star"])
+def test_examples_are_valid(mesh: str) -> None:
+    folder = ROOT / "examples" / mesh
+    settings = build(NodeSettings, read_yaml(folder / "node.yaml"))
+    document = build(ConfigDocument, read_yaml(folder / "mesh.yaml"))
+    assert settings.data_centre in MESHES[mesh].data_centres
+    names = {item.name for item in document.services}
+    assert names == {item.name for item in MESHES[mesh].services}
