Admission at the owner: slots, bounded queue, classes, adaptive limit

Cause: the owner refused whatever came above its slots and treated all requests alike; a burst was refused and a flood of batch work took every slot.

Change: admission in core without sockets. A queue holds what can start and end before its own deadline; the rest is refused at once with a time to come back. Classes have a guaranteed part and share the rest. The number of requests tried at once follows sheds, slowness and cold starts of the target.

Ruled out: first come, first served and a fixed partition, kept as baselines (requests.admission).

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -1,6 +1,23 @@
 """Decisions of pomelobank, without sockets or a real clock."""
 
+from pomelobank_core._admission import (
+    Admission,
+    AdmissionPolicy,
+    Change,
+    FirstCome,
+    FixedPartition,
+    GuaranteedShared,
+    Queued,
+    Refused,
+    Started,
+    Ticket,
+    TrafficClass,
+    Unlimited,
+    Verdict,
+    WorkResult,
+)
 from pomelobank_core._clock import Clock, ManualClock
+from pomelobank_core._concurrency import ConcurrencyLimit
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._objects import (
@@ -25,12 +42,19 @@
 
 __all__ = [
     "ANSWERS",
+    "Admission",
+    "AdmissionPolicy",
     "Answer",
+    "Change",
     "ChangeVerdict",
     "Clock",
+    "ConcurrencyLimit",
     "ConfigObject",
     "ConfigState",
     "ErrorKind",
+    "FirstCome",
+    "FixedPartition",
+    "GuaranteedShared",
     "ManualClock",
     "MemberState",
     "MemberTable",
@@ -38,11 +62,19 @@
     "ObjectKind",
     "Problem",
     "ProblemKind",
+    "Queued",
+    "Refused",
     "RoundRobin",
     "RouteTable",
     "RunState",
     "Snapshot",
+    "Started",
+    "Ticket",
+    "TrafficClass",
+    "Unlimited",
+    "Verdict",
     "VersionedObject",
+    "WorkResult",
     "check_objects",
     "evaluate",
     "is_idempotent",
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -0,0 +1,537 @@
+"""Decides which requests a target runs, which wait and which are refused."""
+
+import enum
+import functools
+import random
+from collections import deque
+from collections.abc import Iterator
+
+import attrs
+
+from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._errors import ErrorKind
+from pomelobank_core._latency import ServiceTimes
+
+
+class TrafficClass(enum.Enum):
+    """Classes of requests, the most urgent first.
+
+    Attributes:
+        INTERACTIVE: Somebody waits for the answer.
+        INTERNAL: A service asks on behalf of a request that is under way.
+        BATCH: Reports and lists that are due hours later.
+    """
+
+    INTERACTIVE = "interactive"
+    INTERNAL = "internal"
+    BATCH = "batch"
+
+
+# A class that has not asked for this long lends its guaranteed part, so that a
+# target which serves one class only is used in full. A minute outlasts the
+# pauses of a counter; what it costs is one long request's time, once, when the
+# class comes back.
+RESERVE_MS = 60_000
+# Below four slots a part for each of three classes would leave no shared rest.
+MIN_SLOTS_FOR_PARTS = 4
+# Taken for a class's service time before the first was measured: a burst at a
+# cold target would otherwise queue without any bound.
+UNMEASURED_MS = 100.0
+# Sooner than this a caller would meet the same queue again.
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 30_000
+_PERCENT = 100
+
+
+@attrs.frozen
+class GuaranteedShared:
+    """Each class has a part of its own; the rest is for all.
+
+    Attributes:
+        percent: Guaranteed part of each class, of the slots.
+    """
+
+    percent: dict[TrafficClass, int]
+
+    def part(self, traffic_class: TrafficClass, limit: int) -> int:
+        """Returns the slots that are guaranteed to a class."""
+        if limit < MIN_SLOTS_FOR_PARTS:
+            return 0
+        return max(1, limit * self.percent[traffic_class] // _PERCENT)
+
+
+@attrs.frozen
+class FixedPartition:
+    """Each class has its part and never more; a baseline.
+
+    Attributes:
+        percent: Relative parts of the classes.
+    """
+
+    percent: dict[TrafficClass, int]
+
+    def part(self, traffic_class: TrafficClass, limit: int) -> int:
+        """Returns the slots of a class."""
+        share = limit * self.percent[traffic_class]
+        return max(1, share // sum(self.percent.values()))
+
+
+@attrs.frozen
+class FirstCome:
+    """All requests wait in one queue, whatever their class; a baseline."""
+
+
+@attrs.frozen
+class Unlimited:
+    """Every request goes to the target at once; a baseline."""
+
+
+AdmissionPolicy = GuaranteedShared | FixedPartition | FirstCome | Unlimited
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A request at the door of a target.
+
+    Attributes:
+        traffic_class: Its class.
+        route: Its route.
+        deadline_ms: When its caller stops waiting.
+        alone: Whether nothing else may run beside it.
+        offered_ms: When it came.
+        started_ms: When it went to the target; None before.
+    """
+
+    traffic_class: TrafficClass
+    route: str
+    deadline_ms: float
+    alone: bool = False
+    offered_ms: float = 0.0
+    started_ms: float | None = None
+
+
+@attrs.frozen
+class Started:
+    """The request goes to the target now."""
+
+
+@attrs.frozen
+class Queued:
+    """The request waits; a later change starts or expires it."""
+
+
+@attrs.frozen
+class Refused:
+    """The request will not run.
+
+    Attributes:
+        kind: Why.
+        retry_after_ms: When there is likely to be room.
+    """
+
+    kind: ErrorKind
+    retry_after_ms: int
+
+
+Verdict = Started | Queued | Refused
+
+
+@attrs.frozen
+class Change:
+    """What an event did to requests that were waiting.
+
+    Attributes:
+        started: Those that go to the target now.
+        expired: Those whose deadline passed; they have not run.
+    """
+
+    started: tuple[Ticket, ...] = ()
+    expired: tuple[Ticket, ...] = ()
+
+
+class WorkResult(enum.Enum):
+    """How a request's time at the target ended.
+
+    Attributes:
+        ANSWERED: With an answer.
+        SHED: The target turned it away without working on it.
+        LOST: The target broke the connection or took none.
+        ABANDONED: The caller went away or its deadline passed.
+    """
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    LOST = "lost"
+    ABANDONED = "abandoned"
+
+
+def _per_class() -> dict[TrafficClass, int]:
+    return dict.fromkeys(TrafficClass, 0)
+
+
+def _queues() -> dict[TrafficClass, deque[Ticket]]:
+    return {traffic_class: deque() for traffic_class in TrafficClass}
+
+
+@attrs.define
+class Admission:
+    """Slots and queue of one target.
+
+    Made for bursts above what the target can run, and for batch work that
+    takes every slot it can get. Without it, requests wait inside the target
+    past their callers' deadlines and the target works on answers that nobody
+    waits for; one notices by goodput that falls while the target is busy.
+
+    Attributes:
+        policy: How classes share the slots.
+        limit: Requests tried at once.
+        max_queue_ms: Longest wait that is planned. A queue is for bursts; a
+            standing one adds its length to every answer and serves no more.
+        seeded: Source of randomness.
+        times: Measured service times.
+        running: Requests at the target, by class.
+        queues: Waiting requests, by class.
+        seen_ms: When each class asked last.
+        alone: The request that runs or waits to run alone, if any.
+        refused: Requests that were refused.
+        expired: Requests whose deadline passed in the queue.
+    """
+
+    policy: AdmissionPolicy
+    limit: ConcurrencyLimit
+    max_queue_ms: int
+    seeded: random.Random = attrs.field(factory=random.Random)
+    times: ServiceTimes = attrs.field(factory=ServiceTimes)
+    running: dict[TrafficClass, int] = attrs.field(factory=_per_class)
+    queues: dict[TrafficClass, deque[Ticket]] = attrs.field(factory=_queues)
+    seen_ms: dict[TrafficClass, float] = attrs.field(factory=dict)
+    alone: Ticket | None = None
+    refused: int = 0
+    expired: int = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at the target."""
+        return sum(self.running.values())
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        queued = sum(len(queue) for queue in self.queues.values())
+        alone_waits = self.alone is not None and self.alone.started_ms is None
+        return queued + alone_waits
+
+    def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
+        """Decides about a request that has just come.
+
+        Args:
+            ticket: The request.
+            now_ms: Current time.
+
+        Returns:
+            Whether it starts, waits or is refused.
+        """
+        ticket.offered_ms = now_ms
+        self.seen_ms[ticket.traffic_class] = now_ms
+        if ticket.deadline_ms <= now_ms:
+            return self._refuse(ErrorKind.DEADLINE_NOT_RUN, MIN_RETRY_AFTER_MS)
+        if ticket.alone:
+            return self._offer_alone(ticket, now_ms)
+        if self._starts_at_once(ticket, now_ms):
+            self._start(ticket, now_ms)
+            return Started()
+        return self._offer_wait(ticket, now_ms)
+
+    def finish(
+        self, ticket: Ticket, result: WorkResult, now_ms: float
+    ) -> Change:
+        """Takes the end of a request's time at the target.
+
+        Args:
+            ticket: The request.
+            result: How it ended.
+            now_ms: Current time.
+
+        Returns:
+            The requests that this let start or that expired meanwhile.
+        """
+        assert ticket.started_ms is not None
+        busy = self.in_flight
+        self.running[ticket.traffic_class] -= 1
+        if self.alone is ticket:
+            self.alone = None
+        self._learn(ticket, result, now_ms - ticket.started_ms, busy)
+        return self.start_waiting(now_ms)
+
+    def leave(self, ticket: Ticket, now_ms: float) -> Change:
+        """Takes a waiting request out: its caller went away.
+
+        Args:
+            ticket: The request; nothing happens where it does not wait.
+            now_ms: Current time.
+
+        Returns:
+            The requests that this let start.
+        """
+        queue = self.queues[ticket.traffic_class]
+        if ticket in queue:
+            queue.remove(ticket)
+        if self.alone is ticket and ticket.started_ms is None:
+            self.alone = None
+        return self.start_waiting(now_ms)
+
+    def set_slots(self, slots: int, now_ms: float) -> Change:
+        """Takes a new number of slots; returns what this let start."""
+        self.limit.set_slots(slots)
+        return self.start_waiting(now_ms)
+
+    def start_waiting(self, now_ms: float) -> Change:
+        """Drops what has expired and starts what there is room for."""
+        expired = self._expire(now_ms)
+        started = tuple(self._start_next(now_ms))
+        return Change(started, expired)
+
+    def waiting_tickets(self) -> list[Ticket]:
+        """Returns the waiting requests, class by class."""
+        return [ticket for queue in self.queues.values() for ticket in queue]
+
+    def next_deadline_ms(self) -> float | None:
+        """Returns the first deadline of those that wait, None without any."""
+        deadlines = [ticket.deadline_ms for ticket in self.waiting_tickets()]
+        return min(deadlines, default=None)
+
+    def _offer_wait(self, ticket: Ticket, now_ms: float) -> Verdict:
+        # Refusing at once leaves the caller time to go elsewhere; a request
+        # that waits and then misses its deadline has cost a place for nothing.
+        wait_ms = self._wait_ms(ticket.traffic_class, now_ms)
+        room_ms = ticket.deadline_ms - now_ms
+        room_ms -= self.times.of_route(ticket.route)
+        usual_ms = self._usual_ms(ticket.traffic_class)
+        # One service time is always planned for: work that takes longer than
+        # the longest wait could otherwise never wait for its turn.
+        planned_ms = min(room_ms, max(self.max_queue_ms, usual_ms))
+        if wait_ms > planned_ms:
+            return self._refuse(ErrorKind.OVERLOADED, wait_ms)
+        self.queues[ticket.traffic_class].append(ticket)
+        return Queued()
+
+    def _offer_alone(self, ticket: Ticket, now_ms: float) -> Verdict:
+        # One at a time: several would empty the target for each in turn and
+        # take it from the requests that are no danger.
+        if self.alone is not None:
+            return self._refuse(ErrorKind.OVERLOADED, self.max_queue_ms)
+        self.alone = ticket
+        if not self.in_flight:
+            self._start(ticket, now_ms)
+            return Started()
+        return Queued()
+
+    def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
+        # Spread over once to twice the wait, because all those refused in one
+        # burst would otherwise come back as the next burst.
+        self.refused += 1
+        spread_ms = wait_ms * self.seeded.uniform(1.0, 2.0)
+        within_ms = min(max(spread_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        return Refused(kind, int(within_ms))
+
+    def _starts_at_once(self, ticket: Ticket, now_ms: float) -> bool:
+        if self.alone is not None:
+            return False
+        if not may_start(self.policy, self, ticket.traffic_class, now_ms):
+            return False
+        return not queues_ahead(self.policy, self, ticket.traffic_class)
+
+    def _start(self, ticket: Ticket, now_ms: float) -> None:
+        ticket.started_ms = now_ms
+        self.running[ticket.traffic_class] += 1
+
+    def _start_next(self, now_ms: float) -> Iterator[Ticket]:
+        if self.alone is not None:
+            if self.alone.started_ms is None and not self.in_flight:
+                self._start(self.alone, now_ms)
+                yield self.alone
+            return
+        while (chosen := next_class(self.policy, self, now_ms)) is not None:
+            ticket = self.queues[chosen].popleft()
+            self._start(ticket, now_ms)
+            yield ticket
+
+    def _expire(self, now_ms: float) -> tuple[Ticket, ...]:
+        passed = [
+            ticket
+            for ticket in self.waiting_tickets()
+            if ticket.deadline_ms <= now_ms
+        ]
+        for ticket in passed:
+            self.queues[ticket.traffic_class].remove(ticket)
+        if (
+            self.alone is not None
+            and self.alone.started_ms is None
+            and self.alone.deadline_ms <= now_ms
+        ):
+            passed.append(self.alone)
+            self.alone = None
+        self.expired += len(passed)
+        return tuple(passed)
+
+    def _wait_ms(self, traffic_class: TrafficClass, now_ms: float) -> float:
+        ahead = queues_ahead(self.policy, self, traffic_class) + 1
+        rate = sum(
+            slots / max(self._usual_ms(other), 1.0)
+            for other, slots in turnover(
+                self.policy, self, traffic_class, now_ms
+            ).items()
+        )
+        if not rate:
+            return float(MAX_RETRY_AFTER_MS)
+        return ahead / rate
+
+    def _usual_ms(self, traffic_class: TrafficClass) -> float:
+        return self.times.of_class(traffic_class.value) or UNMEASURED_MS
+
+    def _learn(
+        self, ticket: Ticket, result: WorkResult, took_ms: float, busy: int
+    ) -> None:
+        if result is WorkResult.ANSWERED:
+            self.times.add(ticket.traffic_class.value, ticket.route, took_ms)
+            self.limit.answered(ticket.route, took_ms, busy)
+        elif result is WorkResult.SHED:
+            self.limit.shed()
+        elif result is WorkResult.LOST:
+            self.limit.restart()
+
+    def reserved(self, traffic_class: TrafficClass, now_ms: float) -> int:
+        """Returns the slots kept free for a class just now."""
+        if not isinstance(self.policy, GuaranteedShared):
+            return 0
+        part = self.policy.part(traffic_class, self.limit.current)
+        seen_ms = self.seen_ms.get(traffic_class)
+        if seen_ms is not None and now_ms - seen_ms < RESERVE_MS:
+            return part
+        # One slot stays for the first interactive request after a pause, which
+        # would else wait for the end of a long report.
+        return min(part, int(traffic_class is TrafficClass.INTERACTIVE))
+
+
+@functools.singledispatch
+def may_start(
+    policy: AdmissionPolicy,
+    state: Admission,
+    traffic_class: TrafficClass,
+    now_ms: float,
+) -> bool:
+    """Tells whether a class may take one more slot."""
+    raise NotImplementedError(type(policy).__name__)
+
+
+@may_start.register
+def _(
+    policy: GuaranteedShared,
+    state: Admission,
+    traffic_class: TrafficClass,
+    now_ms: float,
+) -> bool:
+    limit = state.limit.current
+    if state.in_flight >= limit:
+        return False
+    if state.running[traffic_class] < state.reserved(traffic_class, now_ms):
+        return True
+    shared = limit
+    for other in TrafficClass:
+        kept = state.reserved(other, now_ms)
+        shared -= max(kept, state.running[other])
+    return shared > 0
+
+
+@may_start.register
+def _(
+    policy: FixedPartition,
+    state: Admission,
+    traffic_class: TrafficClass,
+    now_ms: float,
+) -> bool:
+    part = policy.part(traffic_class, state.limit.current)
+    if state.in_flight >= state.limit.current:
+        return False
+    return state.running[traffic_class] < part
+
+
+@may_start.register
+def _(
+    policy: FirstCome,
+    state: Admission,
+    traffic_class: TrafficClass,
+    now_ms: float,
+) -> bool:
+    return state.in_flight < state.limit.current
+
+
+@may_start.register
+def _(
+    policy: Unlimited,
+    state: Admission,
+    traffic_class: TrafficClass,
+    now_ms: float,
+) -> bool:
+    return True
+
+
+def queues_ahead(
+    policy: AdmissionPolicy, state: Admission, traffic_class: TrafficClass
+) -> int:
+    """Returns how many requests wait in front of a new one of a class."""
+    if isinstance(policy, FirstCome):
+        return sum(len(queue) for queue in state.queues.values())
+    return len(state.queues[traffic_class])
+
+
+def next_class(
+    policy: AdmissionPolicy, state: Admission, now_ms: float
+) -> TrafficClass | None:
+    """Returns the class whose first waiting request starts next, if any."""
+    ready = [
+        traffic_class
+        for traffic_class, queue in state.queues.items()
+        if queue and may_start(policy, state, traffic_class, now_ms)
+    ]
+    if not ready:
+        return None
+    if isinstance(policy, FirstCome):
+        return min(ready, key=lambda item: state.queues[item][0].offered_ms)
+    # A class below its guaranteed part goes first; the shared rest then goes
+    # to the most urgent class. Batch work is not starved: it has its part.
+    return min(
+        ready,
+        key=lambda item: state.running[item] >= state.reserved(item, now_ms),
+    )
+
+
+def turnover(
+    policy: AdmissionPolicy,
+    state: Admission,
+    traffic_class: TrafficClass,
+    now_ms: float,
+) -> dict[TrafficClass, int]:
+    """Returns the busy slots whose end lets a class's next request start.
+
+    Args:
+        policy: How classes share the slots.
+        state: The slots.
+        traffic_class: The class that waits.
+        now_ms: Current time.
+
+    Returns:
+        Slots by the class that runs in them. Their number divided by that
+        class's service time is the rate at which the queue moves on.
+    """
+    running = dict(state.running)
+    if isinstance(policy, FirstCome) or not running[traffic_class]:
+        return running
+    own = {traffic_class: running[traffic_class]}
+    if not isinstance(policy, GuaranteedShared):
+        return own
+    classes = list(TrafficClass)
+    for other in classes[classes.index(traffic_class) + 1 :]:
+        # Shared slots under less urgent work pass to this class as they end.
+        own[other] = max(0, running[other] - state.reserved(other, now_ms))
+    return own
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -0,0 +1,148 @@
+"""Lets requests wait for the slot that admission gives them."""
+
+import asyncio
+import random
+
+import attrs
+
+from pomelobank_core import (
+    Admission,
+    AdmissionPolicy,
+    Change,
+    Clock,
+    ConcurrencyLimit,
+    ErrorKind,
+    FirstCome,
+    FixedPartition,
+    GuaranteedShared,
+    Refused,
+    Started,
+    Ticket,
+    TrafficClass,
+    Unlimited,
+    WorkResult,
+)
+from pomelobank_node._requests import RequestError
+from pomelobank_schema.generated.settings import RequestSettings
+
+_MS_PER_S = 1000
+
+
+def admission_policy(settings: RequestSettings) -> AdmissionPolicy:
+    """Returns the policy that the settings name."""
+    percent = {
+        TrafficClass.INTERACTIVE: settings.interactive_percent,
+        TrafficClass.INTERNAL: settings.internal_percent,
+        TrafficClass.BATCH: settings.batch_percent,
+    }
+    policies: dict[str, AdmissionPolicy] = {
+        "guaranteed_shared": GuaranteedShared(percent),
+        "fixed_partition": FixedPartition(percent),
+        "first_come": FirstCome(),
+        "none": Unlimited(),
+    }
+    return policies[settings.admission]
+
+
+def new_admission(settings: RequestSettings) -> Admission:
+    """Returns the admission of a target that is not known yet."""
+    return Admission(
+        admission_policy(settings),
+        ConcurrencyLimit.start(settings.slots),
+        settings.max_queue_ms,
+        random.Random(),
+    )
+
+
+@attrs.define(eq=False)
+class Gate:
+    """Carries out what admission decides.
+
+    Attributes:
+        admission: Decides.
+        clock: Tells the time.
+        waiting: Requests that wait, each with what wakes it.
+        idle: Set while no request waits or runs.
+    """
+
+    admission: Admission
+    clock: Clock
+    waiting: dict[Ticket, asyncio.Future[None]] = attrs.field(factory=dict)
+    idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def __attrs_post_init__(self) -> None:
+        self.idle.set()
+
+    @property
+    def outstanding(self) -> int:
+        """Requests that wait or run."""
+        return self.admission.in_flight + self.admission.waiting
+
+    async def enter(self, ticket: Ticket) -> None:
+        """Returns once the request may go to the target.
+
+        Args:
+            ticket: The request; `leave` must follow.
+
+        Raises:
+            RequestError: OVERLOADED or DEADLINE_NOT_RUN; it has not run.
+        """
+        verdict = self.admission.offer(ticket, self.clock.now_ms())
+        if isinstance(verdict, Refused):
+            raise RequestError(verdict.kind, verdict.retry_after_ms)
+        self.idle.clear()
+        if isinstance(verdict, Started):
+            return
+        await self._wait(ticket)
+
+    def leave(self, ticket: Ticket, result: WorkResult) -> None:
+        """Takes the end of a request that had entered."""
+        now_ms = self.clock.now_ms()
+        self._carry_out(self.admission.finish(ticket, result, now_ms))
+
+    def set_slots(self, slots: int) -> None:
+        """Takes a new number of slots."""
+        now_ms = self.clock.now_ms()
+        self._carry_out(self.admission.set_slots(slots, now_ms))
+
+    async def _wait(self, ticket: Ticket) -> None:
+        woken = asyncio.get_running_loop().create_future()
+        self.waiting[ticket] = woken
+        room_ms = ticket.deadline_ms - self.clock.now_ms()
+        try:
+            async with asyncio.timeout(room_ms / _MS_PER_S):
+                await woken
+        except TimeoutError:
+            self._give_up(ticket)
+            raise RequestError(ErrorKind.DEADLINE_NOT_RUN) from None
+        except asyncio.CancelledError:
+            self._give_up(ticket)
+            raise
+        finally:
+            self.waiting.pop(ticket, None)
+
+    def _give_up(self, ticket: Ticket) -> None:
+        # The slot may have been given in the same moment; it would stay taken
+        # for good if the request went away without giving it back.
+        if ticket.started_ms is not None:
+            self.leave(ticket, WorkResult.ABANDONED)
+            return
+        now_ms = self.clock.now_ms()
+        self._carry_out(self.admission.leave(ticket, now_ms))
+
+    def _carry_out(self, change: Change) -> None:
+        for ticket in change.started:
+            self._wake(ticket, None)
+        for ticket in change.expired:
+            self._wake(ticket, RequestError(ErrorKind.DEADLINE_NOT_RUN))
+        if not self.outstanding:
+            self.idle.set()
+
+    def _wake(self, ticket: Ticket, error: RequestError | None) -> None:
+        woken = self.waiting.get(ticket)
+        if woken is None or woken.done():
+            return
+        if error is None:
+            woken.set_result(None)
+        else:
+            woken.set_exception(error)
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -5,7 +5,8 @@
 
 import attrs
 
-from pomelobank_core import Clock, ErrorKind
+from pomelobank_core import Clock, ErrorKind, Ticket, TrafficClass, WorkResult
+from pomelobank_node._gate import Gate, new_admission
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -23,6 +24,20 @@
 
 _logger = logging.getLogger(__name__)
 _MS_PER_S = 1000
+# Statuses by which a target says that it has too much to do.
+_SHED_STATUSES = frozenset({429, 503})
+# An answer this fast, or in less than half the route's usual time, was made
+# without working on the request.
+_QUICK_MS = 5.0
+# How soon another try at a target that sheds may fare better.
+_SHED_RETRY_AFTER_MS = 200
+_LOST = frozenset(
+    {
+        ErrorKind.UPSTREAM_LOST,
+        ErrorKind.UPSTREAM_UNREACHABLE,
+        ErrorKind.ANSWER_TRUNCATED,
+    }
+)
 
 
 @attrs.frozen
@@ -49,7 +64,7 @@
         clock: Tells the time.
         target: The target, None before it announced itself.
         pool: Connections to it.
-        in_flight: Requests that are at the target.
+        gate: Where requests wait for a slot.
         draining: Set when no new request is taken.
     """
 
@@ -57,19 +72,33 @@
     clock: Clock
     target: Target | None = None
     pool: UpstreamPool | None = None
-    in_flight: int = 0
+    gate: Gate = attrs.field()
     draining: bool = False
-    idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @gate.default
+    def _new_gate(self) -> Gate:
+        return Gate(new_admission(self.settings), self.clock)
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are at the target."""
+        return self.gate.admission.in_flight
 
     def set_target(self, target: Target) -> None:
         """Takes an announcement of the target."""
         if target == self.target:
             return
+        known, self.target = self.target, target
+        self.gate.set_slots(target.slots)
+        if known is None or known.address != target.address:
+            self._connect(target)
+
+    def _connect(self, target: Target) -> None:
         if self.pool is not None:
             self.pool.close()
         host, port = parse_address(target.address)
         self.pool = UpstreamPool(host, port, self.settings.max_body_bytes)
-        self.target = target
+        self.gate.admission.limit.restart()
 
     async def serve(self, request: ForwardRequest) -> ForwardReply:
         """Runs a request on the target.
@@ -94,16 +123,48 @@
             raise RequestError(ErrorKind.NO_TARGET)
         if request.remaining_ms <= 0:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-        if self.in_flight >= self.target.slots:
-            raise RequestError(ErrorKind.OVERLOADED)
-        self.in_flight += 1
+        return await self._admit(self.pool, request)
+
+    async def _admit(
+        self, pool: UpstreamPool, request: ForwardRequest
+    ) -> ForwardReply:
+        ticket = self._ticket(request)
+        await self.gate.enter(ticket)
+        result = WorkResult.ABANDONED
         try:
-            return await self._run(self.pool, request)
+            left_ms = int(ticket.deadline_ms) - self.clock.now_ms()
+            if left_ms <= 0:
+                raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
+            reply = await self._run(
+                pool, attrs.evolve(request, remaining_ms=left_ms)
+            )
+            if self._is_shed(ticket, reply):
+                result = WorkResult.SHED
+                reply = attrs.evolve(reply, retry_after_ms=_SHED_RETRY_AFTER_MS)
+            else:
+                result = WorkResult.ANSWERED
+            return reply
+        except RequestError as error:
+            if error.kind in _LOST:
+                result = WorkResult.LOST
+            raise
         finally:
-            self.in_flight -= 1
-            if not self.in_flight:
-                self.idle.set()
-                self.idle = asyncio.Event()
+            self.gate.leave(ticket, result)
+
+    def _ticket(self, request: ForwardRequest) -> Ticket:
+        return Ticket(
+            TrafficClass(request.traffic_class),
+            request.route,
+            deadline_ms=self.clock.now_ms() + request.remaining_ms,
+        )
+
+    def _is_shed(self, ticket: Ticket, reply: ForwardReply) -> bool:
+        if reply.status not in _SHED_STATUSES:
+            return False
+        assert ticket.started_ms is not None
+        took_ms = self.clock.now_ms() - ticket.started_ms
+        usual_ms = self.gate.admission.times.of_route(ticket.route)
+        return took_ms <= max(_QUICK_MS, usual_ms / 2)
 
     async def _run(
         self, pool: UpstreamPool, request: ForwardRequest
@@ -131,7 +192,7 @@
                 for name, value in end_to_end(answer.headers)
             ),
             body=answer.body,
-            outstanding=self.in_flight,
+            outstanding=self.gate.outstanding,
         )
 
     async def drain(self, timeout_ms: int) -> None:
@@ -143,8 +204,7 @@
         self.draining = True
         try:
             async with asyncio.timeout(timeout_ms / _MS_PER_S):
-                while self.in_flight:
-                    await self.idle.wait()
+                await self.gate.idle.wait()
         except TimeoutError:
             _logger.error("drain.timeout", extra={"in_flight": self.in_flight})
         if self.pool is not None:
