Carry configuration from a few readers to every node

Every node polled the log, so its reads grew with the fleet. Now the first two live members of a data centre by rendezvous hash watch the log. Records go on through a tree of fan-out four; a second, reversed tree carries only the news of a version, and whoever misses it pulls.

The property test of one paused member found that the reversed tree's root and the members of one reader depended on a single parent; readers now cover for one another.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -1,7 +1,17 @@
 """Decisions of pomelobank, without sockets or a real clock."""
 
 from pomelobank_core._clock import Clock, ManualClock
+from pomelobank_core._distribution import (
+    Distribution,
+    Neighbours,
+    PullRecords,
+    PushRecords,
+    ReadPlan,
+    SendDigest,
+    find_neighbours,
+)
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._floor import VersionFloor
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._objects import (
     ConfigObject,
@@ -11,8 +21,10 @@
     VersionedObject,
     object_key,
     operation_object,
+    snapshot_object_value,
 )
 from pomelobank_core._placing import RoundRobin
+from pomelobank_core._rendezvous import rank_of, rendezvous_order
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -21,6 +33,13 @@
     skip_record,
 )
 from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._snapshots import (
+    Recovery,
+    SnapshotSchedule,
+    restore_snapshot,
+    snapshot_record,
+    usable_snapshot,
+)
 from pomelobank_core._validation import Problem, ProblemKind, check_objects
 
 __all__ = [
@@ -30,25 +49,41 @@
     "Clock",
     "ConfigObject",
     "ConfigState",
+    "Distribution",
     "ErrorKind",
     "ManualClock",
     "MemberState",
     "MemberTable",
+    "Neighbours",
     "ObjectKey",
     "ObjectKind",
     "Problem",
     "ProblemKind",
+    "PullRecords",
+    "PushRecords",
+    "ReadPlan",
+    "Recovery",
     "RoundRobin",
     "RouteTable",
     "RunState",
+    "SendDigest",
     "Snapshot",
+    "SnapshotSchedule",
+    "VersionFloor",
     "VersionedObject",
     "check_objects",
     "evaluate",
+    "find_neighbours",
     "is_idempotent",
     "object_key",
     "operation_object",
     "pick_upstream",
+    "rank_of",
+    "rendezvous_order",
     "replay_change",
+    "restore_snapshot",
     "skip_record",
+    "snapshot_object_value",
+    "snapshot_record",
+    "usable_snapshot",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/_objects.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_objects.py
@@ -1,7 +1,7 @@
 """Objects of the configuration and the immutable snapshot that holds them."""
 
 import enum
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 
 import attrs
@@ -10,6 +10,7 @@
     OperationRecord,
     RouteObject,
     ServiceObject,
+    SnapshotObject,
     UpstreamObject,
 )
 
@@ -92,11 +93,16 @@
 
 def operation_object(operation: OperationRecord) -> ConfigObject | None:
     """Returns the object of an operation, None unless there is exactly one."""
-    objects = [
-        item
-        for item in (operation.service, operation.upstream, operation.route)
-        if item is not None
-    ]
+    return _only((operation.service, operation.upstream, operation.route))
+
+
+def snapshot_object_value(item: SnapshotObject) -> ConfigObject | None:
+    """Returns the object of a snapshot's item, None unless there is one."""
+    return _only((item.service, item.upstream, item.route))
+
+
+def _only(values: Iterable[ConfigObject | None]) -> ConfigObject | None:
+    objects = [value for value in values if value is not None]
     return objects[0] if len(objects) == 1 else None
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/_replay.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_replay.py
@@ -22,8 +22,9 @@
 )
 from pomelobank_schema.generated.records import ChangeRecord, OperationRecord
 
-# An entry takes about 1 KB; at 420 changes a day 2,000 cover four days and a
-# node holds 2 MB of them at most.
+# The audit trail and the window in which a repeated change id is recognised:
+# both end after this many changes. An entry takes about 1 KB; at 420 changes a
+# day 2,000 cover four days and a node holds 2 MB of them at most.
 MAX_AUDIT_ENTRIES = 2000
 
 
@@ -31,16 +32,46 @@
 class ChangeVerdict:
     """What replay decided about a change.
 
+    It leaves out the change's operations, so that a snapshot carries every
+    remembered change in little space.
+
     Attributes:
         version: Version from which the change counts: its offset plus one.
-        record: The change.
+        change_id: Unique id of the change.
+        author: Operator who asked for it.
+        reason: Why, in the operator's words.
+        at_ms: When the accepting node appended it, in ms since the epoch.
+        objects: Keys of the objects it names, as text.
         problems: Why it was rejected; none where it was accepted.
     """
 
     version: int
-    record: ChangeRecord
+    change_id: str
+    author: str = ""
+    reason: str = ""
+    at_ms: int = 0
+    objects: tuple[str, ...] = ()
     problems: tuple[Problem, ...] = ()
 
+    @classmethod
+    def of(
+        cls,
+        version: int,
+        record: ChangeRecord,
+        problems: tuple[Problem, ...] = (),
+    ) -> "ChangeVerdict":
+        """Returns the verdict on a change record."""
+        values = map(operation_object, record.operations)
+        return cls(
+            version=version,
+            change_id=record.change_id,
+            author=record.author,
+            reason=record.reason,
+            at_ms=record.at_ms,
+            objects=tuple(str(object_key(value)) for value in values if value),
+            problems=problems,
+        )
+
     @property
     def accepted(self) -> bool:
         """Whether the change is in force from its version on."""
@@ -103,9 +134,9 @@
     version = offset + 1
     match evaluate(state.snapshot, version, record):
         case Success(objects):
-            verdict = ChangeVerdict(version, record)
+            verdict = ChangeVerdict.of(version, record)
         case Failure(problems):
-            verdict = ChangeVerdict(version, record, problems)
+            verdict = ChangeVerdict.of(version, record, problems)
             objects = state.snapshot.objects
     return ConfigState(
         snapshot=Snapshot(version, objects),
@@ -189,7 +220,7 @@
     verdicts: Mapping[str, ChangeVerdict], verdict: ChangeVerdict
 ) -> Mapping[str, ChangeVerdict]:
     kept = dict(verdicts)
-    kept[verdict.record.change_id] = verdict
+    kept[verdict.change_id] = verdict
     while len(kept) > MAX_AUDIT_ENTRIES:
         del kept[next(iter(kept))]
     return MappingProxyType(kept)
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_distribution.py
@@ -0,0 +1,194 @@
+"""Who reads the log and who passes configuration on to whom."""
+
+import random
+from collections import deque
+
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from pomelobank_core import (
+    Distribution,
+    Neighbours,
+    PullRecords,
+    PushRecords,
+    ReadPlan,
+    SendDigest,
+    find_neighbours,
+)
+from pomelobank_core._distribution import MAX_RETRY_MS
+from pomelobank_schema.generated.peer import MemberEntry, VersionDigest
+from pomelobank_schema.generated.settings import DistributionSettings
+
+SETTINGS = DistributionSettings()
+
+
+def member(
+    index: int, data_centre: str = "hobart", state: str = "ready"
+) -> MemberEntry:
+    return MemberEntry(
+        node=f"n{index}",
+        data_centre=data_centre,
+        state=state,
+        peer_address=f"10.0.0.1:{index + 1}",
+    )
+
+
+def views(members: list[MemberEntry]) -> dict[str, Neighbours]:
+    """Every member's neighbours, by its address."""
+    return {
+        own.peer_address: find_neighbours(
+            own, [item for item in members if item is not own], SETTINGS
+        )
+        for own in members
+    }
+
+
+def reached(found: dict[str, Neighbours], dead: set[str]) -> set[str]:
+    """Addresses that a record reaches from the readers, without the dead."""
+    waiting = deque(
+        item
+        for item, view in found.items()
+        if view.is_reader and item not in dead
+    )
+    seen = set(waiting)
+    while waiting:
+        view = found[waiting.popleft()]
+        for peer in (*view.push_to, *view.tell):
+            if peer not in seen and peer not in dead:
+                seen.add(peer)
+                waiting.append(peer)
+    return seen
+
+
+@settings(max_examples=60, deadline=None)
+@given(count=st.integers(2, 200), dead=st.integers(0, 10_000))
+@example(count=3, dead=0)
+@example(count=22, dead=174)
+def test_one_paused_member_keeps_records_from_nobody(
+    count: int, dead: int
+) -> None:
+    """A member that is paused neither takes nor passes on records.
+
+    Until the others notice, those behind it would route by an old version;
+    the second tree brings them the news.
+    """
+    members = [member(index) for index in range(count)]
+    found = views(members)
+    paused = members[dead % count].peer_address
+    everyone = {item.peer_address for item in members}
+    assert reached(found, set()) == everyone
+    assert reached(found, {paused}) == everyone - {paused}
+
+
+def test_readers_and_sends_do_not_grow_with_the_data_centre() -> None:
+    found = views([member(index) for index in range(170)])
+    readers = [view for view in found.values() if view.is_reader]
+    assert len(readers) == SETTINGS.readers
+    most = max(len(view.push_to) + len(view.tell) for view in found.values())
+    assert most <= 3 * SETTINGS.fan_out + SETTINGS.readers
+
+
+@pytest.mark.parametrize(
+    "state",
+    [
+        pytest.param("gone", id="gone"),
+        pytest.param("suspect", id="suspect"),
+        pytest.param("draining", id="draining"),
+    ],
+)
+def test_a_member_on_its_way_out_is_no_reader(state: str) -> None:
+    own = member(0)
+    others = [member(index, state=state) for index in range(1, 20)]
+    view = find_neighbours(own, others, SETTINGS)
+    assert view.is_reader
+    assert not view.push_to
+
+
+def distribution(reader: bool, seed: int = 1) -> Distribution:
+    return Distribution(
+        SETTINGS, 5000, random.Random(seed), Neighbours(is_reader=reader)
+    )
+
+
+def test_a_reader_always_keeps_a_read_open() -> None:
+    machine = distribution(reader=True)
+    assert machine.next_read(0) == ReadPlan(0, 5000)
+    machine.log_answered(10)
+    assert machine.next_read(10) == ReadPlan(0, 5000)
+
+
+def test_others_leave_the_log_alone_while_somebody_reads() -> None:
+    machine = distribution(reader=False)
+    digest = VersionDigest(version=0, log_age_ms=100, heartbeat=True)
+    for now_ms in range(0, 60_000, 500):
+        machine.hear(digest, 0, now_ms)
+        assert machine.next_read(now_ms).pause_ms > 0
+
+
+def test_wrong_views_leave_no_node_without_the_log() -> None:
+    """Every member may hold somebody else, who has died, for the reader.
+
+    Without the fall-back nobody would read the log and an accepted change
+    would reach no node at all.
+    """
+    machine = distribution(reader=False)
+    machine.log_answered(0)
+    latest_ms = SETTINGS.silence_ms + SETTINGS.fallback_ms
+    plans = [machine.next_read(now) for now in range(0, latest_ms + 2, 100)]
+    plans.append(machine.next_read(latest_ms + 2))
+    assert any(plan.pause_ms == 0 for plan in plans)
+
+
+def test_return_after_an_outage_is_spread() -> None:
+    """A thousand nodes lose the log in the same instant.
+
+    If all came back together, the log would fall over again and operators
+    would wait longer for it.
+    """
+    due = []
+    for seed in range(1000):
+        machine = distribution(reader=True, seed=seed)
+        for now_ms in range(10):
+            machine.log_failed(now_ms)
+        assert machine.read_due_ms is not None
+        due.append(machine.read_due_ms)
+    slots = [0] * 10
+    for item in due:
+        slots[min(9, item * 10 // MAX_RETRY_MS)] += 1
+    assert max(slots) < 200
+
+
+def test_a_push_goes_to_everybody_but_its_source() -> None:
+    machine = distribution(reader=True)
+    machine.neighbours = Neighbours(True, ("a:1", "b:1"), ("c:1",))
+    assert machine.advanced(4, 6, source="a:1") == [
+        PushRecords("b:1", 4),
+        SendDigest("c:1", heartbeat=False),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("version", "heartbeat", "expected"),
+    [
+        pytest.param(9, True, [PullRecords("p:1", 9, 0)], id="ahead"),
+        pytest.param(9, False, [PullRecords("p:1", 9, 25)], id="news"),
+        pytest.param(3, True, [PushRecords("p:1", 3)], id="behind"),
+        pytest.param(3, False, [], id="old-news"),
+        pytest.param(5, True, [], id="level"),
+    ],
+)
+def test_digests(version: int, heartbeat: bool, expected: list[object]) -> None:
+    machine = distribution(reader=False)
+    digest = VersionDigest(
+        version=version, address="p:1", heartbeat=heartbeat, log_age_ms=-1
+    )
+    assert machine.hear(digest, 5, 0) == expected
+
+
+def test_one_answer_to_much_news_is_enough() -> None:
+    machine = distribution(reader=False)
+    digest = VersionDigest(version=9, address="p:1")
+    assert machine.hear(digest, 5, 0)
+    assert not machine.hear(digest, 5, 10)
+    assert machine.hear(digest, 5, 1000)
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_floor.py
@@ -0,0 +1,56 @@
+"""When a starting node may serve callers."""
+
+import pytest
+
+from pomelobank_core import VersionFloor
+
+SETTLE_MS = 3000
+
+
+def test_a_restarted_node_waits_for_the_version_it_had() -> None:
+    """A node keeps nothing when it restarts, and the log may be down.
+
+    If it served with the first configuration that some slow peer gave it, its
+    callers would be routed by an older version than before the restart.
+    """
+    floor = VersionFloor(SETTLE_MS)
+    floor.hear_peer(7, 100, 0)
+    floor.hear_peer(9, 100, 10)
+    assert not floor.update(7, SETTLE_MS)
+    assert floor.update(9, SETTLE_MS)
+
+
+def test_readiness_stays() -> None:
+    floor = VersionFloor(SETTLE_MS)
+    floor.read_log(3, 3)
+    assert floor.update(3, 0)
+    floor.hear_peer(50, 0, 1)
+    assert floor.update(3, 1)
+
+
+@pytest.mark.parametrize(
+    ("version", "end", "expected"),
+    [
+        pytest.param(0, 0, True, id="empty-log"),
+        pytest.param(4, 9, False, id="one-page-of-two"),
+        pytest.param(9, 9, True, id="at-the-end"),
+    ],
+)
+def test_log(version: int, end: int, expected: bool) -> None:
+    floor = VersionFloor(SETTLE_MS)
+    floor.read_log(version, end)
+    assert floor.update(version, 0) is expected
+
+
+@pytest.mark.parametrize(
+    ("log_age_ms", "now_ms", "expected"),
+    [
+        pytest.param(-1, SETTLE_MS, False, id="all-are-new"),
+        pytest.param(10, SETTLE_MS - 1, False, id="too-early"),
+        pytest.param(10, SETTLE_MS, True, id="settled"),
+    ],
+)
+def test_peers(log_age_ms: int, now_ms: int, expected: bool) -> None:
+    floor = VersionFloor(SETTLE_MS)
+    floor.hear_peer(0, log_age_ms, 0)
+    assert floor.update(0, now_ms) is expected
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -9,7 +9,7 @@
 from pomelobank_core import MemberState, MemberTable
 from pomelobank_node._admin import Admin
 from pomelobank_node._clock import SystemClock
-from pomelobank_node._config_feed import LogPoller
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._entry import Entry
@@ -65,9 +65,16 @@
         )
         self.store = ConfigStore()
         self.log = LogClient(settings.log)
-        self.feed = LogPoller(self.log, self.store)
         self.links = PeerLinks(hello)
         self.table = MemberTable(own)
+        self.feed = ConfigFeed(
+            settings,
+            self.log,
+            self.store,
+            self.table,
+            self.links,
+            self.clock,
+        )
         self.owner = Owner(settings.requests, self.clock)
         self.membership = Membership(
             self.table,
@@ -92,7 +99,9 @@
         listen = settings.listen
         self.http = HttpServer(listen.http, entry)
         self.admin = HttpServer(listen.admin, admin.application())
-        self.peers = PeerServer(listen.peer, self.owner, self.membership)
+        self.peers = PeerServer(
+            listen.peer, self.owner, self.membership, self.feed
+        )
         self.operator = OperatorServer(listen.operator, operator)
 
     async def start(self) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -2,21 +2,70 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 import attrs
+from returns.result import Failure
 
 from pomelobank_core import (
     ChangeVerdict,
     ConfigState,
     RouteTable,
     replay_change,
+    restore_snapshot,
     skip_record,
+    snapshot_record,
 )
-from pomelobank_schema import SchemaError, SchemaErrorKind, decode
+from pomelobank_schema import SchemaError, SchemaErrorKind, decode, encode
 from pomelobank_schema.generated import records
+from pomelobank_schema.generated.records import SnapshotRecord
 
 _logger = logging.getLogger(__name__)
 
+# Records kept for peers that are a little behind; whoever is further behind
+# gets a snapshot. Two days of changes at the size that is planned for, and a
+# bound on memory where the changes are large.
+MAX_RECENT_RECORDS = 1000
+MAX_RECENT_BYTES = 4 * 1024 * 1024
+
+
+@attrs.define
+class RecentRecords:
+    """The newest raw records without a gap, oldest first.
+
+    Attributes:
+        first_offset: Offset of the oldest.
+        items: Their bytes.
+        size: Sum of their lengths, in bytes.
+    """
+
+    first_offset: int = 0
+    items: list[bytes] = attrs.field(factory=list)
+    size: int = 0
+
+    def add(self, offset: int, data: bytes) -> None:
+        """Keeps one record; after a gap, the older ones are dropped."""
+        if offset != self.first_offset + len(self.items):
+            self.first_offset, self.items, self.size = offset, [], 0
+        self.items.append(data)
+        self.size += len(data)
+        while self._too_many():
+            self.size -= len(self.items.pop(0))
+            self.first_offset += 1
+
+    def _too_many(self) -> bool:
+        count = len(self.items)
+        return count > MAX_RECENT_RECORDS or (
+            count > 1 and self.size > MAX_RECENT_BYTES
+        )
+
+    def since(self, offset: int, limit: int) -> tuple[bytes, ...]:
+        """Returns records from an offset on, none where it is not kept."""
+        start = offset - self.first_offset
+        if start < 0:
+            return ()
+        return tuple(self.items[start : start + limit])
+
 
 @attrs.define
 class ConfigStore:
@@ -28,18 +77,31 @@
     Attributes:
         state: What replay derived from the log so far.
         routes: The routes of that state, prepared for matching.
+        ready: Whether callers may be served; see VersionFloor.
         blocked: Set once a record of an unknown kind stopped the replay.
         moved: Replaced and set at every move of the version.
-        recent: Raw records by offset, kept for peers.
+        recent: Raw records, kept for peers.
+        on_snapshot: Called with each snapshot record that replay passes.
+        applied: Number of records that were applied, for the metrics.
+        restored: Number of snapshots that were taken over, for the metrics.
+        unreadable: Number of records that were passed over, for the metrics.
+        mismatches: Number of snapshot records that differ from the own state,
+            for the metrics; anything but 0 is a fault of this program.
     """
 
     state: ConfigState = attrs.field(factory=ConfigState)
     routes: RouteTable = attrs.field(
         factory=lambda: RouteTable.of(ConfigState().snapshot)
     )
+    ready: bool = False
     blocked: bool = False
     moved: asyncio.Event = attrs.field(factory=asyncio.Event)
-    recent: dict[int, bytes] = attrs.field(factory=dict)
+    recent: RecentRecords = attrs.field(factory=RecentRecords)
+    on_snapshot: Callable[[SnapshotRecord], None] | None = None
+    applied: int = 0
+    restored: int = 0
+    unreadable: int = 0
+    mismatches: int = 0
 
     @property
     def version(self) -> int:
@@ -63,11 +125,62 @@
         except SchemaError as error:
             return self._apply_unreadable(offset, data, error)
         if isinstance(record, records.ChangeRecord):
-            self._swap(replay_change(self.state, offset, record), data)
+            self._move(replay_change(self.state, offset, record), data)
+        elif isinstance(record, SnapshotRecord):
+            self._pass_snapshot(record)
+            self._move(skip_record(self.state, offset), data)
         else:
-            self._swap(skip_record(self.state, offset), data)
+            self._move(skip_record(self.state, offset), data)
+        return True
+
+    def restore(self, record: SnapshotRecord) -> bool:
+        """Takes over a snapshot, unless the node has that version already.
+
+        A snapshot may be old when it arrives, from a peer that was paused or
+        from a slow read; taking it would bring back routes that operators
+        have replaced.
+
+        Args:
+            record: The snapshot.
+
+        Returns:
+            Whether it was taken.
+        """
+        if record.as_of <= self.version:
+            return False
+        result = restore_snapshot(record)
+        if isinstance(result, Failure):
+            problem = result.failure()[0]
+            _logger.error(
+                "config.bad_snapshot",
+                extra={"as_of": record.as_of, "problem": problem.message},
+            )
+            return False
+        self.blocked = False
+        self.restored += 1
+        self._swap(result.unwrap())
+        if self.on_snapshot is not None:
+            self.on_snapshot(record)
         return True
 
+    def whole(self, node: str, at_ms: int) -> bytes:
+        """Returns a snapshot record of the state, encoded."""
+        return encode(snapshot_record(self.state, node, at_ms))
+
+    def _pass_snapshot(self, record: SnapshotRecord) -> None:
+        # Replay is deterministic, so a snapshot of this version must be equal
+        # to the own state; if not, one of two nodes has gone wrong.
+        if record.as_of == self.version:
+            own = snapshot_record(self.state)
+            same = set(own.objects) == set(record.objects)
+            if not same or own.audit != record.audit:
+                self.mismatches += 1
+                _logger.error(
+                    "config.snapshot_differs", extra={"writer": record.node}
+                )
+        if self.on_snapshot is not None:
+            self.on_snapshot(record)
+
     def _apply_unreadable(
         self, offset: int, data: bytes, error: SchemaError
     ) -> bool:
@@ -79,14 +192,19 @@
             return False
         # Every node reads the same bytes with the same codec, so all pass over
         # this record alike.
+        self.unreadable += 1
         _logger.warning(
             "config.unreadable", extra={"offset": offset, "error": str(error)}
         )
-        self._swap(skip_record(self.state, offset), data)
+        self._move(skip_record(self.state, offset), data)
         return True
 
-    def _swap(self, state: ConfigState, data: bytes) -> None:
-        self.recent[self.version] = data
+    def _move(self, state: ConfigState, data: bytes) -> None:
+        self.recent.add(self.version, data)
+        self.applied += 1
+        self._swap(state)
+
+    def _swap(self, state: ConfigState) -> None:
         if state.snapshot.objects is not self.state.snapshot.objects:
             self.routes = RouteTable.of(state.snapshot)
         self.state = state
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -85,6 +85,8 @@
         Raises:
             RequestError: If the request cannot be placed.
         """
+        if not self.store.ready:
+            raise RequestError(ErrorKind.NOT_READY)
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
--- a/packages/pomelobank-node/src/pomelobank_node/_operator.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator.py
@@ -1,6 +1,7 @@
 """Operators' remote procedure calls."""
 
 import asyncio
+import contextlib
 import uuid
 
 import attrs
@@ -14,10 +15,8 @@
     Problem,
     VersionedObject,
     evaluate,
-    object_key,
-    operation_object,
 )
-from pomelobank_node._config_feed import LogPoller
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._log_client import (
     CONFIG_STREAM,
@@ -37,7 +36,24 @@
 from pomelobank_schema.generated.records import ChangeRecord
 
 READ_BACK_TIMEOUT_S = 5.0
+READ_BACK_PAUSE_MS = 100
 ASK_AGAIN_MS = 1000
+_MS_PER_S = 1000
+
+_LOG_REFUSED = pb.ChangeProblem(
+    kind="log_refused",
+    message="the log took nothing; apply again with the same change id",
+)
+_LOG_SILENT = pb.ChangeProblem(
+    kind="log_silent",
+    message="the log did not answer in time; the change may still be accepted,"
+    " ask for its id or apply again with the same one",
+)
+_NOT_IN_LOG = pb.ChangeProblem(
+    kind="not_in_log",
+    message="the log does not hold the change up to now; applying again with"
+    " the same change id is safe",
+)
 
 
 @attrs.define(eq=False)
@@ -54,7 +70,7 @@
 
     store: ConfigStore
     log: LogClient
-    feed: LogPoller
+    feed: ConfigFeed
     membership: Membership
     clock: Clock
 
@@ -70,12 +86,40 @@
             record = change_record(request, change_id, self.clock.wall_ms())
         except SchemaError as error:
             return _invalid(change_id, error)
+        problems = self._check(record)
+        if problems or request.dry_run:
+            return await self._check_again(record, request.dry_run)
+        return await self._publish(record)
+
+    def _check(self, record: ChangeRecord) -> tuple[Problem, ...]:
         snapshot = self.store.state.snapshot
         result = evaluate(snapshot, snapshot.version + 1, record)
         if isinstance(result, Failure):
-            return _rejected(change_id, result.failure())
-        if request.dry_run:
-            return pb.ApplyReply(change_id=change_id, status=pb.CHANGE_ACCEPTED)
+            return tuple(result.failure())
+        return ()
+
+    async def _check_again(
+        self, record: ChangeRecord, dry_run: bool
+    ) -> pb.ApplyReply:
+        # This node may be a moment behind: the service that the change needs
+        # may have been accepted just now, or the same change, sent through
+        # another node whose answer was lost, may be in the log already. Only
+        # a check at the log's end may end in "rejected".
+        try:
+            async with asyncio.timeout(READ_BACK_TIMEOUT_S):
+                await self.feed.catch_up()
+        except (LogError, TimeoutError):
+            return _unknown(record.change_id, _LOG_SILENT)
+        known = self.store.state.verdicts.get(record.change_id)
+        if known is not None:
+            return _verdict_reply(known)
+        problems = self._check(record)
+        if problems:
+            return _rejected(record.change_id, problems)
+        if dry_run:
+            return pb.ApplyReply(
+                change_id=record.change_id, status=pb.CHANGE_ACCEPTED
+            )
         return await self._publish(record)
 
     async def _publish(self, record: ChangeRecord) -> pb.ApplyReply:
@@ -83,21 +127,46 @@
             await self.log.append(CONFIG_STREAM, encode(record))
         except LogError as error:
             if error.kind is LogErrorKind.REFUSED:
-                return _unknown(record.change_id)
+                return _unknown(record.change_id, _LOG_REFUSED)
+        # Here the append took effect, or its answer was lost and nobody can
+        # know: only the log itself tells. Reading it at once also makes this
+        # node the first to pass the change on.
         try:
             async with asyncio.timeout(READ_BACK_TIMEOUT_S):
-                verdict = await self.store.wait_for_change(record.change_id)
+                return _verdict_reply(await self._read_back(record.change_id))
         except TimeoutError:
-            return _unknown(record.change_id)
-        return _verdict_reply(verdict)
+            return _unknown(record.change_id, _LOG_SILENT)
+
+    async def _read_back(self, change_id: str) -> ChangeVerdict:
+        reading = asyncio.create_task(self._keep_reading(change_id))
+        try:
+            return await self.store.wait_for_change(change_id)
+        finally:
+            reading.cancel()
+
+    async def _keep_reading(self, change_id: str) -> None:
+        pause_ms = READ_BACK_PAUSE_MS
+        while change_id not in self.store.state.verdicts:
+            with contextlib.suppress(LogError):
+                await self.feed.catch_up()
+            await asyncio.sleep(pause_ms / _MS_PER_S)
+            pause_ms = min(2 * pause_ms, ASK_AGAIN_MS)
 
     async def GetChange(
         self, request: pb.ChangeRequest, context: object
     ) -> pb.ApplyReply:
         """Looks up an earlier change by its id."""
         verdict = self.store.state.verdicts.get(request.change_id)
+        if verdict is not None:
+            return _verdict_reply(verdict)
+        try:
+            async with asyncio.timeout(READ_BACK_TIMEOUT_S):
+                await self.feed.catch_up()
+        except (LogError, TimeoutError):
+            return _unknown(request.change_id, _LOG_SILENT)
+        verdict = self.store.state.verdicts.get(request.change_id)
         if verdict is None:
-            return _unknown(request.change_id)
+            return _unknown(request.change_id, _NOT_IN_LOG)
         return _verdict_reply(verdict)
 
     async def GetConfig(
@@ -133,7 +202,7 @@
             node=own.node,
             data_centre=own.data_centre,
             version=self.store.version,
-            log_state="up" if self.feed.log_up else "down",
+            log_state=self.feed.log_state,
             members=[
                 pb.MemberStatus(
                     node=entry.node,
@@ -158,7 +227,7 @@
 def _verdict_reply(verdict: ChangeVerdict) -> pb.ApplyReply:
     status = pb.CHANGE_ACCEPTED if verdict.accepted else pb.CHANGE_REJECTED
     return pb.ApplyReply(
-        change_id=verdict.record.change_id,
+        change_id=verdict.change_id,
         status=status,
         version=verdict.version,
         problems=problem_messages(verdict.problems),
@@ -182,25 +251,24 @@
     )
 
 
-def _unknown(change_id: str) -> pb.ApplyReply:
+def _unknown(change_id: str, why: pb.ChangeProblem) -> pb.ApplyReply:
     return pb.ApplyReply(
         change_id=change_id,
         status=pb.CHANGE_UNKNOWN,
+        problems=[why],
         retry_after_ms=ASK_AGAIN_MS,
     )
 
 
 def _audit_entry(verdict: ChangeVerdict) -> pb.AuditEntry:
-    record = verdict.record
-    values = [operation_object(item) for item in record.operations]
     return pb.AuditEntry(
         version=verdict.version,
-        change_id=record.change_id,
-        author=record.author,
-        reason=record.reason,
-        at_ms=record.at_ms,
+        change_id=verdict.change_id,
+        author=verdict.author,
+        reason=verdict.reason,
+        at_ms=verdict.at_ms,
         status=pb.CHANGE_ACCEPTED if verdict.accepted else pb.CHANGE_REJECTED,
-        objects=[str(object_key(value)) for value in values if value],
+        objects=verdict.objects,
         problems=problem_messages(verdict.problems),
     )
 
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
@@ -15,6 +16,10 @@
     ForwardRequest,
     Gossip,
     Hello,
+    RecordsPull,
+    RecordsPush,
+    SnapshotPush,
+    VersionDigest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -28,12 +33,14 @@
         stream: The stream.
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
+        feed: Takes the peer's frames about the configuration.
         running: Tasks of the peer's requests, by request id.
     """
 
     stream: FrameStream
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -91,6 +98,14 @@
     connection.membership.receive(frame)
 
 
+@handle_frame.register(RecordsPull)
+@handle_frame.register(RecordsPush)
+@handle_frame.register(SnapshotPush)
+@handle_frame.register(VersionDigest)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.feed.receive(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -99,12 +114,14 @@
         listen: Address to listen on.
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
+        feed: Takes peers' frames about the configuration.
         address: Address that is really used, once it listens.
     """
 
     listen: str
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -120,7 +137,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer)
-        connection = PeerConnection(stream, self.owner, self.membership)
+        connection = PeerConnection(
+            stream, self.owner, self.membership, self.feed
+        )
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
