--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -9,7 +9,7 @@
 from pomelobank_core import MemberState, MemberTable
 from pomelobank_node._admin import Admin
 from pomelobank_node._clock import SystemClock
-from pomelobank_node._config_feed import LogPoller
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._entry import Entry
@@ -67,9 +67,16 @@
         )
         self.store = ConfigStore()
         self.log = LogClient(settings.log)
-        self.feed = LogPoller(self.log, self.store)
         self.links = PeerLinks(hello)
         self.table = MemberTable(own)
+        self.feed = ConfigFeed(
+            settings,
+            self.log,
+            self.store,
+            self.table,
+            self.links,
+            self.clock,
+        )
         self.owner = Owner(settings.requests, self.clock)
         self.membership = Membership(
             self.table,
@@ -98,7 +105,9 @@
         pages.add_route("/metrics", self.metrics.page)
         self.http = HttpServer(listen.http, self.entry)
         self.admin = HttpServer(listen.admin, pages)
-        self.peers = PeerServer(listen.peer, self.owner, self.membership)
+        self.peers = PeerServer(
+            listen.peer, self.owner, self.membership, self.feed
+        )
         self.operator = OperatorServer(listen.operator, operator)
 
     async def start(self) -> None:
