Core decisions for idempotency keys: claims, batches, attempts

A caller that sends an order again through another node could have it run twice. Ruled out: tables in nodes, leases, a quorum of peers (see docs/design/claims.md).

--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -40,7 +40,9 @@
     ANSWER_TRUNCATED = "answer_truncated"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_UNKNOWN = "claim_unknown"
+    CLAIM_ANSWERED = "claim_answered"
     KEY_IN_USE = "key_in_use"
+    KEY_MISMATCH = "key_mismatch"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
 
@@ -134,7 +136,7 @@
         503,
         _NOT_RUN,
         1000,
-        "The idempotency key cannot be claimed while the log is unavailable.",
+        "The idempotency key cannot be claimed at the moment.",
     ),
     ErrorKind.CLAIM_UNKNOWN: Answer(
         409,
@@ -142,9 +144,21 @@
         1000,
         "An earlier request with this key may have run.",
     ),
+    ErrorKind.CLAIM_ANSWERED: Answer(
+        409,
+        RunState.RAN,
+        0,
+        "A request with this key was answered; the answer is no longer kept.",
+    ),
     ErrorKind.KEY_IN_USE: Answer(
         409, _UNKNOWN, 500, "A request with this idempotency key is under way."
     ),
+    ErrorKind.KEY_MISMATCH: Answer(
+        422,
+        _NOT_RUN,
+        0,
+        "The idempotency key was used before with a different request.",
+    ),
     ErrorKind.CANCELLED: Answer(499, _UNKNOWN, 0, "The caller went away."),
     ErrorKind.INTERNAL: Answer(
         500, _UNKNOWN, 1000, "The node failed while it handled the request."
