Keyed requests run once: claiming node, shard streams, forwarding

Two sendings of one order through two nodes each ran. The entry now takes a keyed request to the node that ranks first for the key's shard; it appends a claim, reads it back as the holder, places the request as usual and keeps the answer for resends. Requests without a key never touch the path. Seen to fail first: with the key ignored at the entry, one key gave two different answers (test_one_key_runs_once_through_any_node). Ruled out: a table per node, and the target's own node reading the shard (docs/design/claims.md).

--- a/packages/pomelobank-core/src/pomelobank_core/_claim_batcher.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_claim_batcher.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from typing import Generic, TypeVar
 
 import attrs
@@ -127,7 +128,7 @@
         self.pause_ms = 0
         self.append_ms += ((now_ms - began_ms) - self.append_ms) / 8
 
-    def failed(self, now_ms: int, again: list[ItemT]) -> list[ItemT]:
+    def failed(self, now_ms: int, again: Sequence[ItemT]) -> list[ItemT]:
         """The append failed, or nobody knows whether it took effect.
 
         Made for an outage of the log: without a pause every keyed request
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -8,6 +8,7 @@
 
 from pomelobank_core import MemberState, MemberTable
 from pomelobank_node._admin import Admin
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import LogPoller
 from pomelobank_node._config_store import ConfigStore
@@ -84,6 +85,15 @@
         dispatcher = Dispatcher(
             self.store, self.table, self.owner, self.links, self.clock
         )
+        self.claims = ClaimService(
+            self.table,
+            self.links,
+            self.log,
+            self.clock,
+            settings.claims,
+            dispatcher.place_claimed,
+        )
+        dispatcher.claims = self.claims
         entry = Entry(dispatcher, settings.requests.max_body_bytes)
         admin = Admin(self.owner, self.membership)
         operator = OperatorService(
@@ -92,12 +102,20 @@
         listen = settings.listen
         self.http = HttpServer(listen.http, entry)
         self.admin = HttpServer(listen.admin, admin.application())
-        self.peers = PeerServer(listen.peer, self.owner, self.membership)
+        self.peers = PeerServer(
+            listen.peer, self.owner, self.membership, self.claims
+        )
         self.operator = OperatorServer(listen.operator, operator)
 
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
-        for part in (self.log, self.links, self.peers, self.operator):
+        for part in (
+            self.log,
+            self.links,
+            self.claims,
+            self.peers,
+            self.operator,
+        ):
             await self._start(part)
         await self._start(self.feed)
         for server in (self.http, self.admin):
@@ -124,7 +142,10 @@
         """Drains, then stops every part in reverse order."""
         self.table.update_own(state=MemberState.DRAINING.value)
         await self.membership.tell_all()
-        await self.owner.drain(self.settings.requests.drain_timeout_ms)
+        timeout_ms = self.settings.requests.drain_timeout_ms
+        await asyncio.gather(
+            self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
+        )
         for part in reversed(self.started):
             await part.stop()
         _logger.info("node.stopped")
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -0,0 +1,521 @@
+"""Claims the keys of one shard: appends to its stream and reads it on."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Awaitable, Callable, Iterator
+
+import attrs
+from returns.result import Failure
+
+from pomelobank_core import (
+    ANSWERS,
+    AnswerStore,
+    Attempt,
+    AttemptState,
+    AttemptStep,
+    Claim,
+    ClaimBatcher,
+    ClaimEnded,
+    ClaimId,
+    ClaimSeen,
+    ClaimStatus,
+    ClaimTable,
+    Clock,
+    ErrorKind,
+    RunState,
+    claim_seen,
+    completion_record,
+    give_up,
+    run_ended,
+)
+from pomelobank_node._claims_flight import (
+    Flight,
+    KeyedRequest,
+    kept_answer,
+    replayed_reply,
+)
+from pomelobank_node._log_client import LogClient, LogError, LogErrorKind
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+    error_reply,
+    reply_error,
+)
+from pomelobank_schema import SchemaError, WireMessage, decode, encode
+from pomelobank_schema.generated.records import (
+    ClaimBatch,
+    ClaimCompletion,
+    ClaimEntry,
+    ClaimRelease,
+)
+from pomelobank_schema.generated.settings import ClaimSettings
+
+_logger = logging.getLogger(__name__)
+
+Place = Callable[[ForwardRequest], Awaitable[ForwardReply]]
+Item = ClaimEntry | ClaimRelease | ClaimCompletion
+
+_MS_PER_S = 1000
+_KINDS: dict[int, type[WireMessage]] = {ClaimBatch.KIND: ClaimBatch}
+# 200 full batches are some 2 MB in one answer of the log.
+_PAGE_LIMIT = 200
+_FIRST_RETRY_MS = 50
+_MAX_RETRY_MS = 2000
+# An acknowledgement of an order with its headers fits; a report does not, and
+# at 100 keyed requests a second the answers add at most 100 KB/s to the log.
+MAX_LOGGED_ANSWER_BYTES = 1024
+# Longest wait for the outcome of a claim that another node holds.
+_FOREIGN_WAIT_MS = 1000
+# Given-up claims whose append may still show up; past this number the oldest
+# are forgotten, and their keys stay held until they leave the window.
+_MAX_ABANDONED = 10_000
+
+
+@attrs.define(eq=False)
+class ShardWorker:
+    """Writes and reads one shard's stream.
+
+    Attributes:
+        shard: Number of the shard.
+        writer: Name under which this start of the node writes.
+        log: The log's client.
+        clock: Tells the time.
+        settings: Limits.
+        answers: Answers kept for resends.
+        numbers: Source of claim numbers.
+        place: Runs a request on a target.
+        batcher: Decides when to append.
+        table: The stream's state.
+        flights: Requests that this node claims or runs, by claim key.
+        pending: Flights whose claim was not seen yet, by claim number.
+        releasing: Own claims whose release was not seen yet.
+        used_ms: When a request last came in.
+        blocked: Set when the stream holds a record that cannot be read.
+        read_failing: Whether the last read failed.
+    """
+
+    shard: int
+    writer: str
+    log: LogClient
+    clock: Clock
+    settings: ClaimSettings
+    answers: AnswerStore
+    numbers: Iterator[int]
+    place: Place
+    batcher: ClaimBatcher[Item]
+    table: ClaimTable = attrs.field(factory=ClaimTable)
+    flights: dict[bytes, Flight] = attrs.field(factory=dict)
+    pending: dict[int, Flight] = attrs.field(factory=dict)
+    releasing: set[ClaimId] = attrs.field(factory=set)
+    used_ms: int = 0
+    blocked: bool = False
+    read_failing: bool = False
+    caught_up: asyncio.Event = attrs.field(factory=asyncio.Event)
+    work: asyncio.Event = attrs.field(factory=asyncio.Event)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    @property
+    def stream(self) -> str:
+        """Name of the shard's stream."""
+        return f"claims-{self.shard}"
+
+    def start(self) -> None:
+        """Starts reading and appending."""
+        self._spawn(self._read_on(), "read")
+        self._spawn(self._append_on(), "append")
+
+    def _spawn(self, work: Awaitable[None], name: str) -> None:
+        async def run() -> None:
+            await work
+
+        task = asyncio.create_task(run(), name=f"{self.stream}-{name}")
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def stop(self) -> None:
+        """Ends every task."""
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is under way or waits to be appended."""
+        queued = self.batcher.urgent or self.batcher.lazy
+        return not (self.flights or queued or self.batcher.appending)
+
+    # Requests.
+
+    async def serve(self, keyed: KeyedRequest) -> ForwardReply:
+        """Answers a keyed request; it runs here once or not at all.
+
+        Args:
+            keyed: The request.
+
+        Returns:
+            The target's answer, of this or an earlier sending.
+
+        Raises:
+            RequestError: If it was not run or nobody knows.
+        """
+        self.used_ms = self.clock.now_ms()
+        await self._catch_up(keyed)
+        while True:
+            flight = self.flights.get(keyed.key)
+            if flight is None:
+                claim = self.table.find(keyed.key, self.clock.wall_ms())
+                if claim is not None and claim.claim_id not in self.releasing:
+                    return await self._held_elsewhere(keyed, claim)
+                flight = self._begin(keyed)
+            elif flight.keyed.digest != keyed.digest:
+                raise RequestError(ErrorKind.KEY_MISMATCH)
+            reply = await self._wait_for(flight, keyed)
+            if reply is not None:
+                return reply
+
+    async def _catch_up(self, keyed: KeyedRequest) -> None:
+        if self.caught_up.is_set():
+            return
+        if self.read_failing:
+            raise RequestError(ErrorKind.CLAIM_UNAVAILABLE)
+        wait_ms = min(self.settings.claim_timeout_ms, self._left_ms(keyed))
+        try:
+            async with asyncio.timeout(wait_ms / _MS_PER_S):
+                await self.caught_up.wait()
+        except TimeoutError:
+            raise RequestError(ErrorKind.CLAIM_UNAVAILABLE) from None
+
+    def _left_ms(self, keyed: KeyedRequest) -> int:
+        return max(0, keyed.deadline_ms - self.clock.now_ms())
+
+    async def _held_elsewhere(
+        self, keyed: KeyedRequest, claim: Claim
+    ) -> ForwardReply:
+        if claim.request != keyed.digest:
+            raise RequestError(ErrorKind.KEY_MISMATCH)
+        if claim.status is ClaimStatus.HELD:
+            found = await self._await_holder(keyed, claim)
+            if found is None:
+                return await self.serve(keyed)
+            claim = found
+        if claim.status is ClaimStatus.ANSWERED:
+            answer = self.answers.get(keyed.key)
+            if answer is None:
+                raise RequestError(ErrorKind.CLAIM_ANSWERED)
+            return replayed_reply(answer)
+        if claim.status is ClaimStatus.UNKNOWN:
+            raise RequestError(ErrorKind.CLAIM_UNKNOWN)
+        if self._may_still_end(claim):
+            raise RequestError(ErrorKind.KEY_IN_USE)
+        raise RequestError(ErrorKind.CLAIM_UNKNOWN)
+
+    def _may_still_end(self, claim: Claim) -> bool:
+        return self.clock.wall_ms() < claim.deadline_ms
+
+    async def _await_holder(
+        self, keyed: KeyedRequest, claim: Claim
+    ) -> Claim | None:
+        # The holder may be about to write its outcome; after that it is dead,
+        # paused or cut off, and the caller is better told so than kept.
+        until_ms = self.clock.now_ms() + min(
+            _FOREIGN_WAIT_MS, self._left_ms(keyed)
+        )
+        current: Claim | None = claim
+        while current == claim and self._may_still_end(claim):
+            wait_ms = until_ms - self.clock.now_ms()
+            if wait_ms <= 0:
+                break
+            changed = self.changed
+            await _wait_event(changed, wait_ms)
+            current = self.table.find(keyed.key, self.clock.wall_ms())
+        return current
+
+    async def _wait_for(
+        self, flight: Flight, keyed: KeyedRequest
+    ) -> ForwardReply | None:
+        flight.waiters += 1
+        try:
+            wait_s = self._left_ms(keyed) / _MS_PER_S
+            done, _ = await asyncio.wait({flight.reply}, timeout=wait_s)
+        finally:
+            flight.waiters -= 1
+            if not flight.waiters and not flight.reply.done():
+                self._give_up(flight)
+        if done:
+            return flight.reply.result()
+        if flight.attempt.state is AttemptState.RUNNING:
+            raise RequestError(ErrorKind.DEADLINE_UNKNOWN)
+        raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
+
+    def _give_up(self, flight: Flight) -> None:
+        flight.attempt = give_up(flight.attempt)
+        if flight.attempt.state is AttemptState.ABANDONED:
+            flight.decide(AttemptStep.NOTHING)
+
+    # One attempt.
+
+    def _begin(self, keyed: KeyedRequest) -> Flight:
+        self._check_room()
+        number = next(self.numbers)
+        attempt = Attempt(
+            ClaimId(self.writer, number), keyed.key, keyed.deadline_ms
+        )
+        patience_ms = min(self.settings.claim_timeout_ms, self._left_ms(keyed))
+        entry = ClaimEntry(
+            key=keyed.key,
+            number=number,
+            request=keyed.digest,
+            remaining_ms=self._left_ms(keyed),
+        )
+        offered = self.batcher.offer(entry, self.clock.now_ms(), patience_ms)
+        if isinstance(offered, Failure):
+            raise RequestError(
+                ErrorKind.CLAIM_UNAVAILABLE, max(1, offered.failure())
+            )
+        flight = Flight(keyed, attempt)
+        self.flights[keyed.key] = flight
+        self.pending[number] = flight
+        self.work.set()
+        self._spawn(self._fly(flight, patience_ms), f"claim-{number}")
+        return flight
+
+    def _check_room(self) -> None:
+        if self.blocked or self.read_failing:
+            raise RequestError(ErrorKind.CLAIM_UNAVAILABLE)
+        wall_ms = self.clock.wall_ms()
+        wait_ms = max(
+            self.table.wait_for_window_ms(wall_ms),
+            self.table.wait_for_room_ms(wall_ms, self.settings.keys_per_shard),
+        )
+        if wait_ms:
+            raise RequestError(ErrorKind.CLAIM_UNAVAILABLE, wait_ms)
+
+    async def _fly(self, flight: Flight, patience_ms: int) -> None:
+        await asyncio.wait({flight.step}, timeout=patience_ms / _MS_PER_S)
+        self._give_up(flight)
+        step = (
+            flight.step.result() if flight.step.done() else AttemptStep.NOTHING
+        )
+        if step is AttemptStep.RUN:
+            await self._run(flight)
+            return
+        # The key is free for the next sending, or held by another claim that
+        # the waiting callers look up.
+        del self.flights[flight.keyed.key]
+        self._trim_abandoned()
+        flight.end(_unrun_reply(step))
+
+    async def _run(self, flight: Flight) -> None:
+        keyed = flight.keyed
+        try:
+            request = attrs.evolve(
+                keyed.request,
+                sent_ms=self.clock.now_ms(),
+                remaining_ms=self._left_ms(keyed),
+            )
+            reply = await self.place(request)
+        except RequestError as error:
+            reply = error_reply(0, error)
+        except Exception:
+            _logger.exception("claim.run_failed")
+            reply = error_reply(0, RequestError(ErrorKind.INTERNAL))
+        self._ran(flight, reply)
+
+    def _ran(self, flight: Flight, reply: ForwardReply) -> None:
+        error = reply_error(reply)
+        run_state = ANSWERS[error.kind].run_state if error else RunState.RAN
+        flight.attempt, step = run_ended(flight.attempt, run_state)
+        if step is AttemptStep.RELEASE:
+            del self.flights[flight.keyed.key]
+            self._release(flight.attempt)
+        if step is AttemptStep.COMPLETE:
+            self._complete(flight.attempt, reply)
+        flight.end(reply)
+
+    def _release(self, attempt: Attempt) -> None:
+        self.releasing.add(attempt.claim_id)
+        record = ClaimRelease(key=attempt.key, number=attempt.claim_id.number)
+        self.batcher.offer_lazily(record, self.clock.now_ms())
+        self.work.set()
+
+    def _complete(self, attempt: Attempt, reply: ForwardReply) -> None:
+        answer = None if reply.error else kept_answer(reply)
+        if answer is not None:
+            self.answers.put(attempt.key, answer)
+        record = completion_record(
+            attempt.key,
+            attempt.claim_id.number,
+            reply.error,
+            answer,
+            MAX_LOGGED_ANSWER_BYTES,
+        )
+        self.batcher.offer_lazily(record, self.clock.now_ms())
+        self.work.set()
+
+    def _trim_abandoned(self) -> None:
+        while len(self.pending) > _MAX_ABANDONED:
+            del self.pending[next(iter(self.pending))]
+
+    # Appending.
+
+    async def _append_on(self) -> None:
+        while True:
+            wait_ms = self.batcher.wait_ms(self.clock.now_ms())
+            if wait_ms == 0:
+                await self._append()
+                continue
+            self.work.clear()
+            await _wait_event(self.work, wait_ms)
+
+    async def _append(self) -> None:
+        began_ms = self.clock.now_ms()
+        items = self.batcher.take(began_ms)
+        batch = self._batch(items)
+        try:
+            await self.log.append(self.stream, encode(batch))
+        except LogError as error:
+            self._append_failed(items, error)
+            return
+        self.batcher.appended(began_ms, self.clock.now_ms())
+
+    def _batch(self, items: list[Item]) -> ClaimBatch:
+        return ClaimBatch(
+            writer=self.writer,
+            at_ms=max(self.clock.wall_ms(), self.table.stream_ms),
+            previous_at_ms=self.table.stream_ms,
+            window_ms=self.settings.window_ms,
+            releases=tuple(i for i in items if isinstance(i, ClaimRelease)),
+            completions=tuple(
+                i for i in items if isinstance(i, ClaimCompletion)
+            ),
+            claims=tuple(i for i in items if isinstance(i, ClaimEntry)),
+        )
+
+    def _append_failed(self, items: list[Item], error: LogError) -> None:
+        _logger.warning(
+            "claims.append_failed",
+            extra={"stream": self.stream, "error": str(error)},
+        )
+        # A claim is never appended again: the first append may still take
+        # effect, and a second one of the same claim after its release would
+        # hold the key for good. Releases and completions may be repeated.
+        again = [i for i in items if not isinstance(i, ClaimEntry)]
+        refused = self.batcher.failed(self.clock.now_ms(), again)
+        if error.kind is LogErrorKind.REFUSED:
+            refused += [i for i in items if isinstance(i, ClaimEntry)]
+        for item in refused:
+            if isinstance(item, ClaimEntry):
+                self._refuse(item)
+
+    def _refuse(self, entry: ClaimEntry) -> None:
+        flight = self.pending.get(entry.number)
+        if flight is not None:
+            self._give_up(flight)
+
+    # Reading.
+
+    async def _read_on(self) -> None:
+        retry_ms = _FIRST_RETRY_MS
+        while True:
+            try:
+                await self._read_once()
+                self.read_failing = False
+                retry_ms = _FIRST_RETRY_MS
+            except LogError as error:
+                if error.kind is LogErrorKind.TRIMMED:
+                    self.table.restart(error.first_offset)
+                    continue
+                self.read_failing = True
+                # Full jitter, so that the readers of all shards do not meet
+                # the log together when it comes back.
+                pause_ms = random.uniform(0, retry_ms)
+                await asyncio.sleep(pause_ms / _MS_PER_S)
+                retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
+
+    async def _read_once(self) -> None:
+        wait_ms = (
+            self.log.settings.long_poll_ms if self.caught_up.is_set() else 0
+        )
+        page = await self.log.read(
+            self.stream, self.table.next_offset, _PAGE_LIMIT, wait_ms
+        )
+        for index, data in enumerate(page.records):
+            self._apply(page.first_offset + index, data)
+            if self.blocked:
+                await asyncio.sleep(_MAX_RETRY_MS / _MS_PER_S)
+                return
+        if page.next_offset >= page.end_offset:
+            self.caught_up.set()
+        if page.records:
+            changed, self.changed = self.changed, asyncio.Event()
+            changed.set()
+
+    def _apply(self, offset: int, data: bytes) -> None:
+        try:
+            batch = decode(data, _KINDS)
+        except SchemaError as error:
+            # Skipping what cannot be read could skip a claim, and its request
+            # would run again; the shard takes no new key instead.
+            self.blocked = True
+            _logger.error(
+                "claims.unreadable_record",
+                extra={"offset": offset, "error": str(error)},
+            )
+            return
+        self.blocked = False
+        assert isinstance(batch, ClaimBatch)
+        for event in self.table.apply(offset, batch):
+            if isinstance(event, ClaimSeen):
+                self._seen(event)
+            else:
+                self._ended(event)
+        self._forget_written(batch)
+
+    def _seen(self, event: ClaimSeen) -> None:
+        if event.claim_id.writer != self.writer:
+            return
+        flight = self.pending.pop(event.claim_id.number, None)
+        if flight is None:
+            return
+        flight.attempt, step = claim_seen(
+            flight.attempt, event.won, self.clock.now_ms()
+        )
+        if step in (AttemptStep.RELEASE, AttemptStep.EXPIRED):
+            self._release(flight.attempt)
+        flight.decide(step)
+
+    def _ended(self, event: ClaimEnded) -> None:
+        if event.answer and self.answers.get(event.key) is None:
+            self.answers.put(event.key, event.answer)
+
+    def _forget_written(self, batch: ClaimBatch) -> None:
+        if batch.writer != self.writer:
+            return
+        for completion in batch.completions:
+            flight = self.flights.get(completion.key)
+            if flight and flight.attempt.claim_id.number == completion.number:
+                del self.flights[completion.key]
+        for release in batch.releases:
+            self.releasing.discard(ClaimId(self.writer, release.number))
+
+
+def _unrun_reply(step: AttemptStep) -> ForwardReply | None:
+    if step is AttemptStep.LOST:
+        return None
+    kind = ErrorKind.CLAIM_UNAVAILABLE
+    if step is AttemptStep.EXPIRED:
+        kind = ErrorKind.DEADLINE_NOT_RUN
+    return error_reply(0, RequestError(kind))
+
+
+async def _wait_event(event: asyncio.Event, wait_ms: int | None) -> None:
+    timeout = None if wait_ms is None else wait_ms / _MS_PER_S
+    try:
+        async with asyncio.timeout(timeout):
+            await event.wait()
+    except TimeoutError:
+        return
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,6 +1,7 @@
 """Takes a caller's request to the target that answers it."""
 
 import random
+from urllib.parse import unquote_to_bytes
 
 import attrs
 
@@ -11,7 +12,10 @@
     RoundRobin,
     is_idempotent,
     pick_upstream,
+    scoped_key,
+    service_of,
 )
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
@@ -22,6 +26,7 @@
     RequestError,
 )
 from pomelobank_schema.generated.peer import Header
+from pomelobank_schema.generated.records import RouteObject
 
 
 @attrs.frozen
@@ -61,6 +66,7 @@
         owner: The node's own target.
         links: Streams to peers.
         clock: Tells the time.
+        claims: Runs requests with an idempotency key.
         placing: Chooses the target.
         seeded: Source of randomness.
     """
@@ -70,6 +76,7 @@
     owner: Owner
     links: PeerLinks
     clock: Clock
+    claims: ClaimService = attrs.field(init=False)
     placing: RoundRobin = attrs.field(factory=RoundRobin)
     seeded: random.Random = attrs.field(factory=random.Random)
 
@@ -88,20 +95,49 @@
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
+        request = self._request(route, caller)
+        # A key is looked up before a target: its request may have run, and
+        # its resend must not be told that there is none.
+        if caller.idempotency_key and not request.idempotent:
+            key = scoped_key(caller.service, caller.idempotency_key)
+            keyed = attrs.evolve(request, idempotency_key=key)
+            return await self.claims.run_once(keyed)
+        return await self._route_on(route, request)
+
+    async def place_claimed(self, request: ForwardRequest) -> ForwardReply:
+        """Places a request whose key this node has claimed.
+
+        Raises:
+            RequestError: If the request cannot be placed.
+        """
+        service = service_of(request.idempotency_key)
+        path = unquote_to_bytes(request.target.partition(b"?")[0])
+        route = self.store.routes.match(service, path.decode(errors="replace"))
+        if route is None:
+            raise RequestError(ErrorKind.NO_ROUTE)
+        return await self._route_on(route, request)
+
+    async def _route_on(
+        self, route: RouteObject, request: ForwardRequest
+    ) -> ForwardReply:
         upstream = pick_upstream(
             route, self.members.available_upstreams(), self.seeded
         )
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
+        return await self._place(attrs.evolve(request, upstream=upstream))
+
+    def _request(
+        self, route: RouteObject, caller: CallerRequest
+    ) -> ForwardRequest:
         remaining_ms = route.timeout_ms
         if caller.timeout_ms:
             remaining_ms = min(remaining_ms, caller.timeout_ms)
-        request = ForwardRequest(
+        return ForwardRequest(
             trace_id=caller.trace_id,
             sent_ms=self.clock.now_ms(),
             remaining_ms=remaining_ms,
             route=route.name,
-            upstream=upstream,
             traffic_class=route.traffic_class,
             method=caller.method,
             target=caller.target,
@@ -113,7 +149,6 @@
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
         )
-        return await self._place(request)
 
     async def _place(self, request: ForwardRequest) -> ForwardReply:
         candidates = self.members.ready_for(request.upstream)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
@@ -28,12 +29,14 @@
         stream: The stream.
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
+        claims: Runs the peer's requests with an idempotency key.
         running: Tasks of the peer's requests, by request id.
     """
 
     stream: FrameStream
     owner: Owner
     membership: Membership
+    claims: ClaimService
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -55,7 +58,9 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            reply = await self.owner.serve(request)
+            # Without an upstream: the key is to be claimed here first.
+            serve = self.owner.serve if request.upstream else self.claims.serve
+            reply = await serve(request)
             self.stream.send(reply)
             await self.stream.writer.drain()
         except OSError:
@@ -99,12 +104,14 @@
         listen: Address to listen on.
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
+        claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
     """
 
     listen: str
     owner: Owner
     membership: Membership
+    claims: ClaimService
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -120,7 +127,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer)
-        connection = PeerConnection(stream, self.owner, self.membership)
+        connection = PeerConnection(
+            stream, self.owner, self.membership, self.claims
+        )
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_claims.py
@@ -0,0 +1,104 @@
+"""Requests with an idempotency key, through nodes as processes."""
+
+import asyncio
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from pomelobank_testing import TestMesh, UpstreamService
+
+SERVICE = "replenish"
+DOCUMENT = {
+    "services": [{"name": SERVICE}],
+    "upstreams": [{"name": "replenish-main", "service": SERVICE}],
+    "routes": [
+        {
+            "name": "reorders",
+            "service": SERVICE,
+            "path_prefix": "/reorders",
+            "destinations": [{"upstream": "replenish-main", "weight": 1}],
+        }
+    ],
+}
+Answer = tuple[int, dict[str, str], bytes]
+
+
+@asynccontextmanager
+async def started(
+    nodes: int = 3, **overrides: dict[str, Any]
+) -> AsyncIterator[TestMesh]:
+    async with TestMesh(overrides=overrides) as mesh:
+        await asyncio.gather(
+            *(
+                mesh.add_node(
+                    f"node-{index}",
+                    "hobart",
+                    UpstreamService(f"target-{index}", "replenish-main"),
+                )
+                for index in range(nodes)
+            )
+        )
+        status, output = await mesh.apply("node-0", DOCUMENT)
+        assert status == 0, output
+        await mesh.wait_members(nodes)
+        await mesh.wait_version("node-0", 1)
+        yield mesh
+
+
+async def order(
+    mesh: TestMesh,
+    node: str,
+    key: str,
+    body: bytes = b"3 lipsticks",
+    **more: str,
+) -> Answer:
+    headers = {
+        "idempotency-key": key,
+        "x-run-id": key,
+        **{name.replace("_", "-"): value for name, value in more.items()},
+    }
+    return await mesh.request(
+        node, SERVICE, "/reorders", "POST", headers=headers, data=body
+    )
+
+
+def runs(mesh: TestMesh, key: str) -> int:
+    return sum(item.service.runs[key] for item in mesh.targets.values())
+
+
+def kind(answer: Answer) -> str:
+    return answer[1].get("x-pomelobank-error", "answered")
+
+
+async def test_one_key_runs_once_through_any_node() -> None:
+    """A caller loses an answer and sends its order again elsewhere.
+
+    Without claims each node would run it, and two reorders be lodged.
+    """
+    async with started() as mesh:
+        for number in range(4):
+            key = f"order-{number}"
+            answers = await asyncio.gather(
+                *(order(mesh, node, key) for node in mesh.nodes)
+            )
+            answers += [await order(mesh, node, key) for node in mesh.nodes]
+            assert {answer[0] for answer in answers} == {200}
+            assert len({answer[2] for answer in answers}) == 1
+            assert json.loads(answers[0][2])["run_id"] == key
+            assert runs(mesh, key) == 1
+        other = await order(mesh, "node-1", "order-0", b"5 lipsticks")
+        assert (other[0], kind(other)) == (422, "key_mismatch")
+        assert mesh.log.appends <= 30
+
+
+async def test_requests_without_a_key_stay_off_the_log() -> None:
+    async with started(nodes=1) as mesh:
+        before = mesh.log.appends
+        for _ in range(20):
+            code, _, _ = await mesh.request(
+                "node-0", SERVICE, "/reorders", "POST", data=b"x"
+            )
+            assert code == 200
+        assert mesh.log.appends == before
+        assert not [name for name in mesh.log.streams if "claims" in name]
