--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -16,8 +16,46 @@
     Verdict,
     WorkResult,
 )
-from pomelobank_core._clock import Clock, ManualClock
-from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._claim_answers import (
+    AnswerStore,
+)
+from pomelobank_core._claim_attempts import (
+    Attempt,
+    AttemptState,
+    AttemptStep,
+    claim_seen,
+    combine_run_states,
+    give_up,
+    run_ended,
+)
+from pomelobank_core._claim_batcher import (
+    ClaimBatcher,
+)
+from pomelobank_core._claims import (
+    SHARDS,
+    Claim,
+    ClaimEnded,
+    ClaimEvent,
+    ClaimId,
+    ClaimSeen,
+    ClaimStatus,
+    ClaimTable,
+    KeptAnswer,
+    claim_key,
+    completion_record,
+    rank_claimants,
+    request_digest,
+    scoped_key,
+    service_of,
+    shard_of,
+)
+from pomelobank_core._clock import (
+    Clock,
+    ManualClock,
+)
+from pomelobank_core._concurrency import (
+    ConcurrencyLimit,
+)
 from pomelobank_core._distribution import (
     Distribution,
     Neighbours,
@@ -27,9 +65,19 @@
     SendDigest,
     find_neighbours,
 )
-from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
-from pomelobank_core._floor import VersionFloor
-from pomelobank_core._members import MemberState, MemberTable
+from pomelobank_core._errors import (
+    ANSWERS,
+    Answer,
+    ErrorKind,
+    RunState,
+)
+from pomelobank_core._floor import (
+    VersionFloor,
+)
+from pomelobank_core._members import (
+    MemberState,
+    MemberTable,
+)
 from pomelobank_core._objects import (
     ConfigObject,
     ObjectKey,
@@ -40,8 +88,13 @@
     operation_object,
     snapshot_object_value,
 )
-from pomelobank_core._placing import RoundRobin
-from pomelobank_core._rendezvous import rank_of, rendezvous_order
+from pomelobank_core._placing import (
+    RoundRobin,
+)
+from pomelobank_core._rendezvous import (
+    rank_of,
+    rendezvous_order,
+)
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -49,7 +102,11 @@
     replay_change,
     skip_record,
 )
-from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._routing import (
+    RouteTable,
+    is_idempotent,
+    pick_upstream,
+)
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
@@ -57,15 +114,32 @@
     snapshot_record,
     usable_snapshot,
 )
-from pomelobank_core._validation import Problem, ProblemKind, check_objects
+from pomelobank_core._validation import (
+    Problem,
+    ProblemKind,
+    check_objects,
+)
 
 __all__ = [
     "ANSWERS",
+    "SHARDS",
     "Admission",
     "AdmissionPolicy",
     "Answer",
+    "AnswerStore",
+    "Attempt",
+    "AttemptState",
+    "AttemptStep",
     "Change",
     "ChangeVerdict",
+    "Claim",
+    "ClaimBatcher",
+    "ClaimEnded",
+    "ClaimEvent",
+    "ClaimId",
+    "ClaimSeen",
+    "ClaimStatus",
+    "ClaimTable",
     "Clock",
     "ConcurrencyLimit",
     "ConfigObject",
@@ -75,6 +149,7 @@
     "FirstCome",
     "FixedPartition",
     "GuaranteedShared",
+    "KeptAnswer",
     "ManualClock",
     "MemberState",
     "MemberTable",
@@ -104,16 +179,27 @@
     "VersionedObject",
     "WorkResult",
     "check_objects",
+    "claim_key",
+    "claim_seen",
+    "combine_run_states",
+    "completion_record",
     "evaluate",
     "find_neighbours",
+    "give_up",
     "is_idempotent",
     "object_key",
     "operation_object",
     "pick_upstream",
+    "rank_claimants",
     "rank_of",
     "rendezvous_order",
     "replay_change",
+    "request_digest",
     "restore_snapshot",
+    "run_ended",
+    "scoped_key",
+    "service_of",
+    "shard_of",
     "skip_record",
     "snapshot_object_value",
     "snapshot_record",
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -8,6 +8,7 @@
 
 from pomelobank_core import MemberState, MemberTable
 from pomelobank_node._admin import Admin
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
@@ -93,6 +94,7 @@
         dispatcher = Dispatcher(
             self.store, self.table, self.owner, self.links, self.clock
         )
+        self._build_claims(dispatcher)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
@@ -106,16 +108,28 @@
         self.http = HttpServer(listen.http, self.entry)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
-            listen.peer, self.owner, self.membership, self.feed
+            listen.peer, self.owner, self.membership, self.feed, self.claims
         )
         self.operator = OperatorServer(listen.operator, operator)
 
+    def _build_claims(self, dispatcher: Dispatcher) -> None:
+        self.claims = ClaimService(
+            self.table,
+            self.links,
+            self.log,
+            self.clock,
+            self.settings.claims,
+            dispatcher.place_claimed,
+        )
+        dispatcher.claims = self.claims
+
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
             self.metrics,
             self.log,
             self.links,
+            self.claims,
             self.peers,
             self.operator,
         ):
@@ -145,7 +159,10 @@
         """Drains, then stops every part in reverse order."""
         self.table.update_own(state=MemberState.DRAINING.value)
         await self.membership.tell_all()
-        await self.owner.drain(self.settings.requests.drain_timeout_ms)
+        timeout_ms = self.settings.requests.drain_timeout_ms
+        await asyncio.gather(
+            self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
+        )
         for part in reversed(self.started):
             await part.stop()
         _logger.info("node.stopped")
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
@@ -34,6 +35,7 @@
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
         feed: Takes the peer's frames about the configuration.
+        claims: Runs the peer's requests with an idempotency key.
         running: Tasks of the peer's requests, by request id.
     """
 
@@ -41,6 +43,7 @@
     owner: Owner
     membership: Membership
     feed: ConfigFeed
+    claims: ClaimService
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -62,7 +65,9 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            reply = await self.owner.serve(request)
+            # Without an upstream: the key is to be claimed here first.
+            serve = self.owner.serve if request.upstream else self.claims.serve
+            reply = await serve(request)
             self.stream.send(reply)
             await self.stream.writer.drain()
         except OSError:
@@ -115,6 +120,7 @@
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
         feed: Takes peers' frames about the configuration.
+        claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
     """
 
@@ -122,6 +128,7 @@
     owner: Owner
     membership: Membership
     feed: ConfigFeed
+    claims: ClaimService
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -138,7 +145,7 @@
     ) -> None:
         stream = FrameStream(reader, writer)
         connection = PeerConnection(
-            stream, self.owner, self.membership, self.feed
+            stream, self.owner, self.membership, self.feed, self.claims
         )
         task = asyncio.current_task()
         assert task is not None
--- a/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
@@ -1,9 +1,21 @@
 """Stand-ins, load and measurement tools of pomelobank."""
 
-from pomelobank_testing._harness import NodeProcess, TestMesh
-from pomelobank_testing._log_service import LogFaults, LogService
-from pomelobank_testing._meshes import MESHES, Mesh, MeshService
-from pomelobank_testing._upstream_service import UpstreamService
+from pomelobank_testing._harness import (
+    NodeProcess,
+    TestMesh,
+)
+from pomelobank_testing._log_service import (
+    LogFaults,
+    LogService,
+)
+from pomelobank_testing._meshes import (
+    MESHES,
+    Mesh,
+    MeshService,
+)
+from pomelobank_testing._upstream_service import (
+    UpstreamService,
+)
 
 __all__ = [
     "MESHES",
