--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_member_digest.py
@@ -0,0 +1,63 @@
+"""Hashes of a member table, so that equal tables are compared cheaply."""
+
+from collections.abc import Iterable, Sequence
+
+import attrs
+import xxhash
+
+from pomelobank_core._members import MemberState
+from pomelobank_schema.generated.peer import MemberEntry
+
+# 64 buckets make a request of about 1 KB, and one member that differs costs
+# the entries of a 64th of the table.
+BUCKETS = 64
+# Hashes stay within a signed 64-bit number.
+_MASK = (1 << 63) - 1
+
+
+def bucket_of(node: str) -> int:
+    """Returns the bucket of a node's id; the same in every process."""
+    return xxhash.xxh3_64_intdigest(node.encode()) % BUCKETS
+
+
+@attrs.frozen
+class TableDigest:
+    """Hashes of a table by bucket of node ids.
+
+    Gone members are left out: one that was forgotten here and not yet there
+    makes no difference worth an exchange.
+
+    Attributes:
+        entries: Hash of the entries without their versions, per bucket.
+        versions: Hash of the versions, per bucket.
+    """
+
+    entries: tuple[int, ...]
+    versions: tuple[int, ...]
+
+    @classmethod
+    def of(cls, members: Iterable[MemberEntry]) -> "TableDigest":
+        """Returns the digest of a table's entries, in any order."""
+        entries = [0] * BUCKETS
+        versions = [0] * BUCKETS
+        for member in members:
+            if member.state == MemberState.GONE.value:
+                continue
+            bucket = bucket_of(member.node)
+            number = f"{member.node}|{member.incarnation}"
+            entries[bucket] ^= _hash(
+                f"{number}|{member.sequence}|{member.state}"
+            )
+            versions[bucket] ^= _hash(f"{number}|{member.version}")
+        return cls(tuple(entries), tuple(versions))
+
+
+def differing(first: Sequence[int], second: Sequence[int]) -> list[int]:
+    """Returns the buckets whose hashes differ; all where they are malformed."""
+    if len(first) != BUCKETS or len(second) != BUCKETS:
+        return list(range(BUCKETS))
+    return [index for index in range(BUCKETS) if first[index] != second[index]]
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode()) & _MASK
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -0,0 +1,419 @@
+"""Membership by probes and gossip, after the SWIM protocol.
+
+Frames and times go in, frames to send come out.
+"""
+
+import math
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from pomelobank_core._gossip_queue import GossipQueue
+from pomelobank_core._member_digest import TableDigest, bucket_of
+from pomelobank_core._members import MemberState, MemberTable
+from pomelobank_core._probing import Prober
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import (
+    Gossip,
+    IndirectProbe,
+    MemberEntry,
+    MemberVersion,
+    ProbeRequest,
+    SyncRequest,
+)
+from pomelobank_schema.generated.settings import MembershipSettings
+
+# Members asked to try a probe that was not answered. With one in ten streams
+# broken at random, three at once fail for 1 probe in 1,000.
+INDIRECT_PROBES = 3
+# Members told of an own change at once, ahead of the next probe.
+URGENT_FANOUT = 3
+# Largest gossip in one probe or answer. Four of them are sent a second, so a
+# burst of news costs at most 12 KB a second of the 30 KB that a node may use.
+FRAME_BYTES = 3000
+# The indirect way takes two further trips, each with its own time-out.
+_PROBE_TIMEOUTS = 3
+# A tick that is so many periods late means that the process stood still.
+_PAUSE_PERIODS = 3
+# Tables that differ are exchanged with one member at a time, but a node that
+# everybody joins must not spend its core on it: 20 whole tables of 1,000
+# members are about 2 MB and a tenth of a core in a second.
+SYNC_REPLIES_PER_S = 20
+_MS_PER_S = 1000
+
+
+@attrs.frozen
+class Send:
+    """Asks for a frame to be sent to a peer.
+
+    Attributes:
+        address: Where the peer is reached.
+        frame: The frame.
+    """
+
+    address: str
+    frame: WireMessage
+
+
+@attrs.frozen
+class Reply:
+    """Asks for a frame to be sent back on the stream that one came from.
+
+    Attributes:
+        frame: The frame.
+    """
+
+    frame: WireMessage
+
+
+Action = Send | Reply
+
+
+@attrs.define(eq=False)
+class Swim:
+    """Watches the members and spreads what is known about them.
+
+    Attributes:
+        table: What is known.
+        settings: Periods and time-outs.
+        random: Source of randomness.
+        queue: News to pass on.
+        prober: Probes under way.
+        suspicions: When each suspicion ends unless it is refuted, by node.
+        gone_ms: When each member was found to be gone, by node.
+        pauses: How often this process stood still.
+        suspected: Suspicions that began, for the metrics.
+        changes: Entries that were news since they were last taken.
+        sync_replies: Answers to comparisons in the current second.
+        sync_refusals: Comparisons answered in short, for the metrics.
+    """
+
+    table: MemberTable
+    settings: MembershipSettings
+    random: random.Random
+    queue: GossipQueue = attrs.field(factory=GossipQueue)
+    suspicions: dict[str, int] = attrs.field(factory=dict)
+    gone_ms: dict[str, int] = attrs.field(factory=dict)
+    last_tick_ms: int | None = None
+    next_probe_ms: int = 0
+    next_sync_ms: int = 0
+    next_rejoin_ms: int = 0
+    pauses: int = 0
+    suspected: int = 0
+    sync_second: int = 0
+    sync_replies: int = 0
+    sync_refusals: int = 0
+    changes: list[MemberEntry] = attrs.field(factory=list)
+    prober: Prober = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.prober = Prober(self.random)
+
+    def tick(self, now_ms: int) -> list[Action]:
+        """Does what is due.
+
+        Args:
+            now_ms: Current time; called several times in a period.
+
+        Returns:
+            What to send.
+        """
+        self._notice_pause(now_ms)
+        actions = self._time_out_probes(now_ms)
+        self._time_out_suspicions(now_ms)
+        self._forget(now_ms)
+        if now_ms >= self.next_probe_ms:
+            self.next_probe_ms = now_ms + self._jittered(
+                self.settings.period_ms
+            )
+            actions += self._probe_next(now_ms)
+        if now_ms >= self.next_sync_ms:
+            self.next_sync_ms = now_ms + self._jittered(
+                self.settings.sync_period_ms
+            )
+            actions += self._sync_with_one()
+        if now_ms >= self.next_rejoin_ms:
+            self.next_rejoin_ms = now_ms + self._jittered(
+                self.settings.rejoin_period_ms
+            )
+            actions += self._try_a_gone_one()
+        return actions
+
+    def _jittered(self, period_ms: int) -> int:
+        # Members that started together would otherwise probe in step and meet
+        # every member that they share with a burst.
+        return round(period_ms * self.random.uniform(0.8, 1.2))
+
+    def _notice_pause(self, now_ms: int) -> None:
+        # After a pause every probe is overdue although nobody failed to answer
+        # it. A node that took this for deaths would suspect whomever it had
+        # asked; so what was under way is dropped and suspicions wait longer.
+        last_ms, self.last_tick_ms = self.last_tick_ms, now_ms
+        if last_ms is None:
+            return
+        late_ms = now_ms - last_ms
+        if late_ms < _PAUSE_PERIODS * self.settings.period_ms:
+            return
+        self.pauses += 1
+        self.prober.clear()
+        for node in self.suspicions:
+            self.suspicions[node] += late_ms
+
+    def _probe_next(self, now_ms: int) -> list[Action]:
+        entry = self.prober.choose(self.table.present())
+        if entry is None or not entry.peer_address:
+            return []
+        sequence = self.prober.start(entry.node, now_ms)
+        request = ProbeRequest(
+            sequence=sequence, node=entry.node, gossip=self.news_for(entry.node)
+        )
+        return [Send(entry.peer_address, request)]
+
+    def news_for(self, node: str = "") -> Gossip:
+        """Returns the next news to pass on.
+
+        Args:
+            node: The receiver, which has to learn what is held against it.
+        """
+        entry = self.table.claim_about(node)
+        doubted = entry is not None and entry.state in (
+            MemberState.SUSPECT.value,
+            MemberState.GONE.value,
+        )
+        first = (entry,) if entry is not None and doubted else ()
+        return self.queue.take(self.table, FRAME_BYTES, first)
+
+    def _time_out_probes(self, now_ms: int) -> list[Action]:
+        timeout_ms = self.settings.probe_timeout_ms
+        actions: list[Action] = []
+        for sequence in self.prober.overdue(now_ms, timeout_ms):
+            actions += self._ask_others(sequence)
+        for node in self.prober.failed(now_ms, _PROBE_TIMEOUTS * timeout_ms):
+            self.suspect(node, now_ms)
+        return actions
+
+    def _ask_others(self, sequence: int) -> list[Action]:
+        probe = self.prober.pending[sequence]
+        probe.indirect = True
+        target = self.table.others.get(probe.node)
+        if target is None:
+            return []
+        return [
+            Send(
+                helper.peer_address,
+                IndirectProbe(
+                    sequence=sequence,
+                    node=target.node,
+                    peer_address=target.peer_address,
+                    gossip=self.news_for(helper.node),
+                ),
+            )
+            for helper in self.choose(INDIRECT_PROBES, exclude=target.node)
+        ]
+
+    def choose(self, count: int, exclude: str = "") -> list[MemberEntry]:
+        """Returns a few members that are present, in random order."""
+        present = [
+            entry
+            for entry in self.table.present()
+            if entry.node != exclude and entry.peer_address
+        ]
+        return self.random.sample(present, min(count, len(present)))
+
+    def unreachable(self, address: str) -> list[Action]:
+        """Takes note that no stream to an address could be opened.
+
+        A refused stream is known at once, so others are asked without waiting
+        for the time-out.
+        """
+        actions: list[Action] = []
+        for sequence, probe in list(self.prober.pending.items()):
+            entry = self.table.others.get(probe.node)
+            if probe.indirect or entry is None:
+                continue
+            if entry.peer_address == address:
+                actions += self._ask_others(sequence)
+        return actions
+
+    def suspect(self, node: str, now_ms: int) -> None:
+        """Begins to suspect a member that answered no probe."""
+        entry = self.table.others.get(node)
+        if entry is None or entry.state == MemberState.GONE.value:
+            return
+        if node in self.suspicions:
+            return
+        self.suspected += 1
+        self.suspicions[node] = now_ms + self.suspicion_ms()
+        if entry.state == MemberState.READY.value:
+            doubt = attrs.evolve(entry, state=MemberState.SUSPECT.value)
+            self.table.merge((doubt,))
+            self.queue.add(node)
+
+    def suspicion_ms(self) -> int:
+        """Returns how long a suspicion lasts at the fleet's size.
+
+        The suspect has to hear of it and its answer has to come back, which
+        takes gossip a number of rounds that grows with the logarithm.
+        """
+        members = len(self.table.present()) + 1
+        scale = max(1.0, math.log10(members))
+        rounds = self.settings.suspicion_rounds
+        return round(self.settings.period_ms * rounds * scale)
+
+    def _time_out_suspicions(self, now_ms: int) -> None:
+        ended = [
+            node
+            for node, until_ms in self.suspicions.items()
+            if now_ms >= until_ms
+        ]
+        for node in ended:
+            del self.suspicions[node]
+            entry = self.table.others.get(node)
+            if entry is not None:
+                gone = attrs.evolve(entry, state=MemberState.GONE.value)
+                self._take_entries(self.table.merge((gone,)), now_ms)
+
+    def _forget(self, now_ms: int) -> None:
+        kept_ms = self.settings.gone_kept_ms
+        for node, gone_ms in list(self.gone_ms.items()):
+            if now_ms - gone_ms >= kept_ms:
+                del self.gone_ms[node]
+                self.table.forget(node)
+
+    def learn(self, gossip: Gossip, now_ms: int) -> None:
+        """Takes what a peer tells."""
+        sequence = self.table.own.sequence, self.table.own.incarnation
+        heard = [self._as_heard(entry, now_ms) for entry in gossip.members]
+        known = set(self.table.others)
+        news = self.table.merge(heard)
+        for entry in news:
+            if entry.node not in known:
+                self.prober.insert(entry.node)
+        self._take_entries(news, now_ms)
+        for version in self.table.merge_versions(gossip.versions):
+            self.queue.add_version(version.node)
+        if sequence != (self.table.own.sequence, self.table.own.incarnation):
+            self.queue.add(self.table.own.node)
+
+    def _as_heard(self, entry: MemberEntry, now_ms: int) -> MemberEntry:
+        # When a cut heals, each side tells the other that its members are
+        # gone. Taken at its word this would stop the service everywhere until
+        # the last refutation has arrived; as a suspicion it leaves each member
+        # the time to refute it.
+        known = self.table.others.get(entry.node)
+        rumour = (
+            known is not None
+            and entry.state == MemberState.GONE.value
+            and known.state != MemberState.GONE.value
+            and (entry.incarnation, entry.sequence)
+            <= (known.incarnation, known.sequence)
+        )
+        if not rumour or known is None:
+            return entry
+        if (entry.incarnation, entry.sequence) == (
+            known.incarnation,
+            known.sequence,
+        ):
+            self.suspect(entry.node, now_ms)
+        return known
+
+    def _take_entries(self, news: Iterable[MemberEntry], now_ms: int) -> None:
+        for entry in news:
+            self.queue.add(entry.node)
+            self.changes.append(entry)
+            if entry.state == MemberState.GONE.value:
+                self.suspicions.pop(entry.node, None)
+                self.gone_ms[entry.node] = now_ms
+                continue
+            self.gone_ms.pop(entry.node, None)
+            if entry.state != MemberState.SUSPECT.value:
+                self.suspicions.pop(entry.node, None)
+            elif entry.node not in self.suspicions:
+                self.suspicions[entry.node] = now_ms + self.suspicion_ms()
+
+    def take_changes(self) -> list[MemberEntry]:
+        """Returns the entries that were news since the last call."""
+        changes, self.changes = self.changes, []
+        return changes
+
+    def own_changed(self) -> list[Action]:
+        """Tells a few members of a change of the own entry at once."""
+        self.queue.add(self.table.own.node)
+        return [
+            Send(entry.peer_address, self.news_for(entry.node))
+            for entry in self.choose(URGENT_FANOUT)
+        ]
+
+    def tell_all(self) -> list[Action]:
+        """Tells every member of the own entry, as when it starts to drain.
+
+        Gossip reaches the last of 1,000 members after several seconds; until
+        then it would send work to a target that is about to leave. 1,000 small
+        frames for each planned stop are few next to that: 350 a day make four
+        a second in the whole fleet.
+        """
+        self.queue.add(self.table.own.node)
+        gossip = Gossip(members=(self.table.own,))
+        return [
+            Send(entry.peer_address, gossip)
+            for entry in self.table.present()
+            if entry.peer_address
+        ]
+
+    def compare(self, address: str) -> Send:
+        """Returns the request that compares the table with a peer's."""
+        digest = TableDigest.of(self.table.all())
+        request = SyncRequest(
+            gossip=Gossip(members=(self.table.own,)),
+            entries=digest.entries,
+            versions=digest.versions,
+        )
+        return Send(address, request)
+
+    def _sync_with_one(self) -> list[Action]:
+        return [self.compare(entry.peer_address) for entry in self.choose(1)]
+
+    def _try_a_gone_one(self) -> list[Action]:
+        # Two sides of a cut hold each other to be gone and would never meet
+        # again after it has healed, because nobody probes the gone.
+        gone = [
+            entry.peer_address
+            for node in sorted(self.gone_ms)
+            if (entry := self.table.others.get(node)) and entry.peer_address
+        ]
+        if not gone:
+            return []
+        return [self.compare(self.random.choice(gone))]
+
+    def may_sync(self, now_ms: int) -> bool:
+        """Tells whether one more whole answer is allowed in this second."""
+        second = now_ms // _MS_PER_S
+        if second != self.sync_second:
+            self.sync_second = second
+            self.sync_replies = 0
+        if self.sync_replies >= SYNC_REPLIES_PER_S:
+            self.sync_refusals += 1
+            return False
+        self.sync_replies += 1
+        return True
+
+    def versions_in(self, buckets: set[int]) -> tuple[MemberVersion, ...]:
+        """Returns the versions of the members in some buckets."""
+        from_buckets = self.entries_in(buckets)
+        return tuple(
+            MemberVersion(
+                node=entry.node,
+                incarnation=entry.incarnation,
+                version=entry.version,
+            )
+            for entry in from_buckets
+        )
+
+    def entries_in(self, buckets: set[int]) -> tuple[MemberEntry, ...]:
+        """Returns the entries of the members in some buckets."""
+        return tuple(
+            entry
+            for entry in self.table.all()
+            if bucket_of(entry.node) in buckets
+        )
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim_frames.py
@@ -0,0 +1,130 @@
+"""What membership does about each frame of a peer."""
+
+import functools
+
+from pomelobank_core._member_digest import TableDigest, differing
+from pomelobank_core._swim import Action, Reply, Send, Swim
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import (
+    Gossip,
+    IndirectProbe,
+    ProbeReply,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
+)
+
+# Members named to a node that has to compare its table with somebody else.
+_REFERRALS = 16
+
+
+@functools.singledispatch
+def take_frame(frame: WireMessage, swim: Swim, now_ms: int) -> list[Action]:
+    """Takes a frame of a peer.
+
+    Args:
+        frame: The frame; other kinds than membership's are ignored.
+        swim: The node's membership.
+        now_ms: Current time.
+
+    Returns:
+        What to send.
+    """
+    return []
+
+
+@take_frame.register
+def _(frame: Gossip, swim: Swim, now_ms: int) -> list[Action]:
+    swim.learn(frame, now_ms)
+    if not frame.reply:
+        return []
+    return [Reply(swim.news_for(_sender(frame)))]
+
+
+@take_frame.register
+def _(frame: ProbeRequest, swim: Swim, now_ms: int) -> list[Action]:
+    sender = _learn(frame.gossip, swim, now_ms)
+    reply = ProbeReply(
+        sequence=frame.sequence,
+        node=swim.table.own.node,
+        gossip=swim.news_for(sender),
+    )
+    return [Reply(reply)]
+
+
+@take_frame.register
+def _(frame: ProbeReply, swim: Swim, now_ms: int) -> list[Action]:
+    _learn(frame.gossip, swim, now_ms)
+    swim.prober.settle(frame.sequence, frame.node)
+    relayed = swim.prober.relayed.pop(frame.sequence, None)
+    if relayed is None:
+        return []
+    answer = ProbeReply(
+        sequence=relayed.sequence, node=frame.node, gossip=swim.news_for()
+    )
+    return [Send(relayed.requester, answer)]
+
+
+@take_frame.register
+def _(frame: IndirectProbe, swim: Swim, now_ms: int) -> list[Action]:
+    sender = _learn(frame.gossip, swim, now_ms)
+    asking = swim.table.others.get(sender)
+    if asking is None or not frame.peer_address:
+        return []
+    sequence = swim.prober.relay(asking.peer_address, frame.sequence, now_ms)
+    request = ProbeRequest(
+        sequence=sequence, node=frame.node, gossip=swim.news_for(frame.node)
+    )
+    return [Send(frame.peer_address, request)]
+
+
+@take_frame.register
+def _(frame: SyncRequest, swim: Swim, now_ms: int) -> list[Action]:
+    sender = _learn(frame.gossip, swim, now_ms)
+    own = TableDigest.of(swim.table.all())
+    entries = differing(own.entries, frame.entries)
+    versions = differing(own.versions, frame.versions)
+    if (entries or versions) and not swim.may_sync(now_ms):
+        return [Reply(SyncReply(gossip=_referrals(swim, sender)))]
+    others = set(versions) - set(entries)
+    claim = swim.table.claim_about(sender)
+    members = (swim.table.own, *swim.entries_in(set(entries)))
+    if claim is not None:
+        members += (claim,)
+    reply = SyncReply(
+        gossip=Gossip(members=members, versions=swim.versions_in(others)),
+        entry_buckets=tuple(entries),
+        version_buckets=tuple(sorted(others)),
+    )
+    return [Reply(reply)]
+
+
+def _referrals(swim: Swim, sender: str) -> Gossip:
+    others = swim.choose(_REFERRALS, exclude=sender)
+    return Gossip(members=(swim.table.own, *others))
+
+
+@take_frame.register
+def _(frame: SyncReply, swim: Swim, now_ms: int) -> list[Action]:
+    _learn(frame.gossip, swim, now_ms)
+    wanted = set(frame.entry_buckets)
+    versions = set(frame.version_buckets)
+    if not wanted and not versions:
+        return []
+    answer = Gossip(
+        members=(swim.table.own, *swim.entries_in(wanted)),
+        versions=swim.versions_in(versions),
+    )
+    return [Reply(answer)]
+
+
+def _learn(gossip: Gossip | None, swim: Swim, now_ms: int) -> str:
+    # A peer may send an empty field here; it then says nothing of itself.
+    if gossip is None:
+        return ""
+    swim.learn(gossip, now_ms)
+    return _sender(gossip)
+
+
+def _sender(gossip: Gossip) -> str:
+    return gossip.members[0].node if gossip.members else ""
--- a/packages/pomelobank-node/src/pomelobank_node/_admin.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admin.py
@@ -1,17 +1,21 @@
 """The node's own pages and its target's announcements."""
 
+import json
+from collections.abc import Mapping
+
 import attrs
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from pomelobank_core import MemberState
-from pomelobank_node._membership import Membership
-from pomelobank_node._owner import Owner, Target
-from pomelobank_schema import SchemaError, parse_address
+from pomelobank_node._target_watch import TargetWatch
+from pomelobank_schema import SchemaError, SchemaErrorKind, build
+from pomelobank_schema.generated.records import TargetAnnouncement
 
 _BAD_REQUEST = 400
+# An announcement is a few short fields.
+_MAX_ANNOUNCEMENT_BYTES = 4096
 
 
 @attrs.define(eq=False)
@@ -19,12 +23,12 @@
     """Pages for the platform and for the target beside the node.
 
     Attributes:
-        owner: Takes the target.
-        membership: Tells others of it.
+        target: Follows the target.
+        bad_announcements: Announcements that were refused, for the metrics.
     """
 
-    owner: Owner
-    membership: Membership
+    target: TargetWatch
+    bad_announcements: int = 0
 
     def application(self) -> Starlette:
         """Returns the ASGI application of these pages."""
@@ -38,40 +42,52 @@
 
     async def health(self, _: Request) -> Response:
         """Tells whether the node takes requests."""
-        own = self.membership.table.own
+        own = self.target.membership.table.own
         return JSONResponse({"state": own.state, "version": own.version})
 
     async def announce(self, request: Request) -> Response:
         """Takes an announcement of the target."""
         try:
-            target = _target(await request.json())
-        except (ValueError, KeyError, SchemaError) as error:
-            return JSONResponse({"error": str(error)}, _BAD_REQUEST)
-        self.owner.set_target(target)
-        own = self.membership.table.own
-        changed = (own.upstream, own.slots) != (target.upstream, target.slots)
-        starting = own.state == MemberState.STARTING.value
-        ready = own.state == MemberState.READY.value
-        if starting or (ready and changed):
-            self.membership.table.update_own(
-                state=MemberState.READY.value,
-                upstream=target.upstream,
-                slots=target.slots,
-            )
-            await self.membership.tell_all()
-        return JSONResponse({"state": self.membership.table.own.state})
+            announcement = parse_announcement(await request.body())
+        except SchemaError as error:
+            self.bad_announcements += 1
+            return JSONResponse(_problem(error), _BAD_REQUEST)
+        await self.target.take(announcement)
+        return self._state()
 
     async def drain(self, _: Request) -> Response:
         """Takes the target out of the mesh."""
-        self.membership.table.update_own(state=MemberState.DRAINING.value)
-        await self.membership.tell_all()
-        return JSONResponse({"state": MemberState.DRAINING.value})
-
-
-def _target(document: dict[str, object]) -> Target:
-    slots = document["slots"]
-    if not isinstance(slots, int) or slots < 1:
-        raise ValueError("slots must be a whole number above 0")
-    address = str(document["address"])
-    parse_address(address)
-    return Target(str(document["upstream"]), address, slots)
+        await self.target.drain()
+        return self._state()
+
+    def _state(self) -> Response:
+        own = self.target.membership.table.own
+        return JSONResponse({"state": own.state})
+
+
+def parse_announcement(body: bytes) -> TargetAnnouncement:
+    """Returns the announcement in a request's body.
+
+    Raises:
+        SchemaError: If the body is too large, not JSON, or one of its fields
+            is wrong.
+    """
+    if len(body) > _MAX_ANNOUNCEMENT_BYTES:
+        raise SchemaError(
+            SchemaErrorKind.OUT_OF_RANGE, "", "the announcement is too large"
+        )
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError):
+        raise SchemaError(
+            SchemaErrorKind.MALFORMED, "", "the announcement is not JSON"
+        ) from None
+    return build(TargetAnnouncement, document)
+
+
+def _problem(error: SchemaError) -> Mapping[str, str]:
+    return {
+        "error": error.kind.value,
+        "field": error.where,
+        "message": error.message,
+    }
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from pomelobank_core import MemberState, MemberTable
+from pomelobank_core import MemberTable, TargetLease
 from pomelobank_node._admin import Admin
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import LogPoller
@@ -20,6 +20,7 @@
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
 from pomelobank_node._peer_server import PeerServer
+from pomelobank_node._target_watch import TargetWatch
 from pomelobank_schema.generated.peer import Hello, MemberEntry
 from pomelobank_schema.generated.settings import NodeSettings
 
@@ -66,7 +67,7 @@
         self.store = ConfigStore()
         self.log = LogClient(settings.log)
         self.feed = LogPoller(self.log, self.store)
-        self.links = PeerLinks(hello)
+        self.links = PeerLinks(hello, settings.membership.connect_limit)
         self.table = MemberTable(own)
         self.owner = Owner(settings.requests, self.clock)
         self.membership = Membership(
@@ -77,6 +78,12 @@
             self.store,
             self.clock,
         )
+        self.target = TargetWatch(
+            self.owner,
+            self.membership,
+            self.clock,
+            TargetLease(settings.membership.target_lease_ms),
+        )
         self._build_servers()
 
     def _build_servers(self) -> None:
@@ -85,7 +92,7 @@
             self.store, self.table, self.owner, self.links, self.clock
         )
         entry = Entry(dispatcher, settings.requests.max_body_bytes)
-        admin = Admin(self.owner, self.membership)
+        admin = Admin(self.target)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
@@ -100,10 +107,13 @@
         for part in (self.log, self.links, self.peers, self.operator):
             await self._start(part)
         await self._start(self.feed)
+        await self._start(self.target)
         for server in (self.http, self.admin):
             await self._start(server)
+        advertised = self.settings.listen.peer_advertised
         self.table.update_own(
-            peer_address=self.peers.address, http_address=self.http.address
+            peer_address=advertised or self.peers.address,
+            http_address=self.http.address,
         )
         await self._start(self.membership)
         _logger.info(
@@ -121,12 +131,20 @@
         self.started.append(part)
 
     async def stop(self) -> None:
-        """Drains, then stops every part in reverse order."""
-        self.table.update_own(state=MemberState.DRAINING.value)
-        await self.membership.tell_all()
+        """Drains, then stops every part without cutting a request off.
+
+        Work from peers ends first, then callers' own requests, which still
+        need the streams to peers; membership goes on until nothing is left to
+        be told, and the streams go last.
+        """
+        await self.target.close()
         await self.owner.drain(self.settings.requests.drain_timeout_ms)
+        for server in (self.http, self.admin):
+            await server.stop()
+        await self.membership.leave()
         for part in reversed(self.started):
-            await part.stop()
+            if part not in (self.http, self.admin):
+                await part.stop()
         _logger.info("node.stopped")
 
 
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -0,0 +1,189 @@
+"""Finds a first member through seed addresses and the log."""
+
+import asyncio
+import logging
+import random
+
+import attrs
+
+from pomelobank_core import (
+    TAIL_RECORDS,
+    Clock,
+    FirstContact,
+    Swim,
+    contacts_record,
+    is_announcer,
+)
+from pomelobank_node._log_client import (
+    MEMBERS_STREAM,
+    LogClient,
+    LogError,
+    LogErrorKind,
+    LogPage,
+)
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import RequestError
+from pomelobank_schema import encode
+from pomelobank_schema.generated.records import AnnounceRecord
+
+_logger = logging.getLogger(__name__)
+_MS_PER_S = 1000
+# An offset past the end of any stream: the answer tells where the end is.
+_PAST_THE_END = 1 << 62
+# Time that a member gets to answer a first contact.
+_ANSWER_S = 1.0
+_FIRST_RETRY_MS = 100
+_MAX_RETRY_MS = 5000
+# One read of a few records a minute for the whole fleet.
+_REFRESH_CHECK_S = 60.0
+
+
+@attrs.define(eq=False)
+class ContactFinder:
+    """Joins the mesh, then keeps the contacts in the log fresh.
+
+    Attributes:
+        contact: Decides whom to try and when to announce.
+        swim: The node's membership.
+        log: Where contacts are announced.
+        links: Streams to peers.
+        clock: Tells the time.
+        joined: Set while another member is known to be present.
+        announced: Whether this start of the node announced itself.
+        announcements: Records appended, for the metrics.
+    """
+
+    contact: FirstContact
+    swim: Swim
+    log: LogClient
+    links: PeerLinks
+    clock: Clock
+    joined: asyncio.Event = attrs.field(factory=asyncio.Event)
+    announced: bool = False
+    announcements: int = 0
+
+    async def run(self) -> None:
+        """Joins, then looks after the contacts until it is cancelled."""
+        retry_ms = _FIRST_RETRY_MS
+        while not await self._join():
+            # Full jitter: nodes that started together would otherwise come
+            # back to the log and the seeds in the same instant.
+            await _sleep_ms(random.uniform(0, retry_ms))
+            retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
+        while True:
+            pause_s = _REFRESH_CHECK_S * random.uniform(0.5, 1.5)
+            await asyncio.sleep(pause_s)
+            await self._look_after_contacts()
+
+    async def _join(self) -> bool:
+        try:
+            return await self._join_by_contacts() or await self._join_by_log()
+        except LogError as error:
+            _logger.warning("members.log_failed", extra={"error": str(error)})
+            return self.joined.is_set()
+
+    async def _join_by_contacts(self) -> bool:
+        own = self.swim.table.own.peer_address
+        addresses = self.contact.next_addresses(own)
+        tries = [self._try(address) for address in addresses]
+        if any(await asyncio.gather(*tries)):
+            await self._wait_joined(_ANSWER_S)
+        return self.joined.is_set()
+
+    async def _try(self, address: str) -> bool:
+        try:
+            await self.links.to(address).send(self.swim.compare(address).frame)
+        except RequestError:
+            return False
+        return True
+
+    async def _wait_joined(self, timeout_s: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.joined.wait()
+        except TimeoutError:
+            return
+
+    async def _join_by_log(self) -> bool:
+        read_ms = await self._read_tail()
+        if await self._join_by_new_contacts():
+            return True
+        if self.announced:
+            return False
+        await self._wait_joined(
+            self.contact.announce_wait_ms(read_ms) / _MS_PER_S
+        )
+        if self.joined.is_set():
+            return True
+        # Somebody else may have announced itself meanwhile; one record is
+        # enough for all that start together.
+        await self._read_tail()
+        if await self._join_by_new_contacts():
+            return True
+        await self._announce()
+        # Two nodes may both have read before the other's append; the later
+        # one finds the earlier one's record now.
+        await self._read_tail()
+        return await self._join_by_new_contacts()
+
+    async def _join_by_new_contacts(self) -> bool:
+        own = self.swim.table.own.peer_address
+        while not self.joined.is_set() and self.contact.untried(own):
+            await self._join_by_contacts()
+        return self.joined.is_set()
+
+    async def _read_tail(self) -> int:
+        start_ms = self.clock.now_ms()
+        end = await self.log.read(MEMBERS_STREAM, _PAST_THE_END, 1, 0)
+        read_ms = self.clock.now_ms() - start_ms
+        offset = max(0, end.end_offset - TAIL_RECORDS)
+        page = await self._read_kept(offset)
+        self.contact.take_records(page.records)
+        return read_ms
+
+    async def _read_kept(self, offset: int) -> LogPage:
+        try:
+            return await self.log.read(MEMBERS_STREAM, offset, TAIL_RECORDS, 0)
+        except LogError as error:
+            if error.kind is not LogErrorKind.TRIMMED:
+                raise
+            return await self.log.read(
+                MEMBERS_STREAM, error.first_offset, TAIL_RECORDS, 0
+            )
+
+    async def _announce(self) -> None:
+        own = self.swim.table.own
+        record = AnnounceRecord(
+            node=own.node,
+            incarnation=own.incarnation,
+            data_centre=own.data_centre,
+            peer_address=own.peer_address,
+            at_ms=self.clock.wall_ms(),
+        )
+        self.announcements += 1
+        await self.log.append(MEMBERS_STREAM, encode(record))
+        self.announced = True
+
+    async def _look_after_contacts(self) -> None:
+        if not is_announcer(self.swim.table):
+            return
+        try:
+            await self._read_tail()
+            # Parts of the mesh that started apart meet through the records.
+            await self._join_by_contacts()
+            await self._refresh()
+        except LogError as error:
+            _logger.warning("members.log_failed", extra={"error": str(error)})
+
+    async def _refresh(self) -> None:
+        table = self.swim.table
+        wall_ms = self.clock.wall_ms()
+        present = len(table.present()) + 1
+        if self.contact.needs_refresh(present, wall_ms):
+            record = contacts_record(table, self.swim.random, wall_ms)
+            self.announcements += 1
+            await self.log.append(MEMBERS_STREAM, encode(record))
+
+
+async def _sleep_ms(pause_ms: float) -> None:
+    await asyncio.sleep(pause_ms / _MS_PER_S)
--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -1,40 +1,59 @@
-"""Finds the other members and keeps the table of them up to date."""
+"""Runs membership over the streams to peers."""
 
 import asyncio
 import logging
 import random
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from pomelobank_core import Clock, MemberTable
+from pomelobank_core import (
+    Action,
+    Clock,
+    FirstContact,
+    MemberState,
+    MemberTable,
+    Reply,
+    Send,
+    Swim,
+    take_frame,
+)
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log_client import MEMBERS_STREAM, LogClient, LogError
+from pomelobank_node._contact_finder import ContactFinder
+from pomelobank_node._log_client import LogClient
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
-from pomelobank_schema import SchemaError, decode, encode
-from pomelobank_schema.generated import records
-from pomelobank_schema.generated.peer import Gossip
-from pomelobank_schema.generated.records import AnnounceRecord
+from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.settings import MembershipSettings
 
 _logger = logging.getLogger(__name__)
 _MS_PER_S = 1000
-_ANNOUNCE_LIMIT = 2000
-_FANOUT = 2
+# Time-outs are a few tenths of a second and have to be noticed in time.
+_TICKS_PER_PERIOD = 5
+# Everybody who may send work hears of a drain within this time, or by gossip.
+_TELL_ALL_S = 1.5
+# Frames that wait for a stream. At rest there are a handful; when a data
+# centre is cut off, streams take a second to fail, and a node that kept every
+# frame for it would run out of memory. Gossip repeats itself, so they may go.
+_MAX_DELIVERIES = 2048
 
 
 @attrs.define(eq=False)
 class Membership:
-    """Gossips with a few members every period.
+    """Watches the members and keeps the table of them up to date.
 
     Attributes:
         table: What is known.
-        settings: Period and seeds.
+        settings: Periods, time-outs and seeds.
         log: Where first contacts are announced.
         links: Streams to peers.
         store: Tells the version in force.
         clock: Tells the time.
-        contacts: Peers' addresses that are worth a first contact.
+        on_tick: Called at every tick, for parts with leases of their own.
+        swim: Decides.
+        finder: Finds a first member.
+        dropped_frames: Frames that found no room, for the metrics.
+        failed_sends: Frames whose peer was unreachable, for the metrics.
     """
 
     table: MemberTable
@@ -43,108 +62,140 @@
     links: PeerLinks
     store: ConfigStore
     clock: Clock
-    contacts: set[str] = attrs.field(factory=set)
-    task: asyncio.Task[None] | None = None
+    on_tick: Callable[[int], None] | None = None
+    dropped_frames: int = 0
+    failed_sends: int = 0
+    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+    deliveries: set[asyncio.Task[None]] = attrs.field(factory=set)
+    swim: Swim = attrs.field(init=False)
+    finder: ContactFinder = attrs.field(init=False)
+    slots: asyncio.Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        source = random.Random()
+        self.swim = Swim(self.table, self.settings, source)
+        self.finder = ContactFinder(
+            FirstContact(source), self.swim, self.log, self.links, self.clock
+        )
+        # Half of the handshakes stay free for requests, so that frames to
+        # members that do not answer cannot hold requests up.
+        limit = max(1, self.settings.connect_limit // 2)
+        self.slots = asyncio.Semaphore(limit)
 
     async def start(self) -> None:
-        """Starts the gossiping task."""
-        self.contacts.update(self.settings.seeds)
-        self.task = asyncio.create_task(self._run(), name="membership")
+        """Starts the tasks that join the mesh and watch its members."""
+        self.links.on_frame = self._take_from_link
+        self.finder.contact.add(self.settings.seeds)
+        self.tasks = [
+            asyncio.create_task(self._run(), name="membership"),
+            asyncio.create_task(self.finder.run(), name="first-contact"),
+        ]
 
     async def stop(self) -> None:
-        """Ends the gossiping task."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
-
-    def receive(self, gossip: Gossip) -> None:
-        """Takes what a peer knows."""
-        self.table.merge(gossip.members)
-        if gossip.members:
-            sender = gossip.members[0].node
-            self.table.heard(sender, self.clock.now_ms())
+        """Ends the tasks."""
+        tasks = [*self.tasks, *self.deliveries]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def receive(
+        self, frame: WireMessage, reply: Callable[[WireMessage], None]
+    ) -> None:
+        """Takes a frame of membership.
+
+        Args:
+            frame: The frame.
+            reply: Sends a frame back on the same stream.
+        """
+        actions = take_frame(frame, self.swim, self.clock.now_ms())
+        self._act(actions, reply)
+        self._note_changes()
+
+    def _take_from_link(
+        self, frame: WireMessage, reply: Callable[[WireMessage], None]
+    ) -> None:
+        self.receive(frame, reply)
+
+    def own_changed(self) -> None:
+        """Spreads a change of the own entry, beginning at once."""
+        self._act(self.swim.own_changed())
 
     async def tell_all(self) -> None:
         """Sends the own entry straight to every member."""
-        own = Gossip(members=(self.table.own,))
-        await asyncio.gather(
-            *(
-                self._send(entry.peer_address, own)
-                for entry in list(self.table.others.values())
-            )
-        )
+        tasks = self._act(self.swim.tell_all())
+        if tasks:
+            await asyncio.wait(tasks, timeout=_TELL_ALL_S)
 
-    async def _run(self) -> None:
-        await self._announce()
-        while True:
-            await self._round()
-            pause_ms = self.settings.period_ms * random.uniform(0.8, 1.2)
-            await asyncio.sleep(pause_ms / _MS_PER_S)
-
-    async def _announce(self) -> None:
-        own = self.table.own
-        record = AnnounceRecord(
-            node=own.node,
-            incarnation=own.incarnation,
-            data_centre=own.data_centre,
-            peer_address=own.peer_address,
-            at_ms=self.clock.wall_ms(),
-        )
-        try:
-            await self.log.append(MEMBERS_STREAM, encode(record))
-            await self._read_contacts()
-        except LogError as error:
-            _logger.warning("members.log_failed", extra={"error": str(error)})
+    async def leave(self) -> None:
+        """Tells every member that this node has ended its work."""
+        self.table.update_own(state=MemberState.GONE.value)
+        await self.tell_all()
 
-    async def _read_contacts(self) -> None:
-        offset = 0
+    async def _run(self) -> None:
+        pause_s = self.settings.period_ms / _TICKS_PER_PERIOD / _MS_PER_S
         while True:
-            try:
-                page = await self.log.read(
-                    MEMBERS_STREAM, offset, _ANNOUNCE_LIMIT, 0
-                )
-            except LogError as error:
-                if not error.first_offset:
-                    raise
-                offset = error.first_offset
-                continue
-            for data in page.records:
-                self._take_contact(data)
-            offset = page.next_offset
-            if offset >= page.end_offset:
-                return
-
-    def _take_contact(self, data: bytes) -> None:
-        try:
-            record = decode(data, records.KINDS)
-        except SchemaError:
-            return
-        if isinstance(record, AnnounceRecord):
-            self.contacts.add(record.peer_address)
+            self._tick()
+            self.links.close_idle(self.settings.idle_link_ms)
+            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
 
-    async def _round(self) -> None:
+    def _tick(self) -> None:
+        now_ms = self.clock.now_ms()
         if self.table.own.version != self.store.version:
-            self.table.update_own(version=self.store.version)
-        silence_ms = self.settings.period_ms * self.settings.suspicion_rounds
-        self.table.expire(self.clock.now_ms(), 4 * silence_ms)
-        gossip = Gossip(members=tuple(self.table.all()))
-        await asyncio.gather(
-            *(self._send(address, gossip) for address in self._chosen())
-        )
-
-    def _chosen(self) -> list[str]:
-        known = {
-            entry.peer_address
-            for entry in self.table.others.values()
-            if entry.peer_address
-        }
-        fresh = self.contacts - known - {self.table.own.peer_address}
-        chosen = random.sample(sorted(known), min(_FANOUT, len(known)))
-        chosen += random.sample(sorted(fresh), min(_FANOUT, len(fresh)))
-        return chosen
-
-    async def _send(self, address: str, gossip: Gossip) -> None:
+            self.table.update_version(self.store.version)
+        if self.on_tick is not None:
+            self.on_tick(now_ms)
+        self._act(self.swim.tick(now_ms))
+        self._note_changes()
+
+    def _note_changes(self) -> None:
+        for entry in self.swim.take_changes():
+            _logger.info(
+                "members.changed",
+                extra={
+                    "member": entry.node,
+                    "state": entry.state,
+                    "incarnation": entry.incarnation,
+                },
+            )
+            if entry.state == MemberState.GONE.value:
+                # Bytes for a peer that was cut off wait for the kernel's
+                # retries, which come minutes apart by then; callers would
+                # wait too, and the first words after the cut come late.
+                self.links.drop(entry.peer_address)
+        self._note_joined()
+
+    def _note_joined(self) -> None:
+        if self.table.present():
+            self.finder.joined.set()
+        else:
+            self.finder.joined.clear()
+
+    def _act(
+        self,
+        actions: Iterable[Action],
+        reply: Callable[[WireMessage], None] | None = None,
+    ) -> list[asyncio.Task[None]]:
+        tasks = []
+        for action in actions:
+            if isinstance(action, Send):
+                tasks += self._post(action)
+            elif isinstance(action, Reply) and reply is not None:
+                reply(action.frame)
+        return tasks
+
+    def _post(self, action: Send) -> list[asyncio.Task[None]]:
+        if len(self.deliveries) >= _MAX_DELIVERIES:
+            self.dropped_frames += 1
+            return []
+        task = asyncio.create_task(self._deliver(action))
+        self.deliveries.add(task)
+        task.add_done_callback(self.deliveries.discard)
+        return [task]
+
+    async def _deliver(self, action: Send) -> None:
         try:
-            await self.links.to(address).send(gossip)
+            async with self.slots:
+                await self.links.to(action.address).send(action.frame)
         except RequestError:
-            self.contacts.discard(address)
+            self.failed_sends += 1
+            self._act(self.swim.unreachable(action.address))
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -9,12 +9,18 @@
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
+from pomelobank_node._peer_sockets import notice_dead_peer
 from pomelobank_schema import SchemaError, WireMessage, parse_address
 from pomelobank_schema.generated.peer import (
     CancelRequest,
     ForwardRequest,
     Gossip,
     Hello,
+    IndirectProbe,
+    ProbeReply,
+    ProbeRequest,
+    SyncReply,
+    SyncRequest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -86,9 +92,14 @@
         task.cancel()
 
 
-@handle_frame.register
-def _(frame: Gossip, connection: PeerConnection) -> None:
-    connection.membership.receive(frame)
+@handle_frame.register(Gossip)
+@handle_frame.register(ProbeRequest)
+@handle_frame.register(ProbeReply)
+@handle_frame.register(IndirectProbe)
+@handle_frame.register(SyncRequest)
+@handle_frame.register(SyncReply)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.membership.receive(frame, connection.stream.send)
 
 
 @attrs.define(eq=False)
@@ -119,6 +130,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        notice_dead_peer(writer)
         stream = FrameStream(reader, writer)
         connection = PeerConnection(stream, self.owner, self.membership)
         task = asyncio.current_task()
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -0,0 +1,103 @@
+"""Keeps the node's entry in step with the target beside it."""
+
+import asyncio
+
+import attrs
+
+from pomelobank_core import Clock, MemberState, TargetChange, TargetLease
+from pomelobank_node._membership import Membership
+from pomelobank_node._owner import Owner, Target
+from pomelobank_schema.generated.records import TargetAnnouncement
+
+# Every member is told of a drain at once and hears it by gossip as well; one
+# that sends work later than this is refused as not run, so that the target
+# gets no new work however far the news went.
+_REFUSE_AFTER_S = 1.0
+
+
+@attrs.define(eq=False)
+class TargetWatch:
+    """Applies what the target's lease decides.
+
+    Attributes:
+        owner: Runs requests on the target.
+        membership: Tells others of the target.
+        clock: Tells the time.
+        lease: Decides.
+    """
+
+    owner: Owner
+    membership: Membership
+    clock: Clock
+    lease: TargetLease
+    refusing: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begins to watch the lease."""
+        self.membership.on_tick = self._check
+
+    async def stop(self) -> None:
+        """Ends what is under way."""
+        await self._cancel_refusing()
+
+    async def _cancel_refusing(self) -> None:
+        if self.refusing is not None:
+            self.refusing.cancel()
+            await asyncio.gather(self.refusing, return_exceptions=True)
+            self.refusing = None
+
+    async def take(self, announcement: TargetAnnouncement) -> None:
+        """Takes an announcement of the target."""
+        change = self.lease.take(announcement, self.clock.now_ms())
+        if change is TargetChange.DRAINING:
+            await self._tell_draining()
+        elif change is TargetChange.RESTARTED:
+            await self._cancel_refusing()
+            self.owner.draining = False
+            self._set_target(announcement, restarted=True)
+        elif change is TargetChange.TAKEN:
+            self._set_target(announcement, restarted=False)
+
+    def _set_target(self, new: TargetAnnouncement, restarted: bool) -> None:
+        self.owner.set_target(Target(new.upstream, new.address, new.slots))
+        table = self.membership.table
+        state = MemberState.READY.value
+        if restarted:
+            # Peers may hear of the drain and of the return in either order;
+            # only a new incarnation tells them which came last.
+            table.restart_own(
+                self.clock.wall_ms(),
+                state=state,
+                upstream=new.upstream,
+                slots=new.slots,
+            )
+        else:
+            table.update_own(
+                state=state, upstream=new.upstream, slots=new.slots
+            )
+        self.membership.own_changed()
+
+    async def drain(self) -> None:
+        """Takes the target out of the mesh."""
+        if self.lease.drain() is TargetChange.DRAINING:
+            await self._tell_draining()
+
+    async def close(self) -> None:
+        """Takes the target out of the mesh for the node's own stop."""
+        self.lease.close()
+        if self.membership.table.own.state != MemberState.DRAINING.value:
+            await self._tell_draining()
+
+    async def _tell_draining(self) -> None:
+        self.membership.table.update_own(state=MemberState.DRAINING.value)
+        self.refusing = asyncio.create_task(self._refuse_later())
+        await self.membership.tell_all()
+
+    async def _refuse_later(self) -> None:
+        await asyncio.sleep(_REFUSE_AFTER_S)
+        self.owner.draining = True
+
+    def _check(self, now_ms: int) -> None:
+        if self.lease.check(now_ms) is TargetChange.LAPSED:
+            self.membership.table.update_own(state=MemberState.STARTING.value)
+            self.membership.own_changed()
