Watch members by probes, suspicion and gossip of what changed

Cause: every node sent its whole table to two members each period. At 1,000 members of about 100 bytes that is 200 KB out every half second, against 30 KB a second allowed for all control traffic; a dead member was noticed by silence alone, and a paused or cut-off node could only be wrong about the others.

Change: a state machine in core (direct and indirect probes, suspicion that lasts longer in a larger fleet, refutation, bounded retransmission of news in frames of at most 3 KB, comparison of tables by bucket digests). Versions travel beside the entries without raising their sequence. A gone claim of a third member counts as a suspicion only.

--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_member_fleet.py
@@ -0,0 +1,169 @@
+"""Drives many core membership machines in memory, over a plain queue."""
+
+import random
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+
+from pomelobank_core import Action, MemberState, MemberTable, Send, Swim
+from pomelobank_core import take_frame as take_member_frame
+from pomelobank_schema import WireMessage, decode, encode
+from pomelobank_schema.generated import peer
+from pomelobank_schema.generated.peer import MemberEntry
+from pomelobank_schema.generated.settings import MembershipSettings
+
+STEP_MS = 100
+
+
+@attrs.frozen
+class Envelope:
+    """A frame under way.
+
+    Attributes:
+        source: Address that it comes from.
+        destination: Address that it goes to.
+        data: The encoded frame.
+    """
+
+    source: str
+    destination: str
+    data: bytes
+
+
+@attrs.define(eq=False)
+class MemberFleet:
+    """Core machines that exchange frames without delay.
+
+    Attributes:
+        settings: Settings of every member.
+        seed: Seed of all randomness.
+        now_ms: Time of the whole fleet.
+        members: Machines by address.
+        frozen: Addresses of machines that stand still; their frames wait.
+        reachable: Tells whether a frame gets from one address to another.
+        sent_bytes: Bytes that each address sent.
+        frames: Frames that were delivered.
+    """
+
+    settings: MembershipSettings = attrs.field(factory=MembershipSettings)
+    seed: int = 1
+    now_ms: int = 0
+    members: dict[str, Swim] = attrs.field(factory=dict)
+    frozen: set[str] = attrs.field(factory=set)
+    reachable: Callable[[str, str], bool] = lambda source, destination: True
+    sent_bytes: dict[str, int] = attrs.field(factory=dict)
+    frames: int = 0
+    queue: deque[Envelope] = attrs.field(factory=deque)
+
+    @classmethod
+    def of(
+        cls, count: int, settings: MembershipSettings | None = None
+    ) -> "MemberFleet":
+        """Returns a fleet whose members all know each other."""
+        fleet = cls(settings or MembershipSettings())
+        entries = [fleet.entry(index) for index in range(count)]
+        for entry in entries:
+            fleet.add(entry)
+            fleet.members[entry.peer_address].table.merge(entries)
+        return fleet
+
+    @staticmethod
+    def entry(index: int, incarnation: int = 1) -> MemberEntry:
+        """Returns the entry of a ready member."""
+        return MemberEntry(
+            node=f"node-{index:04}",
+            incarnation=incarnation,
+            state=MemberState.READY.value,
+            data_centre=f"data-centre-{index % 6}",
+            peer_address=f"10.0.{index // 250}.{index % 250}:7000",
+            http_address=f"10.0.{index // 250}.{index % 250}:8000",
+            upstream=f"service-{index % 32}-main",
+            slots=20,
+        )
+
+    def add(self, entry: MemberEntry) -> Swim:
+        """Adds a member that knows nobody."""
+        source = random.Random(f"{self.seed}-{entry.node}-{entry.incarnation}")
+        swim = Swim(MemberTable(entry), self.settings, source)
+        self.members[entry.peer_address] = swim
+        self.sent_bytes.setdefault(entry.peer_address, 0)
+        return swim
+
+    def join(self, address: str, contact: str) -> None:
+        """Lets a member compare its table with another."""
+        self.act(address, address, [self.members[address].compare(contact)])
+
+    def remove(self, address: str) -> None:
+        """Ends a member without a word."""
+        del self.members[address]
+
+    def act(self, address: str, reply_to: str, actions: list[Action]) -> None:
+        """Sends what a machine asks for."""
+        for action in actions:
+            to = action.address if isinstance(action, Send) else reply_to
+            data = encode(action.frame)
+            self.sent_bytes[address] += len(data)
+            self.queue.append(Envelope(address, to, data))
+
+    def step(self) -> None:
+        """Moves the time on, lets every member act and delivers all frames."""
+        self.now_ms += STEP_MS
+        for address, swim in list(self.members.items()):
+            if address not in self.frozen:
+                self.act(address, address, swim.tick(self.now_ms))
+        held = deque[Envelope]()
+        while self.queue:
+            envelope = self.queue.popleft()
+            if envelope.destination in self.frozen:
+                held.append(envelope)
+            else:
+                self._deliver(envelope)
+        self.queue = held
+
+    def _deliver(self, envelope: Envelope) -> None:
+        swim = self.members.get(envelope.destination)
+        if swim is None or not self.reachable(
+            envelope.source, envelope.destination
+        ):
+            return
+        self.frames += 1
+        frame: WireMessage = decode(envelope.data, peer.KINDS)
+        actions = take_member_frame(frame, swim, self.now_ms)
+        self.act(envelope.destination, envelope.source, actions)
+
+    def run(self, duration_ms: int) -> None:
+        """Runs for a time."""
+        for _ in range(duration_ms // STEP_MS):
+            self.step()
+
+    def run_until(self, condition: Callable[[], bool], limit_ms: int) -> int:
+        """Runs until a condition holds.
+
+        Returns:
+            The time that it took.
+
+        Raises:
+            TimeoutError: If it does not hold within the limit.
+        """
+        start_ms = self.now_ms
+        while not condition():
+            if self.now_ms - start_ms >= limit_ms:
+                raise TimeoutError(f"not within {limit_ms} ms of fleet time")
+            self.step()
+        return self.now_ms - start_ms
+
+    def all_see(self, node: str, *states: str) -> bool:
+        """Tells whether every running member holds a node in some state."""
+        return all(
+            (entry := swim.table.others.get(node)) is not None
+            and entry.state in states
+            for address, swim in self.members.items()
+            if swim.table.own.node != node and address not in self.frozen
+        )
+
+    def all_ready(self) -> bool:
+        """Tells whether every member holds every running one to be ready."""
+        ready = MemberState.READY.value
+        nodes = [swim.table.own.node for swim in self.members.values()]
+        return all(self.all_see(node, ready) for node in nodes)
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_member_fleet.py
@@ -0,0 +1,234 @@
+"""Membership of many members under deaths, pauses and cuts, in memory."""
+
+import pytest
+
+from pomelobank_core import MemberState, Send, Swim
+from pomelobank_schema.generated.peer import Gossip
+from pomelobank_schema.generated.settings import MembershipSettings
+from pomelobank_testing._member_fleet import MemberFleet
+
+READY = MemberState.READY.value
+SUSPECT = MemberState.SUSPECT.value
+DRAINING = MemberState.DRAINING.value
+GONE = MemberState.GONE.value
+MINUTE_MS = 60_000
+
+
+def address(index: int) -> str:
+    return MemberFleet.entry(index).peer_address
+
+
+def node(index: int) -> str:
+    return MemberFleet.entry(index).node
+
+
+def halves(fleet: MemberFleet, count: int) -> None:
+    """Cuts the first members off from the others."""
+    first = {address(index) for index in range(count)}
+    fleet.reachable = lambda source, destination: (
+        (source in first) == (destination in first)
+    )
+
+
+def test_a_quiet_fleet_suspects_nobody() -> None:
+    fleet = MemberFleet.of(20)
+    fleet.run(MINUTE_MS)
+    assert fleet.all_ready()
+    assert not any(swim.suspected for swim in fleet.members.values())
+
+
+@pytest.mark.parametrize(
+    "count",
+    [pytest.param(3, id="small"), pytest.param(60, id="many")],
+)
+def test_a_dead_member_is_found_gone_by_all(count: int) -> None:
+    """An instance loses its power and says nothing.
+
+    Until the others notice, a part of the callers' requests goes to it in
+    vain.
+    """
+    fleet = MemberFleet.of(count)
+    fleet.remove(address(0))
+    fleet.run_until(lambda: fleet.all_see(node(0), GONE), MINUTE_MS)
+
+
+def test_most_members_dying_at_once_leaves_the_others_ready() -> None:
+    """A rack and its neighbours go down together.
+
+    Those that are left must neither lose each other nor go on sending work to
+    the dead.
+    """
+    fleet = MemberFleet.of(20)
+    for index in range(4, 20):
+        fleet.remove(address(index))
+    fleet.run_until(
+        lambda: all(fleet.all_see(node(index), GONE) for index in range(4, 20)),
+        2 * MINUTE_MS,
+    )
+    assert fleet.all_ready()
+
+
+def test_a_paused_member_is_gone_and_comes_back() -> None:
+    """The machine under a node stands still past every time-out.
+
+    The others rightly hold it to be gone; once it runs again it must get work
+    as before, and it must not take its own pause for the death of the others.
+    """
+    fleet = MemberFleet.of(12)
+    fleet.run(5_000)
+    fleet.frozen = {address(3)}
+    fleet.run_until(lambda: fleet.all_see(node(3), GONE), MINUTE_MS)
+    fleet.run(MINUTE_MS)
+    fleet.frozen = set()
+    fleet.run_until(fleet.all_ready, MINUTE_MS)
+    paused = fleet.members[address(3)]
+    assert (paused.pauses, paused.suspected) == (1, 0)
+    assert paused.table.refutations >= 1
+
+
+def test_one_broken_way_harms_nobody() -> None:
+    """A switch drops what one member sends to another.
+
+    Both reach everybody else. A member that trusts only its own probes would
+    hold a healthy one to be gone, and its callers would lose a target.
+    """
+    fleet = MemberFleet.of(6)
+    broken = (address(0), address(1))
+    fleet.reachable = lambda source, destination: (
+        (source, destination) != broken
+    )
+    fleet.run(2 * MINUTE_MS)
+    assert fleet.all_ready()
+
+
+def test_both_sides_of_a_cut_serve_and_meet_again() -> None:
+    """Regions lose each other for a while.
+
+    Inside each, callers must be served by its own members throughout;
+    afterwards the two become one mesh again, and the rumours of each other's
+    death must not take members out of work.
+    """
+    fleet = MemberFleet.of(24)
+    halves(fleet, 12)
+    fleet.run_until(
+        lambda: fleet.members[address(0)].table.others[node(23)].state == GONE,
+        2 * MINUTE_MS,
+    )
+    fleet.run(MINUTE_MS)
+    for index in range(12):
+        for other in range(12):
+            held = fleet.members[address(index)].table.others.get(node(other))
+            assert index == other or (held is not None and held.state == READY)
+    fleet.reachable = lambda source, destination: True
+
+    def no_neighbour_is_gone() -> bool:
+        return all(
+            fleet.members[address(index)].table.others[node(other)].state
+            != GONE
+            for index in range(12)
+            for other in range(12)
+            if index != other
+        )
+
+    while not fleet.all_ready():
+        assert no_neighbour_is_gone()
+        assert fleet.now_ms < 10 * MINUTE_MS
+        fleet.step()
+
+
+def test_a_drain_reaches_all_at_once_and_is_never_taken_back() -> None:
+    """A target is about to leave.
+
+    Any member that has not heard of it sends it work that it cannot finish.
+    """
+    fleet = MemberFleet.of(40)
+    drained = fleet.members[address(7)]
+    drained.table.update_own(state=DRAINING)
+    fleet.act(address(7), address(7), drained.tell_all())
+    fleet.step()
+    assert fleet.all_see(node(7), DRAINING)
+    fleet.run(MINUTE_MS)
+    assert fleet.all_see(node(7), DRAINING)
+
+
+def test_a_herd_of_new_members_is_taken_in() -> None:
+    """After a power cut all nodes start together and know one contact.
+
+    Unless it may send some of them on, it spends its core on whole tables and
+    looks dead itself.
+    """
+    fleet = MemberFleet()
+    for index in range(60):
+        fleet.add(fleet.entry(index))
+    for index in range(1, 60):
+        fleet.join(address(index), address(0))
+    fleet.run_until(fleet.all_ready, MINUTE_MS)
+    assert fleet.members[address(0)].sync_refusals > 0
+
+
+def test_a_restarted_member_replaces_its_old_incarnation() -> None:
+    """A node is killed and started again under its old id.
+
+    Held back by what was known of the old one, it would get no work.
+    """
+    fleet = MemberFleet.of(10)
+    fleet.run(5_000)
+    fleet.remove(address(2))
+    fleet.add(MemberFleet.entry(2, incarnation=2))
+    fleet.join(address(2), address(5))
+    watcher = fleet.members[address(9)].table
+    fleet.run_until(lambda: watcher.others[node(2)].incarnation == 2, MINUTE_MS)
+    fleet.run_until(fleet.all_ready, MINUTE_MS)
+
+
+def test_a_forgotten_member_is_not_brought_back_by_old_gossip() -> None:
+    """A member that was paused for a day gossips one that died meanwhile.
+
+    The others have forgotten it. Callers' requests would be sent to a target
+    that has not existed for hours.
+    """
+    fleet = MemberFleet.of(4, MembershipSettings(gone_kept_ms=MINUTE_MS))
+    dead = MemberFleet.entry(3)
+    fleet.remove(dead.peer_address)
+    table = fleet.members[address(0)].table
+    fleet.run_until(lambda: dead.node not in table.others, 3 * MINUTE_MS)
+    fleet.members[address(0)].learn(Gossip(members=(dead,)), fleet.now_ms)
+    assert dead.node not in table.others
+    assert table.stale_entries >= 1
+
+
+def test_versions_reach_everybody_without_a_new_sequence() -> None:
+    fleet = MemberFleet.of(20)
+    for swim in fleet.members.values():
+        swim.table.update_version(7)
+    fleet.run_until(lambda: versions_seen(fleet) == {7}, MINUTE_MS)
+    assert all(swim.table.own.sequence == 0 for swim in fleet.members.values())
+
+
+def versions_seen(fleet: MemberFleet) -> set[int]:
+    return {
+        entry.version
+        for swim in fleet.members.values()
+        for entry in swim.table.all()
+    }
+
+
+def test_a_refused_stream_asks_others_without_waiting() -> None:
+    fleet = MemberFleet.of(5)
+    swim: Swim = fleet.members[address(0)]
+    probes = [item for item in swim.tick(0) if isinstance(item, Send)]
+    helpers = swim.unreachable(probes[0].address)
+    assert len(helpers) == 3
+    assert not swim.unreachable(probes[0].address)
+
+
+def test_own_pause_is_not_taken_for_the_death_of_others() -> None:
+    """A node stands still with a probe under way and wakes up much later.
+
+    The answer waits unread. Unless the node notices its own pause, it tells
+    everybody that a healthy member is suspect.
+    """
+    swim = MemberFleet.of(3).members[address(0)]
+    assert swim.tick(0)
+    swim.tick(MINUTE_MS)
+    assert (swim.pauses, swim.suspected) == (1, 0)
