--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -18,6 +18,15 @@
 )
 from pomelobank_core._clock import Clock, ManualClock
 from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._distribution import (
+    Distribution,
+    Neighbours,
+    PullRecords,
+    PushRecords,
+    ReadPlan,
+    SendDigest,
+    find_neighbours,
+)
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
 from pomelobank_core._first_contact import (
     TAIL_RECORDS,
@@ -25,6 +34,7 @@
     contacts_record,
     is_announcer,
 )
+from pomelobank_core._floor import VersionFloor
 from pomelobank_core._members import EntryRank, MemberState, MemberTable
 from pomelobank_core._objects import (
     ConfigObject,
@@ -34,8 +44,10 @@
     VersionedObject,
     object_key,
     operation_object,
+    snapshot_object_value,
 )
 from pomelobank_core._placing import RoundRobin
+from pomelobank_core._rendezvous import rank_of, rendezvous_order
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -44,6 +56,13 @@
     skip_record,
 )
 from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._snapshots import (
+    Recovery,
+    SnapshotSchedule,
+    restore_snapshot,
+    snapshot_record,
+    usable_snapshot,
+)
 from pomelobank_core._swim import Action, Reply, Send, Swim
 from pomelobank_core._swim_frames import take_frame
 from pomelobank_core._target_lease import TargetChange, TargetLease
@@ -62,6 +81,7 @@
     "ConcurrencyLimit",
     "ConfigObject",
     "ConfigState",
+    "Distribution",
     "EntryRank",
     "ErrorKind",
     "FirstCome",
@@ -71,18 +91,25 @@
     "ManualClock",
     "MemberState",
     "MemberTable",
+    "Neighbours",
     "ObjectKey",
     "ObjectKind",
     "Problem",
     "ProblemKind",
+    "PullRecords",
+    "PushRecords",
     "Queued",
+    "ReadPlan",
+    "Recovery",
     "Refused",
     "Reply",
     "RoundRobin",
     "RouteTable",
     "RunState",
     "Send",
+    "SendDigest",
     "Snapshot",
+    "SnapshotSchedule",
     "Started",
     "Swim",
     "TargetChange",
@@ -91,17 +118,25 @@
     "TrafficClass",
     "Unlimited",
     "Verdict",
+    "VersionFloor",
     "VersionedObject",
     "WorkResult",
     "check_objects",
     "contacts_record",
     "evaluate",
+    "find_neighbours",
     "is_announcer",
     "is_idempotent",
     "object_key",
     "operation_object",
     "pick_upstream",
+    "rank_of",
+    "rendezvous_order",
     "replay_change",
+    "restore_snapshot",
     "skip_record",
+    "snapshot_object_value",
+    "snapshot_record",
     "take_frame",
+    "usable_snapshot",
 ]
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
@@ -19,8 +20,12 @@
     IndirectProbe,
     ProbeReply,
     ProbeRequest,
+    RecordsPull,
+    RecordsPush,
+    SnapshotPush,
     SyncReply,
     SyncRequest,
+    VersionDigest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -34,12 +39,14 @@
         stream: The stream.
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
+        feed: Takes the peer's frames about the configuration.
         running: Tasks of the peer's requests, by request id.
     """
 
     stream: FrameStream
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -102,6 +109,14 @@
     connection.membership.receive(frame, connection.stream.send)
 
 
+@handle_frame.register(RecordsPull)
+@handle_frame.register(RecordsPush)
+@handle_frame.register(SnapshotPush)
+@handle_frame.register(VersionDigest)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.feed.receive(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -110,12 +125,14 @@
         listen: Address to listen on.
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
+        feed: Takes peers' frames about the configuration.
         address: Address that is really used, once it listens.
     """
 
     listen: str
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -132,7 +149,9 @@
     ) -> None:
         notice_dead_peer(writer)
         stream = FrameStream(reader, writer)
-        connection = PeerConnection(stream, self.owner, self.membership)
+        connection = PeerConnection(
+            stream, self.owner, self.membership, self.feed
+        )
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
