--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -71,10 +71,17 @@
     ErrorKind,
     RunState,
 )
+from pomelobank_core._first_contact import (
+    TAIL_RECORDS,
+    FirstContact,
+    contacts_record,
+    is_announcer,
+)
 from pomelobank_core._floor import (
     VersionFloor,
 )
 from pomelobank_core._members import (
+    EntryRank,
     MemberState,
     MemberTable,
 )
@@ -114,6 +121,19 @@
     snapshot_record,
     usable_snapshot,
 )
+from pomelobank_core._swim import (
+    Action,
+    Reply,
+    Send,
+    Swim,
+)
+from pomelobank_core._swim_frames import (
+    take_frame,
+)
+from pomelobank_core._target_lease import (
+    TargetChange,
+    TargetLease,
+)
 from pomelobank_core._validation import (
     Problem,
     ProblemKind,
@@ -123,6 +143,8 @@
 __all__ = [
     "ANSWERS",
     "SHARDS",
+    "TAIL_RECORDS",
+    "Action",
     "Admission",
     "AdmissionPolicy",
     "Answer",
@@ -145,8 +167,10 @@
     "ConfigObject",
     "ConfigState",
     "Distribution",
+    "EntryRank",
     "ErrorKind",
     "FirstCome",
+    "FirstContact",
     "FixedPartition",
     "GuaranteedShared",
     "KeptAnswer",
@@ -164,13 +188,18 @@
     "ReadPlan",
     "Recovery",
     "Refused",
+    "Reply",
     "RoundRobin",
     "RouteTable",
     "RunState",
+    "Send",
     "SendDigest",
     "Snapshot",
     "SnapshotSchedule",
     "Started",
+    "Swim",
+    "TargetChange",
+    "TargetLease",
     "Ticket",
     "TrafficClass",
     "Unlimited",
@@ -183,9 +212,11 @@
     "claim_seen",
     "combine_run_states",
     "completion_record",
+    "contacts_record",
     "evaluate",
     "find_neighbours",
     "give_up",
+    "is_announcer",
     "is_idempotent",
     "object_key",
     "operation_object",
@@ -203,5 +234,6 @@
     "skip_record",
     "snapshot_object_value",
     "snapshot_record",
+    "take_frame",
     "usable_snapshot",
 ]
