--- a/packages/pomelobank-node/src/pomelobank_node/_claims.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 import secrets
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -41,6 +41,8 @@
 # is not polled for keys that nobody sends.
 SHARD_IDLE_MS = 60_000
 _IDLE_CHECK_S = 5.0
+_DRAIN_POLL_S = 0.01
+_FLUSH_MS = 2000
 # The claiming node answers at the deadline itself; the entry waits a little
 # longer, so that its better answer is not cut off.
 _GRACE_MS = 100
@@ -109,17 +111,27 @@
             await worker.stop()
 
     async def drain(self, timeout_ms: int) -> None:
-        """Takes no new key and waits until all outcomes are in the log.
+        """Takes no new key, ends what is under way and writes its outcome.
 
         Args:
-            timeout_ms: Longest wait.
+            timeout_ms: Longest wait for requests under way.
         """
         self.draining = True
+        await self._until(timeout_ms, lambda worker: not worker.running)
+        # What cannot be written during an outage of the log costs a resend
+        # its answer, not its claim; it is not worth a stop of minutes.
+        await self._until(
+            min(timeout_ms, _FLUSH_MS), lambda worker: worker.idle
+        )
+
+    async def _until(
+        self, timeout_ms: int, ready: Callable[[ShardWorker], bool]
+    ) -> None:
         until_ms = self.clock.now_ms() + timeout_ms
         while self.clock.now_ms() < until_ms:
-            if all(worker.idle for worker in self.workers.values()):
+            if all(ready(worker) for worker in self.workers.values()):
                 return
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(_DRAIN_POLL_S)
 
     async def _retire_idle(self) -> None:
         while True:
--- a/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -66,6 +66,8 @@
 # An acknowledgement of an order with its headers fits; a report does not, and
 # at 100 keyed requests a second the answers add at most 100 KB/s to the log.
 MAX_LOGGED_ANSWER_BYTES = 1024
+# The target's node answers at the deadline itself.
+_GRACE_MS = 50
 # Longest wait for the outcome of a claim that another node holds.
 _FOREIGN_WAIT_MS = 1000
 # Given-up claims whose append may still show up; past this number the oldest
@@ -142,6 +144,11 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    @property
+    def running(self) -> bool:
+        """Whether a request is being claimed or run."""
+        return any(not item.reply.done() for item in self.flights.values())
+
     @property
     def idle(self) -> bool:
         """Whether nothing is under way or waits to be appended."""
@@ -317,9 +324,15 @@
                 sent_ms=self.clock.now_ms(),
                 remaining_ms=self._left_ms(keyed),
             )
-            reply = await self.place(request)
+            # A target's node that is paused would keep the key for good.
+            async with asyncio.timeout(
+                (request.remaining_ms + _GRACE_MS) / _MS_PER_S
+            ):
+                reply = await self.place(request)
         except RequestError as error:
             reply = error_reply(0, error)
+        except TimeoutError:
+            reply = error_reply(0, RequestError(ErrorKind.DEADLINE_UNKNOWN))
         except Exception:
             _logger.exception("claim.run_failed")
             reply = error_reply(0, RequestError(ErrorKind.INTERNAL))
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_claims.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_claims.py
@@ -2,73 +2,14 @@
 
 import asyncio
 import json
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from typing import Any
 
-from pomelobank_testing import TestMesh, UpstreamService
-
-SERVICE = "replenish"
-DOCUMENT = {
-    "services": [{"name": SERVICE}],
-    "upstreams": [{"name": "replenish-main", "service": SERVICE}],
-    "routes": [
-        {
-            "name": "reorders",
-            "service": SERVICE,
-            "path_prefix": "/reorders",
-            "destinations": [{"upstream": "replenish-main", "weight": 1}],
-        }
-    ],
-}
-Answer = tuple[int, dict[str, str], bytes]
-
-
-@asynccontextmanager
-async def started(
-    nodes: int = 3, **overrides: dict[str, Any]
-) -> AsyncIterator[TestMesh]:
-    async with TestMesh(overrides=overrides) as mesh:
-        await asyncio.gather(
-            *(
-                mesh.add_node(
-                    f"node-{index}",
-                    "hobart",
-                    UpstreamService(f"target-{index}", "replenish-main"),
-                )
-                for index in range(nodes)
-            )
-        )
-        status, output = await mesh.apply("node-0", DOCUMENT)
-        assert status == 0, output
-        await mesh.wait_members(nodes)
-        await mesh.wait_version("node-0", 1)
-        yield mesh
-
-
-async def order(
-    mesh: TestMesh,
-    node: str,
-    key: str,
-    body: bytes = b"3 lipsticks",
-    **more: str,
-) -> Answer:
-    headers = {
-        "idempotency-key": key,
-        "x-run-id": key,
-        **{name.replace("_", "-"): value for name, value in more.items()},
-    }
-    return await mesh.request(
-        node, SERVICE, "/reorders", "POST", headers=headers, data=body
-    )
-
-
-def runs(mesh: TestMesh, key: str) -> int:
-    return sum(item.service.runs[key] for item in mesh.targets.values())
-
-
-def kind(answer: Answer) -> str:
-    return answer[1].get("x-pomelobank-error", "answered")
+from pomelobank_testing.tests.claims_support import (
+    SERVICE,
+    kind,
+    order,
+    runs,
+    started,
+)
 
 
 async def test_one_key_runs_once_through_any_node() -> None:
