--- a/packages/pomelobank-core/src/pomelobank_core/_claim_batcher.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_claim_batcher.py
@@ -14,8 +14,9 @@
 # A batch of 256 claims is about 12 KB, well under what one append takes, and
 # at the slowest rate of one append a second still carries 256 keys a second.
 MAX_BATCH = 256
-# Two appends saved up let a lone claim go out at once after the last one.
-MAX_SAVED_APPENDS = 2.0
+# Appends saved up in quiet moments let the next few claims go out at once;
+# all sixteen shards together can surprise the log with 64 of them.
+MAX_SAVED_APPENDS = 4.0
 # Records that nobody waits for ride along with the next claim; without one
 # they go out after this time, soon enough for a caller that sends again
 # through another node after a crash.
@@ -108,10 +109,14 @@
             return None
         self._save(now_ms)
         waits = [0, self.paused_until_ms - now_ms]
+        needed = 1.0
         if not self.urgent:
+            # What nobody waits for goes out only when the others stay saved,
+            # so that the next claims do not wait for the budget behind it.
+            needed = MAX_SAVED_APPENDS
             waits.append(self.lazy_since_ms + LAZY_WAIT_MS - now_ms)
-        if self.saved < 1.0:
-            waits.append(math.ceil((1.0 - self.saved) * _MS_PER_S / self.rate))
+        short = max(0.0, needed - self.saved)
+        waits.append(math.ceil(short * _MS_PER_S / self.rate))
         return max(waits)
 
     def take(self, now_ms: int) -> list[ItemT]:
--- a/packages/pomelobank-core/src/pomelobank_core/_claims.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_claims.py
@@ -10,6 +10,7 @@
 
 import enum
 import hashlib
+import sys
 from collections.abc import Iterable
 
 import attrs
@@ -198,9 +199,16 @@
     complete_from_ms: int = 0
     claims: dict[bytes, Claim] = attrs.field(factory=dict)
     trimmed: bool = False
+    restarted_ms: int = 0
 
-    def restart(self, first_offset: int) -> None:
-        """Begins again at the oldest record that the log still keeps."""
+    def restart(self, first_offset: int, now_ms: int) -> None:
+        """Begins again at the oldest record that the log still keeps.
+
+        Args:
+            first_offset: Offset of that record.
+            now_ms: Current time, since the epoch.
+        """
+        self.restarted_ms = now_ms
         self.next_offset = first_offset
         self.stream_ms = 0
         self.complete_from_ms = 0
@@ -224,9 +232,11 @@
             raise ValueError(f"offset {offset} is not {self.next_offset}")
         self.next_offset = offset + 1
         if self.trimmed:
-            self._note_trimmed(batch)
+            self._note_trimmed(offset, batch)
         self.stream_ms = max(self.stream_ms, batch.at_ms)
         self._forget_expired()
+        # One copy of the writer's name instead of one for each claim.
+        batch = attrs.evolve(batch, writer=sys.intern(batch.writer))
         events: list[ClaimEvent] = []
         for release in batch.releases:
             events += self._release(batch.writer, release)
@@ -236,14 +246,18 @@
             events.append(self._claim(batch, entry))
         return events
 
-    def _note_trimmed(self, batch: ClaimBatch) -> None:
-        # The log kept its records for less than the window: a key claimed in
-        # what was trimmed would look new and run again. The first record kept
-        # tells how far the missing part reached; until the window has passed
-        # since then no key of the shard can be told to be new.
+    def _note_trimmed(self, offset: int, batch: ClaimBatch) -> None:
+        # The log may have kept its records for less than the window: a key
+        # claimed in what was trimmed would look new and run again. The first
+        # record kept tells how far the missing part reached, provided that
+        # its writer had read all of it; otherwise it may reach up to now.
+        # Until the window has passed since then no key can be called new.
         self.trimmed = False
-        if batch.previous_at_ms:
-            self.complete_from_ms = batch.previous_at_ms + batch.window_ms
+        missing_until_ms = batch.previous_at_ms
+        if batch.seen_offset < offset:
+            missing_until_ms = self.restarted_ms
+        if missing_until_ms:
+            self.complete_from_ms = missing_until_ms + batch.window_ms
 
     def _forget_expired(self) -> None:
         # By the stream's time, never by the reader's own clock: two readers
--- a/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -400,6 +400,7 @@
             writer=self.writer,
             at_ms=max(self.clock.wall_ms(), self.table.stream_ms),
             previous_at_ms=self.table.stream_ms,
+            seen_offset=self.table.next_offset,
             window_ms=self.settings.window_ms,
             releases=tuple(i for i in items if isinstance(i, ClaimRelease)),
             completions=tuple(
@@ -440,7 +441,7 @@
                 retry_ms = _FIRST_RETRY_MS
             except LogError as error:
                 if error.kind is LogErrorKind.TRIMMED:
-                    self.table.restart(error.first_offset)
+                    self._restart(error.first_offset)
                     continue
                 self.read_failing = True
                 # Full jitter, so that the readers of all shards do not meet
@@ -449,6 +450,16 @@
                 await asyncio.sleep(pause_ms / _MS_PER_S)
                 retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
 
+    def _restart(self, first_offset: int) -> None:
+        # The trimmed records may hold an earlier claim of a key that is just
+        # being claimed: read without them, the later claim would seem to win
+        # and its request run a second time. So no pending claim may run.
+        for flight in self.pending.values():
+            self._give_up(flight)
+        self.table.restart(first_offset, self.clock.wall_ms())
+        self.caught_up.clear()
+        self.blocked = False
+
     async def _read_once(self) -> None:
         wait_ms = (
             self.log.settings.long_poll_ms if self.caught_up.is_set() else 0
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_claims_faults.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_claims_faults.py
@@ -16,6 +16,7 @@
     order,
     runs,
     same_shard,
+    shard,
     started,
     until_running,
 )
@@ -210,3 +211,55 @@
         mesh.targets["node-0"].announce_to(admin)
         assert (await resend(mesh, "node-0", "order-1"))[0] == 200
         assert runs(mesh, "order-1") == 1
+
+
+async def test_the_log_trims_claims_inside_their_window() -> None:
+    """The log keeps its records for less time than keys are remembered.
+
+    The node that knew the key dies, and its successor finds the claim
+    trimmed. To it the key looks new; running it would lodge the order twice.
+    """
+    async with started(nodes=2) as mesh:
+        claiming, other = claimants("order-1", 2)
+        for key in ("order-1", same_shard("order-1")):
+            assert (await order(mesh, other, key))[0] == 200
+        stream = mesh.log.stream(f"claims-{shard('order-1')}")
+        async with asyncio.timeout(10):
+            while True:
+                if len(stream.records) >= 3:
+                    break
+                await asyncio.sleep(0.02)
+        await mesh.nodes[claiming].kill()
+        stream.trim(1)
+        async with asyncio.timeout(20):
+            while True:
+                again = await order(mesh, other, "order-1")
+                if kind(again) == "claim_unavailable":
+                    break
+                assert kind(again) != "answered"
+                await asyncio.sleep(0.05)
+        assert int(again[1]["retry-after"]) > 3000
+        assert runs(mesh, "order-1") == 1
+
+
+async def test_a_record_that_cannot_be_read() -> None:
+    """A newer version, or a broken writer, left a record of unknown form.
+
+    It may hold claims. Skipping it could run a request twice, so the shard
+    takes no new key until the record is gone; known keys are answered.
+    """
+    async with started(nodes=1) as mesh:
+        done = await order(mesh, "node-0", "order-1")
+        stream = mesh.log.stream(f"claims-{shard('order-1')}")
+        stream.append(b"\xc1")
+        refused = await order(mesh, "node-0", same_shard("order-1"))
+        assert (kind(refused), run_state(refused)) == (
+            "claim_unavailable",
+            NOT_RUN,
+        )
+        again = await order(mesh, "node-0", "order-1")
+        assert (again[0], again[2]) == (200, done[2])
+        stream.trim(0)
+        other = same_shard("order-1")
+        assert (await resend(mesh, "node-0", other))[0] == 200
+        assert runs(mesh, other) == 1
