--- a/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -39,6 +39,7 @@
     pb.CHANGE_REJECTED: ExitStatus.REJECTED,
 }
 _POLL_S = 0.1
+_MAX_NAMES = 3
 _SECONDS_PER_MS = 0.001
 
 
@@ -193,7 +194,7 @@
             ),
             entry.author,
             _STATUS_NAMES[entry.status],
-            ", ".join(entry.objects),
+            _shorten(list(entry.objects)),
             entry.reason,
             entry.change_id,
         ]
@@ -212,6 +213,12 @@
     return ExitStatus.OK
 
 
+def _shorten(names: list[str]) -> str:
+    shown = ", ".join(names[:_MAX_NAMES])
+    hidden = len(names) - _MAX_NAMES
+    return f"{shown} and {hidden} more" if hidden > 0 else shown
+
+
 def run_status(client: Client, options: argparse.Namespace) -> ExitStatus:
     """Prints the fleet's state, waiting for a version where asked to."""
     deadline = time.monotonic() + options.timeout
@@ -232,19 +239,21 @@
     if wanted is None:
         return {}
     return {
-        member.node: _reason(reply, member)
+        member.node: _reason(reply, member, wanted)
         for member in reply.members
         if member.state != "gone" and member.version < wanted
     }
 
 
-def _reason(reply: pb.StatusReply, member: pb.MemberStatus) -> str:
+def _reason(reply: pb.StatusReply, member: pb.MemberStatus, wanted: int) -> str:
     if member.state == "suspect":
         return "does not answer other members"
     if member.state == "starting":
         return "is still starting"
     if reply.log_state != "up" and member.node == reply.node:
         return "cannot read the log"
+    if reply.version < wanted:
+        return f"{reply.node} itself has not seen version {wanted}"
     return "has not received the records yet"
 
 
--- a/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
@@ -1,8 +1,8 @@
 """Works out the operations that lead from a configuration to a document."""
 
 import attrs
-from google.protobuf.json_format import MessageToDict
 
+from pomelobank_cli._output import as_document
 from pomelobank_schema import SchemaError, SchemaErrorKind
 from pomelobank_schema.generated import operator_pb2 as pb
 from pomelobank_schema.generated.records import ConfigDocument, RouteObject
@@ -38,7 +38,7 @@
 def object_fields(message: pb.ConfigObject) -> dict[str, object]:
     """Returns the fields of an object by name."""
     inner = getattr(message, message.WhichOneof("object"))
-    return dict(MessageToDict(inner, preserving_proto_field_name=True))
+    return as_document(inner)
 
 
 def plan(
--- a/packages/pomelobank-testing/src/pomelobank_testing/_demo.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_demo.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import signal
 import time
 from collections import Counter
 
@@ -18,8 +19,15 @@
     parser = argparse.ArgumentParser(prog="demo", description=__doc__)
     parser.add_argument("--mesh", choices=sorted(MESHES), default="derwent")
     parser.add_argument("--requests", type=int, default=30)
+    parser.add_argument(
+        "--stay",
+        action="store_true",
+        help="keep the mesh up until interrupted, to try the command line on",
+    )
     options = parser.parse_args(arguments)
-    return asyncio.run(_run(MESHES[options.mesh], options.requests))
+    return asyncio.run(
+        _run(MESHES[options.mesh], options.requests, options.stay)
+    )
 
 
 async def start_mesh(test_mesh: TestMesh, mesh: Mesh) -> list[str]:
@@ -37,7 +45,7 @@
     return names
 
 
-async def _run(mesh: Mesh, requests: int) -> int:
+async def _run(mesh: Mesh, requests: int, stay: bool) -> int:
     async with TestMesh() as test_mesh:
         begun = time.monotonic()
         names = await start_mesh(test_mesh, mesh)
@@ -51,7 +59,23 @@
         await test_mesh.wait_members(len(names))
         await test_mesh.wait_version(names[0], document["version"])
         print(f"version {document['version']} is in force on every node")
-        return await _send_requests(test_mesh, mesh, names, requests)
+        result = await _send_requests(test_mesh, mesh, names, requests)
+        if stay:
+            await _stay(test_mesh)
+        return result
+
+
+async def _stay(test_mesh: TestMesh) -> None:
+    for node in test_mesh.nodes.values():
+        print(f"{node.name}: {node.addresses}")
+    first = next(iter(test_mesh.nodes.values()))
+    print(f"export POMELOBANK_NODE={first.addresses['operator']}")
+    print("The mesh stays up; interrupt to end it.", flush=True)
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
+    await ended.wait()
 
 
 async def _send_requests(
