--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,15 +6,27 @@
 
 import attrs
 
+from pomelobank_node._claims import ClaimService
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
+from pomelobank_node._peer_sockets import notice_dead_peer
 from pomelobank_schema import SchemaError, WireMessage, parse_address
 from pomelobank_schema.generated.peer import (
     CancelRequest,
     ForwardRequest,
     Gossip,
     Hello,
+    IndirectProbe,
+    ProbeReply,
+    ProbeRequest,
+    RecordsPull,
+    RecordsPush,
+    SnapshotPush,
+    SyncReply,
+    SyncRequest,
+    VersionDigest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -28,12 +40,16 @@
         stream: The stream.
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
+        feed: Takes the peer's frames about the configuration.
+        claims: Runs the peer's requests with an idempotency key.
         running: Tasks of the peer's requests, by request id.
     """
 
     stream: FrameStream
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
+    claims: ClaimService
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -55,7 +71,9 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            reply = await self.owner.serve(request)
+            # Without an upstream: the key is to be claimed here first.
+            serve = self.owner.serve if request.upstream else self.claims.serve
+            reply = await serve(request)
             self.stream.send(reply)
             await self.stream.writer.drain()
         except OSError:
@@ -86,9 +104,22 @@
         task.cancel()
 
 
-@handle_frame.register
-def _(frame: Gossip, connection: PeerConnection) -> None:
-    connection.membership.receive(frame)
+@handle_frame.register(Gossip)
+@handle_frame.register(ProbeRequest)
+@handle_frame.register(ProbeReply)
+@handle_frame.register(IndirectProbe)
+@handle_frame.register(SyncRequest)
+@handle_frame.register(SyncReply)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.membership.receive(frame, connection.stream.send)
+
+
+@handle_frame.register(RecordsPull)
+@handle_frame.register(RecordsPush)
+@handle_frame.register(SnapshotPush)
+@handle_frame.register(VersionDigest)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.feed.receive(frame)
 
 
 @attrs.define(eq=False)
@@ -99,12 +130,16 @@
         listen: Address to listen on.
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
+        feed: Takes peers' frames about the configuration.
+        claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
     """
 
     listen: str
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
+    claims: ClaimService
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -119,8 +154,11 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        notice_dead_peer(writer)
         stream = FrameStream(reader, writer)
-        connection = PeerConnection(stream, self.owner, self.membership)
+        connection = PeerConnection(
+            stream, self.owner, self.membership, self.feed, self.claims
+        )
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_whole_path.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_whole_path.py
@@ -30,6 +30,7 @@
                 code, _, body = await mesh.request(
                     entry, service.name, f"{service.path}/1"
                 )
+                assert code == 200, body
                 assert (code, json.loads(body)["instance"]) == (
                     200,
                     service.name,
