--- a/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -40,6 +40,7 @@
 }
 _POLL_S = 0.1
 _MAX_NAMES = 3
+_ASK_AGAIN_MS = 1000
 _SECONDS_PER_MS = 0.001
 
 
@@ -77,7 +78,7 @@
         operations=[step.operation for step in steps],
         dry_run=options.dry_run,
     )
-    reply = client.stub.Apply(request, timeout=client.timeout_s)
+    reply = _send(client, request)
     if options.output == "json":
         print_json(_apply_document(reply, steps, options.dry_run))
     else:
@@ -86,6 +87,23 @@
     return _STATUS_EXITS[reply.status]
 
 
+def _send(client: Client, request: pb.ApplyRequest) -> pb.ApplyReply:
+    # The node may have published the change before it died or the stream
+    # broke. An operator who is told no more than "no answer" would have no id
+    # to ask by, and might apply it anew over somebody else's change.
+    try:
+        reply: pb.ApplyReply = client.stub.Apply(
+            request, timeout=client.timeout_s
+        )
+    except grpc.RpcError:
+        return pb.ApplyReply(
+            change_id=request.change_id,
+            status=pb.CHANGE_UNKNOWN,
+            retry_after_ms=_ASK_AGAIN_MS,
+        )
+    return reply
+
+
 def _print_unchanged(
     current: pb.GetConfigReply, options: argparse.Namespace
 ) -> ExitStatus:
--- a/packages/pomelobank-cli/src/pomelobank_cli/tests/test_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/tests/test_commands.py
@@ -36,12 +36,15 @@
     status: pb.StatusReply = attrs.field(factory=pb.StatusReply)
     applied: list[pb.ApplyRequest] = attrs.field(factory=list)
     address: str = ""
+    breaks: bool = False
 
     def GetConfig(self, request, context):
         return self.config
 
     def Apply(self, request, context):
         self.applied.append(request)
+        if self.breaks:
+            context.abort(grpc.StatusCode.UNAVAILABLE, "stream broke")
         return self.verdict
 
     def GetChange(self, request, context):
@@ -207,6 +210,19 @@
     assert "try another node" in capsys.readouterr().err
 
 
+def test_a_node_that_dies_with_the_change_in_its_hands(
+    node: FakeNode, document: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The node publishes a change and dies before it answers.
+
+    The operator is told that the outcome is unknown, with the id to ask by.
+    """
+    node.breaks = True
+    status = run(node, "apply", document, "--change-id", "c7")
+    assert status == ExitStatus.UNKNOWN
+    assert "pomelobank change c7" in capsys.readouterr().out
+
+
 def test_status_names_the_nodes_behind(
     node: FakeNode, capsys: pytest.CaptureFixture[str]
 ) -> None:
