--- a/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
@@ -1,5 +1,6 @@
 """Stand-ins, load and measurement tools of pomelobank."""
 
+from pomelobank_testing._chaos import run as run_chaos
 from pomelobank_testing._harness import (
     NodeProcess,
     TestMesh,
@@ -26,4 +27,5 @@
     "NodeProcess",
     "TestMesh",
     "UpstreamService",
+    "run_chaos",
 ]
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -1,12 +1,15 @@
 """Tools for trying and measuring: `python -m pomelobank_testing demo`."""
 
+import importlib
 import sys
 
-from pomelobank_testing._demo import main as demo
-from pomelobank_testing._latency import main as latency
-from pomelobank_testing._light_target import main as light_target
-
-_TOOLS = {"demo": demo, "latency": latency, "light-target": light_target}
+# Each tool's module, which has a `main` that takes the arguments.
+_TOOLS = {
+    "chaos": "_chaos",
+    "demo": "_demo",
+    "latency": "_latency",
+    "light-target": "_light_target",
+}
 
 
 def main() -> int:
@@ -15,7 +18,8 @@
     if name not in _TOOLS:
         print(f"usage: python -m pomelobank_testing {{{','.join(_TOOLS)}}} ...")
         return 2
-    return _TOOLS[name](sys.argv[2:])
+    module = importlib.import_module(f"pomelobank_testing.{_TOOLS[name]}")
+    return int(module.main(sys.argv[2:]))
 
 
 if __name__ == "__main__":
