--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -127,8 +127,13 @@
 
     async def wait(self) -> int:
         """Waits for the process's end and returns its exit status."""
-        async with asyncio.timeout(STOP_TIMEOUT_S):
-            status = await self.process.wait()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                status = await self.process.wait()
+        except TimeoutError:
+            raise TimeoutError(
+                f"{self.name} did not end; its last lines: {self.lines[-20:]}"
+            ) from None
         if self.reader is not None:
             await self.reader
         return status
