A claiming node that is behind refuses only what it cannot route

Cause: refusing everything while one version behind failed test_one_key_runs_once_through_any_node (503 not_ready right after an apply), although the claiming node knew the route. Change: not_ready only where it finds no route, or is not ready at all.

--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -112,16 +112,19 @@
         Raises:
             RequestError: If the request cannot be placed.
         """
-        # The entry knew a route when it sent the request here. A claiming node
-        # that has just started, or is behind, would else tell the caller that
-        # the route does not exist, as if an operator had deleted it.
-        if not self.store.ready or self.store.version < request.version:
+        if not self.store.ready:
             raise RequestError(ErrorKind.NOT_READY)
         service = service_of(request.idempotency_key)
         path = unquote_to_bytes(request.target.partition(b"?")[0])
         route = self.store.routes.match(service, path.decode(errors="replace"))
         if route is None:
-            raise RequestError(ErrorKind.NO_ROUTE)
+            # The entry knew a route when it sent the request here. A claiming
+            # node that is behind would else tell the caller that the route
+            # does not exist, as if an operator had deleted it.
+            behind = self.store.version < request.version
+            raise RequestError(
+                ErrorKind.NOT_READY if behind else ErrorKind.NO_ROUTE
+            )
         return await self._route_on(route, request)
 
     async def _route_on(
