--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -45,6 +45,7 @@
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
+    advance,
     evaluate,
     replay_change,
     skip_record,
@@ -53,6 +54,7 @@
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
+    adopt_snapshot,
     restore_snapshot,
     snapshot_record,
     usable_snapshot,
@@ -103,6 +105,8 @@
     "VersionFloor",
     "VersionedObject",
     "WorkResult",
+    "adopt_snapshot",
+    "advance",
     "check_objects",
     "evaluate",
     "find_neighbours",
--- a/packages/pomelobank-core/src/pomelobank_core/_floor.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_floor.py
@@ -10,37 +10,36 @@
     A node keeps nothing when it stops. If it served as soon as it has any
     configuration, a caller could be routed by an older version than the same
     node used before its restart. So it first learns what the others have: from
-    the end of the log, or, while the log does not answer, from its peers.
+    the end of the log, or, while the log does not answer, from peers that
+    serve. Peers that have just started themselves are no witnesses: after a
+    herd restart they would confirm each other in whatever old version the
+    first of them came by.
 
     Attributes:
         settle_ms: Time for which peers' versions are gathered while the log
             does not answer.
         heard_version: Highest version that was heard of; it never falls.
         reached_log_end: Whether the log's end was read once.
-        first_peer_ms: When the first peer told its version.
-        peers_read_log: Whether some peer has heard from the log.
+        first_ready_ms: When the first peer that serves told its version.
         ready: Whether the node may serve; once set it stays.
     """
 
     settle_ms: int
     heard_version: int = 0
     reached_log_end: bool = False
-    first_peer_ms: int | None = None
-    peers_read_log: bool = False
+    first_ready_ms: int | None = None
     ready: bool = False
 
-    def hear_peer(self, version: int, log_age_ms: int, now_ms: int) -> None:
+    def hear_peer(self, version: int, ready: bool, now_ms: int) -> None:
         """Notes the highest version that a peer has heard of.
 
         Args:
             version: That version.
-            log_age_ms: Time since the newest read of the log that the peer
-                knows of; negative for none.
+            ready: Whether the peer serves callers.
             now_ms: Monotonic time.
         """
-        self.peers_read_log |= log_age_ms >= 0
-        if self.first_peer_ms is None:
-            self.first_peer_ms = now_ms
+        if ready and self.first_ready_ms is None:
+            self.first_ready_ms = now_ms
         self.hear(version)
 
     def hear(self, version: int) -> None:
@@ -75,12 +74,8 @@
         return self.ready
 
     def _peers_settled(self, now_ms: int) -> bool:
-        # The first peer may be as new as this node; a few heartbeats later it
-        # has passed on what it heard from the others.
-        # Peers that are all new themselves know nothing; their agreement on
-        # version 0 means nothing.
-        if self.first_peer_ms is None:
+        # The first peer may have missed the newest change; a few heartbeats
+        # later it has passed on what it heard from the others.
+        if self.first_ready_ms is None:
             return False
-        if not self.heard_version and not self.peers_read_log:
-            return False
-        return now_ms - self.first_peer_ms >= self.settle_ms
+        return now_ms - self.first_ready_ms >= self.settle_ms
--- a/packages/pomelobank-core/src/pomelobank_core/_replay.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_replay.py
@@ -122,6 +122,30 @@
     return _decide(state, offset, record)
 
 
+def advance(
+    state: ConfigState, offset: int, record: ChangeRecord | None
+) -> ConfigState:
+    """Takes one record as it arrives, from the log or from a peer.
+
+    Pushes cross each other, arrive twice or after a gap. Taking one out of
+    order would make this node decide on another configuration than the others
+    did; only the record that follows the version is applied.
+
+    Args:
+        state: State before.
+        offset: The record's offset in the log.
+        record: The change; None for a record that changes nothing.
+
+    Returns:
+        The state after, the same object where the record is not the next one.
+    """
+    if offset != state.snapshot.version:
+        return state
+    if record is None:
+        return skip_record(state, offset)
+    return replay_change(state, offset, record)
+
+
 def skip_record(state: ConfigState, offset: int) -> ConfigState:
     """Moves past a record that changes nothing."""
     moved = attrs.evolve(state.snapshot, version=offset + 1)
--- a/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
@@ -85,6 +85,28 @@
     )
 
 
+def adopt_snapshot(
+    state: ConfigState, record: SnapshotRecord
+) -> Result[ConfigState, tuple[Problem, ...]]:
+    """Takes over a snapshot, unless the state is as new already.
+
+    A snapshot may be old when it arrives, from a writer that was paused or
+    from a slow read; taking it would bring back routes that operators have
+    replaced.
+
+    Args:
+        state: State before.
+        record: The snapshot.
+
+    Returns:
+        The state after, the same object where the snapshot is no news; or
+        what is wrong with the snapshot.
+    """
+    if record.as_of <= state.snapshot.version:
+        return Success(state)
+    return restore_snapshot(record)
+
+
 def _malformed(item: SnapshotObject) -> Problem:
     return Problem(
         ProblemKind.MALFORMED_OPERATION,
--- a/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 import random
+from collections import Counter
 
 import attrs
 
@@ -23,7 +24,7 @@
 from pomelobank_node._log_client import CONFIG_STREAM, LogClient, LogError
 from pomelobank_node._log_reader import LogReader
 from pomelobank_node._peer_links import PeerLinks
-from pomelobank_schema import SchemaError, WireMessage, decode
+from pomelobank_schema import SchemaError, WireMessage, decode, encode
 from pomelobank_schema.generated import records
 from pomelobank_schema.generated.peer import (
     RecordsPull,
@@ -66,6 +67,7 @@
         pushes_useful: Pushes received that moved the version on.
         pushes_useless: Pushes received that the node had already.
         snapshots_written: Snapshots appended to the log, for the metrics.
+        bytes_sent: Bytes sent to peers by type of frame, for the metrics.
     """
 
     settings: NodeSettings
@@ -84,6 +86,7 @@
     pushes_useful: int = 0
     pushes_useless: int = 0
     snapshots_written: int = 0
+    bytes_sent: Counter[str] = attrs.field(factory=Counter)
     outboxes: dict[str, Outbox] = attrs.field(factory=dict)
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
@@ -178,6 +181,10 @@
         before, version = self.passed_on, self.store.version
         if version > before:
             self.passed_on = version
+            _logger.info(
+                "config.in_force",
+                extra={"version": version, "at_ms": self.clock.wall_ms()},
+            )
             self._do(self.distribution.advanced(before, version, source))
             self._update_ready()
 
@@ -239,7 +246,9 @@
     async def _send(self, address: str, action: object) -> None:
         frame = make_frame(action, self)
         if frame is not None:
+            size = len(encode(frame))
             await self.links.to(address).send(frame)
+            self.bytes_sent[type(frame).__name__] += size
 
     async def _sleep(self, pause_ms: int) -> None:
         await asyncio.sleep(pause_ms / _MS_PER_S)
@@ -279,7 +288,7 @@
         """Takes a peer's version."""
         now_ms = self.clock.now_ms()
         heard = max(digest.version, digest.heard_version)
-        self.floor.hear_peer(heard, digest.log_age_ms, now_ms)
+        self.floor.hear_peer(heard, digest.ready, now_ms)
         self._do(self.distribution.hear(digest, self.store.version, now_ms))
         self._update_ready()
 
@@ -331,6 +340,7 @@
         heard_version=max(version, feed.distribution.heard_version),
         log_age_ms=feed.distribution.log_age_ms(feed.clock.now_ms()),
         heartbeat=action.heartbeat,
+        ready=feed.store.ready,
     )
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -11,9 +11,8 @@
     ChangeVerdict,
     ConfigState,
     RouteTable,
-    replay_change,
-    restore_snapshot,
-    skip_record,
+    adopt_snapshot,
+    advance,
     snapshot_record,
 )
 from pomelobank_schema import SchemaError, SchemaErrorKind, decode, encode
@@ -124,31 +123,22 @@
             record = decode(data, records.KINDS)
         except SchemaError as error:
             return self._apply_unreadable(offset, data, error)
-        if isinstance(record, records.ChangeRecord):
-            self._move(replay_change(self.state, offset, record), data)
-        elif isinstance(record, SnapshotRecord):
+        if isinstance(record, SnapshotRecord):
             self._pass_snapshot(record)
-            self._move(skip_record(self.state, offset), data)
-        else:
-            self._move(skip_record(self.state, offset), data)
+        change = record if isinstance(record, records.ChangeRecord) else None
+        self._move(advance(self.state, offset, change), data)
         return True
 
     def restore(self, record: SnapshotRecord) -> bool:
         """Takes over a snapshot, unless the node has that version already.
 
-        A snapshot may be old when it arrives, from a peer that was paused or
-        from a slow read; taking it would bring back routes that operators
-        have replaced.
-
         Args:
             record: The snapshot.
 
         Returns:
             Whether it was taken.
         """
-        if record.as_of <= self.version:
-            return False
-        result = restore_snapshot(record)
+        result = adopt_snapshot(self.state, record)
         if isinstance(result, Failure):
             problem = result.failure()[0]
             _logger.error(
@@ -156,9 +146,12 @@
                 extra={"as_of": record.as_of, "problem": problem.message},
             )
             return False
+        state = result.unwrap()
+        if state is self.state:
+            return False
         self.blocked = False
         self.restored += 1
-        self._swap(result.unwrap())
+        self._swap(state)
         if self.on_snapshot is not None:
             self.on_snapshot(record)
         return True
@@ -196,7 +189,7 @@
         _logger.warning(
             "config.unreadable", extra={"offset": offset, "error": str(error)}
         )
-        self._move(skip_record(self.state, offset), data)
+        self._move(advance(self.state, offset, None), data)
         return True
 
     def _move(self, state: ConfigState, data: bytes) -> None:
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -2,11 +2,17 @@
 
 import sys
 
+from pomelobank_testing._convergence import main as convergence
 from pomelobank_testing._demo import main as demo
 from pomelobank_testing._latency import main as latency
 from pomelobank_testing._light_target import main as light_target
 
-_TOOLS = {"demo": demo, "latency": latency, "light-target": light_target}
+_TOOLS = {
+    "convergence": convergence,
+    "demo": demo,
+    "latency": latency,
+    "light-target": light_target,
+}
 
 
 def main() -> int:
