--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -105,7 +105,7 @@
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.target)
+        admin = Admin(self.target, self.store)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -6,6 +6,7 @@
 # Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
     "chaos": "_chaos",
+    "convergence": "_convergence",
     "demo": "_demo",
     "latency": "_latency",
     "light-target": "_light_target",
