Membership under kills, freezes, cuts and drains, as processes

Cause: nothing showed that the parts work together over real streams. Two tests found that they did not: a node that returned after its contacts had died announced itself, but the members that were left looked at the log only once a minute and stayed a mesh of their own (60 s without joining).

Change: the node that looks after the contacts reads the newest records every 3 s, tries addresses of strangers with a falling chance, and writes a new record once fewer than half of the named members are present. Relays before the nodes let tests cut a data centre off, by silence or by broken streams.

--- a/packages/pomelobank-core/src/pomelobank_core/_first_contact.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_first_contact.py
@@ -1,7 +1,7 @@
 """Decides how a starting node finds a first member."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 
 import attrs
 import xxhash
@@ -32,6 +32,12 @@
 _WAIT_PER_READ = 50
 _MIN_WAIT_MS = 200
 _MAX_WAIT_MS = 30_000
+# Addresses that are remembered; the oldest ones make room.
+_ADDRESS_LIMIT = 256
+# An address that never answers is tried with half the chance each time, down
+# to once in 32 rounds: it may be a part of the mesh that is cut off for an
+# hour, but most likely it belongs to a node that was replaced.
+_MAX_HALVINGS = 5
 
 
 @attrs.define(eq=False)
@@ -42,20 +48,22 @@
         random: Source of randomness.
         tries: How often each address was tried.
         newest_at_ms: When the newest record that was read was written.
-        newest_count: Members that the newest record names.
+        newest: Addresses that the newest record names.
         skipped_records: Records that could not be read, for the metrics.
     """
 
     random: random.Random
     tries: dict[str, int] = attrs.field(factory=dict)
     newest_at_ms: int = 0
-    newest_count: int = 0
+    newest: frozenset[str] = frozenset()
     skipped_records: int = 0
 
     def add(self, addresses: Iterable[str]) -> None:
         """Takes addresses from the settings."""
         for address in addresses:
             self.tries.setdefault(address, 0)
+        while len(self.tries) > _ADDRESS_LIMIT:
+            del self.tries[next(iter(self.tries))]
 
     def take_records(self, records: Iterable[bytes]) -> None:
         """Takes records from the end of the stream, in their order."""
@@ -81,7 +89,7 @@
     def _take_contacts(self, addresses: list[str], at_ms: int) -> None:
         self.add(address for address in addresses if address)
         self.newest_at_ms = at_ms
-        self.newest_count = len(addresses)
+        self.newest = frozenset(addresses)
 
     def next_addresses(self, own_address: str) -> list[str]:
         """Returns the addresses to try next, those tried least often first."""
@@ -95,6 +103,25 @@
             self.tries[address] += 1
         return chosen
 
+    def strangers(self, known: Collection[str]) -> list[str]:
+        """Returns addresses outside the own part of the mesh to try next.
+
+        Parts that started apart, or lost each other for longer than they
+        remember, meet through each other's records.
+
+        Args:
+            known: Addresses of the members that are present, and the own one.
+        """
+        chosen = [
+            address
+            for address, tries in self.tries.items()
+            if address not in known
+            and self.random.random() < 0.5 ** min(tries, _MAX_HALVINGS)
+        ]
+        for address in chosen:
+            self.tries[address] += 1
+        return chosen[:TRIES_AT_ONCE]
+
     def untried(self, own_address: str) -> bool:
         """Tells whether an address was never tried."""
         return any(
@@ -112,16 +139,21 @@
         window_ms = max(_MIN_WAIT_MS, _WAIT_PER_READ * read_ms)
         return self.random.randrange(min(window_ms, _MAX_WAIT_MS))
 
-    def needs_refresh(self, present: int, wall_ms: int) -> bool:
+    def needs_refresh(self, present: Collection[str], wall_ms: int) -> bool:
         """Tells whether a new record with contacts should be written.
 
         Args:
-            present: Members that are present, the own node included.
+            present: Addresses of the members that are present, the own one
+                included.
             wall_ms: Time since the epoch.
         """
-        wanted = min(present, CONTACTS_PER_RECORD)
-        old = wall_ms - self.newest_at_ms >= REFRESH_MS
-        return old or self.newest_count < wanted
+        if wall_ms - self.newest_at_ms >= REFRESH_MS:
+            return True
+        # With most of the named members gone, a herd that returns would find
+        # nobody and start a mesh of its own beside the members that are left.
+        wanted = min(len(present), CONTACTS_PER_RECORD)
+        alive = sum(address in present for address in self.newest)
+        return 2 * alive < wanted or len(self.newest) < wanted
 
 
 def is_announcer(table: MemberTable) -> bool:
--- a/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -34,8 +34,8 @@
 _ANSWER_S = 1.0
 _FIRST_RETRY_MS = 100
 _MAX_RETRY_MS = 5000
-# One read of a few records a minute for the whole fleet.
-_REFRESH_CHECK_S = 60.0
+# One node of the fleet looks: two reads of a few records every three seconds.
+_REFRESH_CHECK_S = 3.0
 
 
 @attrs.define(eq=False)
@@ -169,21 +169,25 @@
             return
         try:
             await self._read_tail()
-            # Parts of the mesh that started apart meet through the records.
-            await self._join_by_contacts()
+            known = self._present_addresses()
+            strangers = self.contact.strangers(known)
+            await asyncio.gather(*(self._try(item) for item in strangers))
             await self._refresh()
         except LogError as error:
             _logger.warning("members.log_failed", extra={"error": str(error)})
 
     async def _refresh(self) -> None:
-        table = self.swim.table
         wall_ms = self.clock.wall_ms()
-        present = len(table.present()) + 1
-        if self.contact.needs_refresh(present, wall_ms):
-            record = contacts_record(table, self.swim.random, wall_ms)
+        if self.contact.needs_refresh(self._present_addresses(), wall_ms):
+            source = self.swim.random
+            record = contacts_record(self.swim.table, source, wall_ms)
             self.announcements += 1
             await self.log.append(MEMBERS_STREAM, encode(record))
 
+    def _present_addresses(self) -> set[str]:
+        table = self.swim.table
+        return {entry.peer_address for entry in (table.own, *table.present())}
+
 
 async def _sleep_ms(pause_ms: float) -> None:
     await asyncio.sleep(pause_ms / _MS_PER_S)
--- a/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
@@ -3,6 +3,12 @@
 from pomelobank_testing._harness import NodeProcess, TestMesh
 from pomelobank_testing._log_service import LogFaults, LogService
 from pomelobank_testing._meshes import MESHES, Mesh, MeshService
+from pomelobank_testing._relay import (
+    RelayedMesh,
+    TcpRelay,
+    member_states,
+    wait_states,
+)
 from pomelobank_testing._upstream_service import UpstreamService
 
 __all__ = [
@@ -12,6 +18,10 @@
     "Mesh",
     "MeshService",
     "NodeProcess",
+    "RelayedMesh",
+    "TcpRelay",
     "TestMesh",
     "UpstreamService",
+    "member_states",
+    "wait_states",
 ]
--- a/packages/pomelobank-testing/src/pomelobank_testing/_upstream_service.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_upstream_service.py
@@ -35,6 +35,9 @@
         cancelled: Requests whose caller went away.
         crashes: Whether `x-crash` ends the process.
         crashed: Set once it crashed.
+        draining: What its announcements say.
+        instance: Names this start of the instance in its announcements.
+        arrivals: Requests that arrived, whatever became of them.
     """
 
     name: str
@@ -49,6 +52,9 @@
     cancelled: int = 0
     crashes: bool = False
     crashed: bool = False
+    draining: bool = False
+    instance: str = ""
+    arrivals: int = 0
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answers one request."""
@@ -64,6 +70,7 @@
         await self._work(scope, receive, send)
 
     async def _work(self, scope: Any, receive: Any, send: Any) -> None:
+        self.arrivals += 1
         headers = dict(scope["headers"])
         body = await _read_body(receive)
         if self.busy >= self.slots:
@@ -122,6 +129,17 @@
     await send({"type": "http.response.body", "body": body})
 
 
+def announcement(service: UpstreamService, address: str) -> dict[str, Any]:
+    """Returns what an instance tells the node beside it."""
+    return {
+        "upstream": service.upstream,
+        "address": address,
+        "slots": service.slots,
+        "instance": service.instance,
+        "draining": service.draining,
+    }
+
+
 async def announce(service: UpstreamService, address: str, admin: str) -> None:
     """Announces an instance to its node until it is cancelled.
 
@@ -130,13 +148,10 @@
         address: Its address.
         admin: Address of the node's own pages.
     """
-    document = {
-        "upstream": service.upstream,
-        "address": address,
-        "slots": service.slots,
-    }
+    url = f"http://{admin}/v1/target"
     async with aiohttp.ClientSession() as session:
         while True:
+            document = announcement(service, address)
             with contextlib.suppress(aiohttp.ClientError):
-                await session.post(f"http://{admin}/v1/target", json=document)
+                await session.post(url, json=document)
             await asyncio.sleep(_ANNOUNCE_PERIOD_S)
