--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -16,8 +16,46 @@
     Verdict,
     WorkResult,
 )
-from pomelobank_core._clock import Clock, ManualClock
-from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._claim_answers import (
+    AnswerStore,
+)
+from pomelobank_core._claim_attempts import (
+    Attempt,
+    AttemptState,
+    AttemptStep,
+    claim_seen,
+    combine_run_states,
+    give_up,
+    run_ended,
+)
+from pomelobank_core._claim_batcher import (
+    ClaimBatcher,
+)
+from pomelobank_core._claims import (
+    SHARDS,
+    Claim,
+    ClaimEnded,
+    ClaimEvent,
+    ClaimId,
+    ClaimSeen,
+    ClaimStatus,
+    ClaimTable,
+    KeptAnswer,
+    claim_key,
+    completion_record,
+    rank_claimants,
+    request_digest,
+    scoped_key,
+    service_of,
+    shard_of,
+)
+from pomelobank_core._clock import (
+    Clock,
+    ManualClock,
+)
+from pomelobank_core._concurrency import (
+    ConcurrencyLimit,
+)
 from pomelobank_core._distribution import (
     Distribution,
     Neighbours,
@@ -27,15 +65,26 @@
     SendDigest,
     find_neighbours,
 )
-from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._errors import (
+    ANSWERS,
+    Answer,
+    ErrorKind,
+    RunState,
+)
 from pomelobank_core._first_contact import (
     TAIL_RECORDS,
     FirstContact,
     contacts_record,
     is_announcer,
 )
-from pomelobank_core._floor import VersionFloor
-from pomelobank_core._members import EntryRank, MemberState, MemberTable
+from pomelobank_core._floor import (
+    VersionFloor,
+)
+from pomelobank_core._members import (
+    EntryRank,
+    MemberState,
+    MemberTable,
+)
 from pomelobank_core._objects import (
     ConfigObject,
     ObjectKey,
@@ -46,8 +95,13 @@
     operation_object,
     snapshot_object_value,
 )
-from pomelobank_core._placing import RoundRobin
-from pomelobank_core._rendezvous import rank_of, rendezvous_order
+from pomelobank_core._placing import (
+    RoundRobin,
+)
+from pomelobank_core._rendezvous import (
+    rank_of,
+    rendezvous_order,
+)
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -55,7 +109,11 @@
     replay_change,
     skip_record,
 )
-from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._routing import (
+    RouteTable,
+    is_idempotent,
+    pick_upstream,
+)
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
@@ -63,20 +121,47 @@
     snapshot_record,
     usable_snapshot,
 )
-from pomelobank_core._swim import Action, Reply, Send, Swim
-from pomelobank_core._swim_frames import take_frame
-from pomelobank_core._target_lease import TargetChange, TargetLease
-from pomelobank_core._validation import Problem, ProblemKind, check_objects
+from pomelobank_core._swim import (
+    Action,
+    Reply,
+    Send,
+    Swim,
+)
+from pomelobank_core._swim_frames import (
+    take_frame,
+)
+from pomelobank_core._target_lease import (
+    TargetChange,
+    TargetLease,
+)
+from pomelobank_core._validation import (
+    Problem,
+    ProblemKind,
+    check_objects,
+)
 
 __all__ = [
     "ANSWERS",
+    "SHARDS",
     "TAIL_RECORDS",
     "Action",
     "Admission",
     "AdmissionPolicy",
     "Answer",
+    "AnswerStore",
+    "Attempt",
+    "AttemptState",
+    "AttemptStep",
     "Change",
     "ChangeVerdict",
+    "Claim",
+    "ClaimBatcher",
+    "ClaimEnded",
+    "ClaimEvent",
+    "ClaimId",
+    "ClaimSeen",
+    "ClaimStatus",
+    "ClaimTable",
     "Clock",
     "ConcurrencyLimit",
     "ConfigObject",
@@ -88,6 +173,7 @@
     "FirstContact",
     "FixedPartition",
     "GuaranteedShared",
+    "KeptAnswer",
     "ManualClock",
     "MemberState",
     "MemberTable",
@@ -122,18 +208,29 @@
     "VersionedObject",
     "WorkResult",
     "check_objects",
+    "claim_key",
+    "claim_seen",
+    "combine_run_states",
+    "completion_record",
     "contacts_record",
     "evaluate",
     "find_neighbours",
+    "give_up",
     "is_announcer",
     "is_idempotent",
     "object_key",
     "operation_object",
     "pick_upstream",
+    "rank_claimants",
     "rank_of",
     "rendezvous_order",
     "replay_change",
+    "request_digest",
     "restore_snapshot",
+    "run_ended",
+    "scoped_key",
+    "service_of",
+    "shard_of",
     "skip_record",
     "snapshot_object_value",
     "snapshot_record",
--- a/packages/pomelobank-node/src/pomelobank_node/_admin.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admin.py
@@ -1,7 +1,7 @@
 """The node's own pages and its target's announcements."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import attrs
 from starlette.applications import Starlette
@@ -24,10 +24,12 @@
 
     Attributes:
         target: Follows the target.
+        peer_bytes: Tells the bytes sent to peers so far.
         bad_announcements: Announcements that were refused, for the metrics.
     """
 
     target: TargetWatch
+    peer_bytes: Callable[[], int]
     bad_announcements: int = 0
 
     def application(self) -> Starlette:
@@ -43,7 +45,13 @@
     async def health(self, _: Request) -> Response:
         """Tells whether the node takes requests."""
         own = self.target.membership.table.own
-        return JSONResponse({"state": own.state, "version": own.version})
+        return JSONResponse(
+            {
+                "state": own.state,
+                "version": own.version,
+                "peer_bytes_sent": self.peer_bytes(),
+            }
+        )
 
     async def announce(self, request: Request) -> Response:
         """Takes an announcement of the target."""
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -8,6 +8,7 @@
 
 from pomelobank_core import MemberTable, TargetLease
 from pomelobank_node._admin import Admin
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
@@ -100,10 +101,11 @@
         dispatcher = Dispatcher(
             self.store, self.table, self.owner, self.links, self.clock
         )
+        self._build_claims(dispatcher)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.target)
+        admin = Admin(self.target, self._peer_bytes)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
@@ -113,16 +115,31 @@
         self.http = HttpServer(listen.http, self.entry)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
-            listen.peer, self.owner, self.membership, self.feed
+            listen.peer, self.owner, self.membership, self.feed, self.claims
         )
         self.operator = OperatorServer(listen.operator, operator)
 
+    def _build_claims(self, dispatcher: Dispatcher) -> None:
+        self.claims = ClaimService(
+            self.table,
+            self.links,
+            self.log,
+            self.clock,
+            self.settings.claims,
+            dispatcher.place_claimed,
+        )
+        dispatcher.claims = self.claims
+
+    def _peer_bytes(self) -> int:
+        return self.links.bytes_sent + self.peers.bytes_sent
+
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
             self.metrics,
             self.log,
             self.links,
+            self.claims,
             self.peers,
             self.operator,
         ):
@@ -159,7 +176,10 @@
         be told, and the streams go last.
         """
         await self.target.close()
-        await self.owner.drain(self.settings.requests.drain_timeout_ms)
+        timeout_ms = self.settings.requests.drain_timeout_ms
+        await asyncio.gather(
+            self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
+        )
         for server in (self.http, self.admin):
             await server.stop()
         await self.membership.leave()
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
@@ -40,6 +41,7 @@
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
         feed: Takes the peer's frames about the configuration.
+        claims: Runs the peer's requests with an idempotency key.
         running: Tasks of the peer's requests, by request id.
     """
 
@@ -47,6 +49,7 @@
     owner: Owner
     membership: Membership
     feed: ConfigFeed
+    claims: ClaimService
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -68,7 +71,9 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            reply = await self.owner.serve(request)
+            # Without an upstream: the key is to be claimed here first.
+            serve = self.owner.serve if request.upstream else self.claims.serve
+            reply = await serve(request)
             self.stream.send(reply)
             await self.stream.writer.drain()
         except OSError:
@@ -126,16 +131,28 @@
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
         feed: Takes peers' frames about the configuration.
+        claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
+        streams: Streams that are open.
+        closed_bytes: Bytes sent on streams that have ended.
     """
 
     listen: str
     owner: Owner
     membership: Membership
     feed: ConfigFeed
+    claims: ClaimService
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    streams: set[FrameStream] = attrs.field(factory=set)
+    closed_bytes: int = 0
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the frames sent on all streams that peers opened."""
+        open_bytes = sum(stream.bytes_sent for stream in self.streams)
+        return self.closed_bytes + open_bytes
 
     async def start(self) -> None:
         """Starts listening."""
@@ -150,14 +167,17 @@
         notice_dead_peer(writer)
         stream = FrameStream(reader, writer)
         connection = PeerConnection(
-            stream, self.owner, self.membership, self.feed
+            stream, self.owner, self.membership, self.feed, self.claims
         )
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
+        self.streams.add(stream)
         try:
             await connection.run()
         finally:
+            self.streams.discard(stream)
+            self.closed_bytes += stream.bytes_sent
             self.tasks.discard(task)
 
     async def stop(self) -> None:
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -2,11 +2,19 @@
 
 import sys
 
+from pomelobank_testing._core_members import main as core_members
 from pomelobank_testing._demo import main as demo
 from pomelobank_testing._latency import main as latency
 from pomelobank_testing._light_target import main as light_target
+from pomelobank_testing._rest import main as rest
 
-_TOOLS = {"demo": demo, "latency": latency, "light-target": light_target}
+_TOOLS = {
+    "core-members": core_members,
+    "demo": demo,
+    "latency": latency,
+    "light-target": light_target,
+    "rest": rest,
+}
 
 
 def main() -> int:
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_rest.py
@@ -0,0 +1,127 @@
+"""Measures nodes at rest: `python -m pomelobank_testing rest --nodes 13,50`."""
+
+import argparse
+import asyncio
+import json
+import statistics
+import time
+from pathlib import Path
+from typing import Any
+
+import attrs
+
+from pomelobank_testing._core_members import write_results
+from pomelobank_testing._harness import TestMesh
+from pomelobank_testing._process_usage import processor_us, resident_bytes
+from pomelobank_testing._upstream_service import UpstreamService
+
+# Starting a node costs about a second of processor time.
+_STARTS_AT_ONCE = 8
+_US_PER_S = 1_000_000
+
+
+@attrs.frozen
+class RestCosts:
+    """What a node uses while nothing happens.
+
+    Attributes:
+        nodes: Size of the mesh.
+        processor_percent: Part of a core, median of the nodes.
+        processor_percent_highest: The same, highest of the nodes.
+        sent_bytes_per_s: Bytes of all frames sent to peers, mean of the nodes.
+        resident_mib: Resident memory, median of the nodes.
+        log_reads_per_s: Reads that the log answered, of all nodes.
+        log_appends: Records that all nodes appended while they started.
+    """
+
+    nodes: int
+    processor_percent: float
+    processor_percent_highest: float
+    sent_bytes_per_s: float
+    resident_mib: float
+    log_reads_per_s: float
+    log_appends: int
+
+
+async def measure(count: int, duration_s: float) -> RestCosts:
+    """Measures a mesh of one size."""
+    async with TestMesh() as mesh:
+        room = asyncio.Semaphore(_STARTS_AT_ONCE)
+
+        async def start(index: int) -> None:
+            async with room:
+                await mesh.add_node(
+                    f"node-{index:03}",
+                    f"data-centre-{index % 4}",
+                    UpstreamService(f"target-{index}", "counter-desk-main"),
+                )
+
+        await asyncio.gather(*(start(index) for index in range(count)))
+        await mesh.wait_members(count)
+        appends = mesh.log.stream("members").end_offset
+        # What spreads after the start is not rest.
+        await asyncio.sleep(duration_s / 2)
+        return await _observe(mesh, duration_s, appends)
+
+
+async def _observe(
+    mesh: TestMesh, duration_s: float, appends: int
+) -> RestCosts:
+    pids = [node.process.pid for node in mesh.nodes.values()]
+    before = [processor_us(pid) for pid in pids]
+    sent, reads, begun = await _sent(mesh), mesh.log.reads, time.monotonic()
+    await asyncio.sleep(duration_s)
+    took_s = time.monotonic() - begun
+    used = [
+        (processor_us(pid) - start) / _US_PER_S / took_s * 100
+        for pid, start in zip(pids, before, strict=True)
+    ]
+    memory = [resident_bytes(pid) / 2**20 for pid in pids]
+    sent = await _sent(mesh) - sent
+    return RestCosts(
+        nodes=len(pids),
+        processor_percent=round(statistics.median(used), 3),
+        processor_percent_highest=round(max(used), 3),
+        sent_bytes_per_s=round(sent / took_s / len(pids), 1),
+        resident_mib=round(statistics.median(memory), 1),
+        log_reads_per_s=round((mesh.log.reads - reads) / took_s, 2),
+        log_appends=appends,
+    )
+
+
+async def _sent(mesh: TestMesh) -> int:
+    assert mesh.session is not None
+    total = 0
+    for node in mesh.nodes.values():
+        url = f"http://{node.addresses['admin']}/healthz"
+        async with mesh.session.get(url) as response:
+            document: dict[str, Any] = await response.json()
+            total += document["peer_bytes_sent"]
+    return total
+
+
+def main(arguments: list[str]) -> int:
+    """Measures each size and writes the results; returns the exit status."""
+    parser = argparse.ArgumentParser(prog="rest")
+    parser.add_argument("--nodes", default="13,50")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument(
+        "--output", type=Path, default=Path("benchmarks/results")
+    )
+    options = parser.parse_args(arguments)
+    results = []
+    for size in options.nodes.split(","):
+        costs = asyncio.run(measure(int(size), options.seconds))
+        print(json.dumps(attrs.asdict(costs)), flush=True)
+        results.append(attrs.asdict(costs))
+    write_results(
+        options.output / "rest.json",
+        {
+            "command": f"python -m pomelobank_testing rest"
+            f" --nodes {options.nodes} --seconds {options.seconds:g}",
+            "note": "shared machine; the bytes are those of all frames between"
+            " nodes, of configuration as well as of membership",
+            "results": results,
+        },
+    )
+    return 0
