--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -20,7 +20,7 @@
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 
 
-@attrs.define
+@attrs.define(eq=False)
 class FrameStream:
     """Sends and receives whole frames.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -44,6 +44,7 @@
         return Counter(entry.state for entry in node.table.all())
 
     metrics.observe(_instruments.MEMBERS, by_state)
+    metrics.observe(_instruments.PEER_BYTES_SENT, node.peer_bytes)
 
 
 def _observe_requests(metrics: Metrics, node: NodeApplication) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -131,6 +131,7 @@
             )
         finally:
             self._lost(stream)
+            self.links.closed_bytes += stream.bytes_sent
             await stream.close()
 
     def _settle(self, reply: ForwardReply) -> None:
@@ -182,12 +183,14 @@
         on_frame: Takes frames that answer no request.
         links: The links.
         handshakes: Room for streams that are being opened.
+        closed_bytes: Bytes sent on streams that have ended.
     """
 
     hello: Hello
     connect_limit: int = DEFAULT_CONNECT_LIMIT
     on_frame: FrameTaker | None = None
     links: dict[str, PeerLink] = attrs.field(factory=dict)
+    closed_bytes: int = 0
     handshakes: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -200,6 +203,14 @@
             link = self.links[address] = PeerLink(address, self.hello, self)
         return link
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the frames sent on all streams that this node opened."""
+        streams = [link.stream for link in self.links.values()]
+        return self.closed_bytes + sum(
+            stream.bytes_sent for stream in streams if stream is not None
+        )
+
     def drop(self, address: str) -> None:
         """Gives up the stream to a peer that is held to be gone."""
         link = self.links.get(address)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -133,6 +133,8 @@
         feed: Takes peers' frames about the configuration.
         claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
+        streams: Streams that are open.
+        closed_bytes: Bytes sent on streams that have ended.
     """
 
     listen: str
@@ -143,6 +145,14 @@
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    streams: set[FrameStream] = attrs.field(factory=set)
+    closed_bytes: int = 0
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the frames sent on all streams that peers opened."""
+        open_bytes = sum(stream.bytes_sent for stream in self.streams)
+        return self.closed_bytes + open_bytes
 
     async def start(self) -> None:
         """Starts listening."""
@@ -162,9 +172,12 @@
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
+        self.streams.add(stream)
         try:
             await connection.run()
         finally:
+            self.streams.discard(stream)
+            self.closed_bytes += stream.bytes_sent
             self.tasks.discard(task)
 
     async def stop(self) -> None:
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -6,10 +6,12 @@
 # Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
     "chaos": "_chaos",
+    "core-members": "_core_members",
     "convergence": "_convergence",
     "demo": "_demo",
     "latency": "_latency",
     "light-target": "_light_target",
+    "rest": "_rest",
 }
 
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -372,6 +372,14 @@
                 await asyncio.sleep(_POLL_S)
         raise TimeoutError(f"{name} never saw {count} members {state}")
 
+    async def metric(self, node: str, name: str) -> int:
+        """Returns the sum of the values of a metric, by its shown name."""
+        lines = (await self.metrics(node)).splitlines()
+        values = [
+            line.rsplit(" ", 1)[1] for line in lines if line.startswith(name)
+        ]
+        return int(sum(map(float, values)))
+
     async def metrics(self, node: str) -> str:
         """Returns a node's metrics page."""
         assert self.session is not None
