--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -2,6 +2,14 @@
 
 from pomelobank_core._clock import Clock, ManualClock
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._exchange import (
+    ExchangeState,
+    ExchangeTable,
+    FrameAge,
+    FrameVerdict,
+    deadline_kind,
+    lost_kind,
+)
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._objects import (
     ConfigObject,
@@ -31,6 +39,10 @@
     "ConfigObject",
     "ConfigState",
     "ErrorKind",
+    "ExchangeState",
+    "ExchangeTable",
+    "FrameAge",
+    "FrameVerdict",
     "ManualClock",
     "MemberState",
     "MemberTable",
@@ -44,8 +56,10 @@
     "Snapshot",
     "VersionedObject",
     "check_objects",
+    "deadline_kind",
     "evaluate",
     "is_idempotent",
+    "lost_kind",
     "object_key",
     "operation_object",
     "pick_upstream",
--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -24,6 +24,7 @@
 
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    BODY_INCOMPLETE = "body_incomplete"
     NO_ROUTE = "no_route"
     NOT_READY = "not_ready"
     NO_TARGET = "no_target"
@@ -73,6 +74,12 @@
     ErrorKind.BODY_TOO_LARGE: Answer(
         413, _NOT_RUN, 0, "The request's body is larger than this mesh allows."
     ),
+    ErrorKind.BODY_INCOMPLETE: Answer(
+        400,
+        _UNKNOWN,
+        0,
+        "The request's body broke off or grew too large on its way.",
+    ),
     ErrorKind.NO_ROUTE: Answer(
         404, _NOT_RUN, 0, "No route matches the service and path."
     ),
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -96,7 +96,7 @@
         listen = settings.listen
         pages = admin.application()
         pages.add_route("/metrics", self.metrics.page)
-        self.http = HttpServer(listen.http, self.entry)
+        self.http = HttpServer(listen.http, self.entry, cancels=True)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(listen.peer, self.owner, self.membership)
         self.operator = OperatorServer(listen.operator, operator)
@@ -135,6 +135,7 @@
     async def stop(self) -> None:
         """Drains, then stops every part in reverse order."""
         self.table.update_own(state=MemberState.DRAINING.value)
+        self.entry.draining = True
         await self.membership.tell_all()
         await self.owner.drain(self.settings.requests.drain_timeout_ms)
         for part in reversed(self.started):
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_bodies.py
@@ -0,0 +1,196 @@
+"""Bodies that travel in parts because they are too large for one frame."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from pomelobank_core import ErrorKind
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+)
+
+# A body up to this size travels whole in one frame. Stock look-ups and
+# reorders are a few hundred bytes; at 64 KiB one frame still takes well under
+# a millisecond of a stream, so nothing behind it waits long.
+INLINE_BYTES = 64 * 1024
+# Size of a part of a larger body: what a look-up may have to wait for when it
+# meets an archive on the same stream.
+CHUNK_BYTES = 32 * 1024
+# Bytes of one body that may be on their way unread. Eight chunks keep a
+# stream busy over a few ms between data centres, and a thousand slow readers
+# cost 256 MiB at most on the node that serves them.
+WINDOW_BYTES = 256 * 1024
+
+
+class BodySource(Protocol):
+    """The rest of a body, read part by part."""
+
+    async def read(self) -> bytes:
+        """Returns the next part, empty at the end.
+
+        Raises:
+            RequestError: If the body broke off; it is not whole.
+        """
+
+    def close(self) -> None:
+        """Gives the rest up; called once, at the end or before it."""
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class StreamedRequest(ForwardRequest):
+    """A request of which `body` is only the first part.
+
+    Attributes:
+        rest: The rest, untouched until bytes are sent to the target, so that
+            a request that did not run can still be sent elsewhere.
+    """
+
+    rest: BodySource
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class StreamedReply(ForwardReply):
+    """An answer of which `body` is only the first part.
+
+    Attributes:
+        rest: The rest.
+    """
+
+    rest: BodySource
+
+
+def with_rest(
+    request: ForwardRequest, rest: BodySource | None
+) -> ForwardRequest:
+    """Returns the request with the rest of its body, itself without one."""
+    if rest is None:
+        return request
+    fields = attrs.asdict(request, recurse=False)
+    return StreamedRequest(**{**fields, "more": True, "rest": rest})
+
+
+def rest_of(message: ForwardRequest | ForwardReply) -> BodySource | None:
+    """Returns the rest of a message's body, None where it is whole."""
+    if isinstance(message, StreamedRequest | StreamedReply):
+        return message.rest
+    return None
+
+
+@attrs.define(eq=False)
+class PartBuffer:
+    """Parts of a body between the one who brings and the one who reads them.
+
+    Attributes:
+        on_read: Called with the number of bytes that were read.
+        on_close: Called once, when the reader is done or gives up.
+        parts: Parts that were not read yet.
+        size: Their bytes.
+        ended: Set once the last part was put in.
+        error: Why the body broke off, None while it is sound.
+    """
+
+    on_read: Callable[[int], None]
+    on_close: Callable[[], None]
+    parts: deque[bytes] = attrs.field(factory=deque)
+    size: int = 0
+    ended: bool = False
+    error: ErrorKind | None = None
+    closed: bool = False
+    waiter: asyncio.Future[None] | None = None
+
+    def put(self, data: bytes) -> None:
+        """Adds a part."""
+        if data and not self.closed:
+            self.parts.append(data)
+            self.size += len(data)
+        self._wake()
+
+    def end(self) -> None:
+        """Marks the body as whole."""
+        self.ended = True
+        self._wake()
+
+    def fail(self, kind: ErrorKind) -> None:
+        """Marks the body as broken off, unless it is whole already."""
+        if not self.ended and self.error is None:
+            self.error = kind
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    async def read(self) -> bytes:
+        """Returns the next part, empty at the end.
+
+        Raises:
+            RequestError: If the body broke off.
+        """
+        if not self.parts and not self.ended and self.error is None:
+            # Reading nothing still tells the sender that a reader is here.
+            self.on_read(0)
+        while not self.parts:
+            if self.error is not None:
+                raise RequestError(self.error)
+            if self.ended:
+                return b""
+            self.waiter = asyncio.get_running_loop().create_future()
+            await self.waiter
+        data = self.parts.popleft()
+        self.size -= len(data)
+        self.on_read(len(data))
+        return data
+
+    def close(self) -> None:
+        """Gives the rest up; later calls do nothing."""
+        if not self.closed:
+            self.closed = True
+            self.parts.clear()
+            self.on_close()
+
+
+@attrs.define(eq=False)
+class EndedBody:
+    """Passes a body through and tells when nobody reads it any more.
+
+    Attributes:
+        source: The body.
+        on_end: Called once.
+    """
+
+    source: BodySource
+    on_end: Callable[[], None]
+    closed: bool = False
+
+    async def read(self) -> bytes:
+        """Returns the next part, empty at the end."""
+        return await self.source.read()
+
+    def close(self) -> None:
+        """Gives the rest up; later calls do nothing."""
+        if self.closed:
+            return
+        self.closed = True
+        self.source.close()
+        self.on_end()
+
+
+def when_ended(reply: ForwardReply, on_end: Callable[[], None]) -> ForwardReply:
+    """Calls back once a reply's whole body has been read or given up.
+
+    A target is still at work while its answer is on the way. Were its slot
+    given away at the head of the answer, it would be overrun by long answers,
+    and a planned stop would cut them off.
+
+    Returns:
+        The reply to pass on instead.
+    """
+    if not isinstance(reply, StreamedReply):
+        on_end()
+        return reply
+    return attrs.evolve(reply, rest=EndedBody(reply.rest, on_end))
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -12,6 +12,7 @@
     is_idempotent,
     pick_upstream,
 )
+from pomelobank_node._bodies import BodySource, with_rest
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
@@ -38,6 +39,7 @@
         trace_id: Id that follows the request through every log.
         timeout_ms: Caller's own limit; 0 where it gave none.
         idempotency_key: Caller's key; empty where it gave none.
+        rest: The rest of the body, None where `body` is the whole.
     """
 
     service: str
@@ -49,6 +51,7 @@
     trace_id: str
     timeout_ms: int = 0
     idempotency_key: str = ""
+    rest: BodySource | None = None
 
 
 @attrs.define(eq=False)
@@ -113,7 +116,7 @@
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
         )
-        return await self._place(request)
+        return await self._place(with_rest(request, caller.rest))
 
     async def _place(self, request: ForwardRequest) -> ForwardReply:
         candidates = self.members.ready_for(request.upstream)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_messages.py
@@ -0,0 +1,95 @@
+"""Bytes of HTTP/1.1 requests and the headers that travel on."""
+
+from pomelobank_node._requests import Headers
+
+CONTENT_LENGTH = b"content-length"
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        CONTENT_LENGTH,
+        b"expect",
+    }
+)
+
+
+def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Returns the headers that travel on, without those of one connection.
+
+    >>> end_to_end([(b"te", b"trailers"), (b"accept", b"*/*")])
+    [(b'accept', b'*/*')]
+    """
+    return [item for item in headers if item[0] not in _HOP_BY_HOP]
+
+
+def find_header(headers: Headers, name: bytes) -> bytes | None:
+    """Returns the first value of a header, None where it is absent."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
+
+
+def content_length(headers: Headers) -> int | None:
+    """Returns the length that the headers state, None where they state none.
+
+    >>> content_length([(b"content-length", b"12")])
+    12
+    """
+    value = find_header(headers, CONTENT_LENGTH)
+    if value is None or not value.isdigit():
+        return None
+    return int(value)
+
+
+def encode_request(
+    method: str,
+    target: bytes,
+    headers: Headers,
+    body: bytes,
+    more: bool = False,
+) -> bytes:
+    """Returns the bytes of an HTTP/1.1 request.
+
+    Args:
+        method: HTTP method.
+        target: Raw path with query.
+        headers: Headers; those of one connection are left out.
+        body: Whole body, or its first part.
+        more: Whether further parts follow. They are sent under the length
+            that the headers state, or in HTTP's chunks where they state none.
+
+    Returns:
+        Head and body.
+    """
+    parts = [method.encode(), b" ", target, b" HTTP/1.1\r\n"]
+    for name, value in headers:
+        if name not in _HOP_BY_HOP:
+            parts += (name, b": ", value, b"\r\n")
+    if not more:
+        parts += (b"content-length: %d\r\n\r\n" % len(body), body)
+        return b"".join(parts)
+    length = content_length(headers)
+    if length is None:
+        parts += (b"transfer-encoding: chunked\r\n\r\n", encode_chunk(body))
+    else:
+        parts += (b"content-length: %d\r\n\r\n" % length, body)
+    return b"".join(parts)
+
+
+def encode_chunk(data: bytes) -> bytes:
+    r"""Returns one chunk of HTTP's chunked encoding, nothing for no data.
+
+    >>> encode_chunk(b"abc")
+    b'3\r\nabc\r\n'
+    """
+    return b"%x\r\n%s\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- a/packages/pomelobank-node/src/pomelobank_node/_http_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_server.py
@@ -8,6 +8,7 @@
 import attrs
 import uvicorn
 
+from pomelobank_node._http_protocol import CancellingHttpProtocol, HttpProtocol
 from pomelobank_schema import parse_address
 
 _BACKLOG = 512
@@ -30,11 +31,16 @@
         listen: Address to listen on; port 0 takes a free one.
         application: The ASGI application.
         address: Address that is really used, once it listens.
+        cancels: Whether a request is cancelled when its caller has gone.
+        stop_timeout_s: Longest time that a stop waits for requests under way,
+            None for as long as they take.
     """
 
     listen: str
     application: Any
     address: str = ""
+    cancels: bool = False
+    stop_timeout_s: int | None = None
     server: _Server | None = None
     task: asyncio.Task[None] | None = None
 
@@ -46,13 +52,16 @@
             host=host,
             port=port,
             loop="asyncio",
-            http="httptools",
+            http=CancellingHttpProtocol if self.cancels else HttpProtocol,
+            ws="none",
             lifespan="off",
             access_log=False,
             log_config=None,
             server_header=False,
             date_header=False,
+            proxy_headers=False,
             backlog=_BACKLOG,
+            timeout_graceful_shutdown=self.stop_timeout_s,
         )
         self.server = _Server(config)
         self.task = asyncio.create_task(self.server.serve())
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
@@ -0,0 +1,300 @@
+"""Requests under way on one stream that this node opened to a peer."""
+
+import asyncio
+import functools
+import logging
+
+import attrs
+
+from pomelobank_core import (
+    ErrorKind,
+    ExchangeState,
+    ExchangeTable,
+    FrameVerdict,
+    deadline_kind,
+)
+from pomelobank_node._bodies import (
+    WINDOW_BYTES,
+    PartBuffer,
+    StreamedReply,
+    rest_of,
+)
+from pomelobank_node._body_frames import Credit, Grants, send_rest
+from pomelobank_node._frames import FrameStream
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+    error_reply,
+)
+from pomelobank_schema import SchemaError, SchemaErrorKind, WireMessage
+from pomelobank_schema.generated.peer import (
+    BodyChunk,
+    BodyCredit,
+    CancelRequest,
+    StreamClosing,
+)
+
+_logger = logging.getLogger(__name__)
+_MS_PER_S = 1000
+# Frames that wait on a stream whose peer does not read. New requests are
+# refused from here on, long before the stream is given up: a caller that is
+# told at once can go elsewhere.
+_REFUSE_QUEUED_BYTES = 1024 * 1024
+# The owner is given a little less time than the caller has, so that its own
+# answer, which knows whether the request ran, arrives before the deadline.
+_RETURN_ALLOWANCE_MS = 5
+_ALLOWANCE_PART = 10
+
+
+@attrs.define(eq=False)
+class Call:
+    """One request and everyone who waits for a part of it.
+
+    Attributes:
+        reply: The reply, once its head is there.
+        timer: Ends the call at its deadline.
+        download: The rest of its answer, where that comes in parts.
+        credit: What the peer granted for the rest of its body.
+        upload: Sends the rest of its body.
+        request: The request.
+    """
+
+    reply: asyncio.Future[ForwardReply]
+    request: ForwardRequest
+    timer: asyncio.TimerHandle | None = None
+    download: PartBuffer | None = None
+    credit: Credit = attrs.field(factory=Credit)
+    upload: asyncio.Task[None] | None = None
+
+    def end(self) -> None:
+        """Stops what still runs for the call."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.upload is not None:
+            self.upload.cancel()
+
+    def fail(self, kind: ErrorKind) -> None:
+        """Ends the call with an error, at its head or in the middle."""
+        self.end()
+        if self.download is not None:
+            self.download.fail(kind)
+        elif not self.reply.done():
+            request_id = self.request.request_id
+            self.reply.set_result(error_reply(request_id, RequestError(kind)))
+
+
+@attrs.define(eq=False)
+class OutgoingStream:
+    """Sends requests on an open stream and gives out what comes back.
+
+    Attributes:
+        peer: The peer's address, for the log.
+        stream: The stream.
+        table: Decides which frames belong to whom.
+        calls: Requests under way, by id.
+    """
+
+    peer: str
+    stream: FrameStream
+    table: ExchangeTable = attrs.field(
+        factory=lambda: ExchangeTable(WINDOW_BYTES)
+    )
+    calls: dict[int, Call] = attrs.field(factory=dict)
+    closing: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self.stream.on_written = self.table.written
+
+    async def forward(self, request: ForwardRequest) -> ForwardReply:
+        """Sends a request and waits for its reply.
+
+        Args:
+            request: The request; its id is set here.
+
+        Returns:
+            The reply, or the error that ended the request.
+        """
+        if self.stream.queued_bytes > _REFUSE_QUEUED_BYTES:
+            return _error(request, ErrorKind.OVERLOADED)
+        if request.remaining_ms <= 0:
+            return _error(request, ErrorKind.DEADLINE_NOT_RUN)
+        loop = asyncio.get_running_loop()
+        request_id = self.table.open()
+        allowance_ms = min(
+            _RETURN_ALLOWANCE_MS, request.remaining_ms // _ALLOWANCE_PART
+        )
+        frame = attrs.evolve(
+            request,
+            request_id=request_id,
+            remaining_ms=request.remaining_ms - allowance_ms,
+        )
+        call = Call(loop.create_future(), frame)
+        self.calls[request_id] = call
+        call.timer = loop.call_later(
+            request.remaining_ms / _MS_PER_S, self._expire, request_id
+        )
+        self.stream.send(frame, request_id)
+        try:
+            return await call.reply
+        except asyncio.CancelledError:
+            self.give_up(request_id)
+            raise
+
+    def give_up(self, request_id: int) -> None:
+        """Ends a request whose caller has gone."""
+        self._abandon(request_id, ErrorKind.CANCELLED)
+
+    def _expire(self, request_id: int) -> None:
+        self._abandon(request_id, None)
+
+    def _abandon(self, request_id: int, kind: ErrorKind | None) -> None:
+        call = self.calls.pop(request_id, None)
+        state = self.table.given_up(request_id)
+        if call is None or state is None:
+            return
+        if state is ExchangeState.QUEUED:
+            # It must not leave after the caller was told that it did not run.
+            self.stream.withdraw(request_id)
+        else:
+            self.stream.send(CancelRequest(request_id=request_id))
+        call.fail(kind or deadline_kind(state))
+
+    async def run(self) -> None:
+        """Gives out frames until the stream ends."""
+        try:
+            while (frame := await self.stream.receive()) is not None:
+                handle_reply_frame(frame, self)
+        except (OSError, SchemaError) as error:
+            _logger.warning(
+                "peer.stream_broken",
+                extra={"peer": self.peer, "error": str(error)},
+            )
+        finally:
+            self.lost()
+            self.stream.abort()
+
+    def lost(self) -> None:
+        """Ends every request because the stream broke."""
+        self.closing = True
+        calls, self.calls = self.calls, {}
+        for request_id, kind in self.table.lost():
+            calls[request_id].fail(kind)
+
+    def settle(self, reply: ForwardReply) -> None:
+        """Takes the reply of a request."""
+        request_id = reply.request_id
+        verdict = self.table.replied(request_id, reply.more)
+        if not self._is_wanted(verdict):
+            return
+        call = self.calls[request_id]
+        if reply.more:
+            call.download = self._download(request_id)
+            reply = _streamed(reply, call.download)
+        else:
+            del self.calls[request_id]
+            call.end()
+        if not call.reply.done():
+            call.reply.set_result(reply)
+
+    def _download(self, request_id: int) -> PartBuffer:
+        def grant(size: int) -> None:
+            if self.table.granted(request_id, size):
+                self.stream.send(BodyCredit(request_id=request_id, bytes=size))
+
+        grants = Grants(grant, WINDOW_BYTES)
+        return PartBuffer(grants.on_read, lambda: self.give_up(request_id))
+
+    def chunk(self, frame: BodyChunk) -> None:
+        """Takes a part of an answer."""
+        request_id = frame.request_id
+        verdict = self.table.chunk(
+            request_id, len(frame.data), frame.more, frame.aborted
+        )
+        if not self._is_wanted(verdict):
+            return
+        call = self.calls[request_id]
+        assert call.download is not None
+        call.download.put(frame.data)
+        if frame.more and not frame.aborted:
+            return
+        del self.calls[request_id]
+        call.end()
+        if frame.aborted:
+            call.download.fail(ErrorKind.ANSWER_TRUNCATED)
+        else:
+            call.download.end()
+
+    def credit(self, frame: BodyCredit) -> None:
+        """Takes the peer's leave to send more of a request's body."""
+        if not self._is_wanted(self.table.credited(frame.request_id)):
+            return
+        call = self.calls[frame.request_id]
+        rest = rest_of(call.request)
+        if rest is None or frame.bytes <= 0:
+            raise _violation()
+        call.credit.add(frame.bytes)
+        if call.upload is None:
+            call.upload = asyncio.create_task(
+                send_rest(self.stream, frame.request_id, rest, call.credit)
+            )
+
+    def refuse_after(self, last_id: int) -> None:
+        """Ends the requests that a stopping peer did not take."""
+        self.closing = True
+        for request_id in self.table.refused_after(last_id):
+            self.calls.pop(request_id).fail(ErrorKind.DRAINING)
+
+    def _is_wanted(self, verdict: FrameVerdict) -> bool:
+        if verdict is FrameVerdict.VIOLATION:
+            raise _violation()
+        return verdict is FrameVerdict.DELIVER
+
+
+def _violation() -> SchemaError:
+    return SchemaError(
+        SchemaErrorKind.MALFORMED, "", "a frame that is not allowed now"
+    )
+
+
+def _error(request: ForwardRequest, kind: ErrorKind) -> ForwardReply:
+    return error_reply(request.request_id, RequestError(kind))
+
+
+def _streamed(reply: ForwardReply, rest: PartBuffer) -> StreamedReply:
+    return StreamedReply(
+        request_id=reply.request_id,
+        error=reply.error,
+        status=reply.status,
+        headers=reply.headers,
+        body=reply.body,
+        more=True,
+        retry_after_ms=reply.retry_after_ms,
+        outstanding=reply.outstanding,
+        rest=rest,
+    )
+
+
+@functools.singledispatch
+def handle_reply_frame(frame: WireMessage, stream: OutgoingStream) -> None:
+    """Handles one frame of the peer; frames without a handler are ignored."""
+
+
+@handle_reply_frame.register
+def _(frame: ForwardReply, stream: OutgoingStream) -> None:
+    stream.settle(frame)
+
+
+@handle_reply_frame.register
+def _(frame: BodyChunk, stream: OutgoingStream) -> None:
+    stream.chunk(frame)
+
+
+@handle_reply_frame.register
+def _(frame: BodyCredit, stream: OutgoingStream) -> None:
+    stream.credit(frame)
+
+
+@handle_reply_frame.register
+def _(frame: StreamClosing, stream: OutgoingStream) -> None:
+    stream.refuse_after(frame.last_request_id)
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -6,19 +6,16 @@
 import attrs
 
 from pomelobank_core import Clock, ErrorKind
+from pomelobank_node._bodies import when_ended
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
     RequestError,
     error_reply,
 )
-from pomelobank_node._upstream_client import (
-    UpstreamPool,
-    encode_request,
-    end_to_end,
-)
+from pomelobank_node._target_call import call_target
+from pomelobank_node._upstream_client import UpstreamPool
 from pomelobank_schema import parse_address
-from pomelobank_schema.generated.peer import Header
 from pomelobank_schema.generated.settings import RequestSettings
 
 _logger = logging.getLogger(__name__)
@@ -98,41 +95,22 @@
             raise RequestError(ErrorKind.OVERLOADED)
         self.in_flight += 1
         try:
-            return await self._run(self.pool, request)
-        finally:
-            self.in_flight -= 1
-            if not self.in_flight:
-                self.idle.set()
-                self.idle = asyncio.Event()
+            reply = await self._run(self.pool, request)
+        except BaseException:
+            self._leave()
+            raise
+        return when_ended(reply, self._leave)
+
+    def _leave(self) -> None:
+        self.in_flight -= 1
+        if not self.in_flight:
+            self.idle.set()
+            self.idle = asyncio.Event()
 
     async def _run(
         self, pool: UpstreamPool, request: ForwardRequest
     ) -> ForwardReply:
-        data = encode_request(
-            request.method,
-            request.target,
-            [
-                *((item.name, item.value) for item in request.headers),
-                (b"x-request-id", request.trace_id.encode()),
-                (b"x-pomelobank-timeout-ms", b"%d" % request.remaining_ms),
-            ],
-            request.body,
-        )
-        try:
-            async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
-                answer = await pool.request(data)
-        except TimeoutError:
-            raise RequestError(ErrorKind.DEADLINE_UNKNOWN) from None
-        return ForwardReply(
-            request_id=request.request_id,
-            status=answer.status,
-            headers=tuple(
-                Header(name=name, value=value)
-                for name, value in end_to_end(answer.headers)
-            ),
-            body=answer.body,
-            outstanding=self.in_flight,
-        )
+        return await call_target(pool, request, self.in_flight)
 
     async def drain(self, timeout_ms: int) -> None:
         """Takes no new request and waits for those in flight.
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -1,25 +1,24 @@
 """Streams to peers: one connection per peer, opened on need."""
 
 import asyncio
-import logging
 
 import attrs
 
 from pomelobank_core import ErrorKind
 from pomelobank_node._frames import FrameStream
+from pomelobank_node._outgoing_stream import OutgoingStream
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
     RequestError,
     error_reply,
 )
-from pomelobank_schema import SchemaError, WireMessage, parse_address
+from pomelobank_schema import WireMessage, parse_address
 from pomelobank_schema.generated.peer import Hello
 
-_logger = logging.getLogger(__name__)
-
 PROTOCOL_VERSION = 1
 CONNECT_TIMEOUT_S = 1.0
+_MS_PER_S = 1000
 
 
 @attrs.define(eq=False)
@@ -29,43 +28,67 @@
     Attributes:
         address: The peer's address.
         hello: What this node says of itself.
-        stream: The open stream, None while there is none.
-        pending: Requests under way, by request id.
-        next_id: Next request id; never used again on this link.
-        late_replies: Replies that nobody waited for any more.
+        current: The open stream, None while there is none.
+        ended_late_frames: Late and unknown frames of streams that are closed.
+        tasks: Tasks of the streams that are not closed yet.
     """
 
     address: str
     hello: Hello
-    stream: FrameStream | None = None
-    pending: dict[int, asyncio.Future[ForwardReply]] = attrs.field(factory=dict)
-    next_id: int = 1
-    late_replies: int = 0
-    task: asyncio.Task[None] | None = None
+    current: OutgoingStream | None = None
+    ended_late_frames: int = 0
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     connecting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
-    async def connect(self) -> FrameStream:
+    @property
+    def late_replies(self) -> int:
+        """Frames that nobody waited for any more, or ever did."""
+        if self.current is None:
+            return self.ended_late_frames
+        table = self.current.table
+        return self.ended_late_frames + table.late_frames + table.unknown_frames
+
+    async def connect(self) -> OutgoingStream:
         """Returns the open stream, opening it where there is none.
 
         Raises:
             RequestError: PEER_UNREACHABLE.
         """
+        if self.current is not None and not self.current.closing:
+            return self.current
         async with self.connecting:
-            if self.stream is not None:
-                return self.stream
-            host, port = parse_address(self.address)
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(host, port)
-            except (OSError, TimeoutError):
-                raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
-            stream = FrameStream(reader, writer)
-            stream.send(self.hello)
-            self.stream = stream
-            self.task = asyncio.create_task(
-                self._read(stream), name=f"peer-link-{self.address}"
-            )
-            return stream
+            if self.current is not None and not self.current.closing:
+                return self.current
+            self.current = await self._open()
+            return self.current
+
+    async def _open(self) -> OutgoingStream:
+        host, port = parse_address(self.address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, stream = await loop.create_connection(
+                    FrameStream, host, port
+                )
+        except (OSError, TimeoutError):
+            raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
+        stream.send(self.hello)
+        outgoing = OutgoingStream(self.address, stream)
+        task = asyncio.create_task(
+            self._run(outgoing), name=f"peer-link-{self.address}"
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return outgoing
+
+    async def _run(self, outgoing: OutgoingStream) -> None:
+        try:
+            await outgoing.run()
+        finally:
+            table = outgoing.table
+            self.ended_late_frames += table.late_frames + table.unknown_frames
+            if self.current is outgoing:
+                self.current = None
 
     async def send(self, message: WireMessage) -> None:
         """Sends a frame that needs no answer.
@@ -73,8 +96,8 @@
         Raises:
             RequestError: PEER_UNREACHABLE.
         """
-        stream = await self.connect()
-        stream.send(message)
+        outgoing = await self.connect()
+        outgoing.stream.send(message)
 
     async def forward(self, request: ForwardRequest) -> ForwardReply:
         """Sends a request and waits for its reply.
@@ -83,61 +106,40 @@
             request: The request; its id is set here.
 
         Returns:
-            The reply; PEER_UNREACHABLE where the request was never sent and
-            PEER_LOST where the stream broke after it was.
+            The reply; PEER_UNREACHABLE where no byte of the request was sent
+            and PEER_LOST where the stream broke after that.
         """
+        current = self.current
+        if current is None or current.closing:
+            try:
+                current, request = await self._connect_for(request)
+            except RequestError as error:
+                return error_reply(request.request_id, error)
+        return await current.forward(request)
+
+    async def _connect_for(
+        self, request: ForwardRequest
+    ) -> tuple[OutgoingStream, ForwardRequest]:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
         try:
-            stream = await self.connect()
-        except RequestError as error:
-            return error_reply(request.request_id, error)
-        request_id = self.next_id
-        self.next_id += 1
-        reply: asyncio.Future[ForwardReply]
-        reply = asyncio.get_running_loop().create_future()
-        self.pending[request_id] = reply
-        stream.send(attrs.evolve(request, request_id=request_id))
-        try:
-            return await reply
-        finally:
-            self.pending.pop(request_id, None)
-
-    async def _read(self, stream: FrameStream) -> None:
-        try:
-            while (frame := await stream.receive()) is not None:
-                if isinstance(frame, ForwardReply):
-                    self._settle(frame)
-        except (OSError, SchemaError) as error:
-            _logger.warning(
-                "peer.stream_broken",
-                extra={"peer": self.address, "error": str(error)},
-            )
-        finally:
-            self._lost(stream)
-            await stream.close()
-
-    def _settle(self, reply: ForwardReply) -> None:
-        # An answer whose caller has given up must not reach another caller;
-        # ids are never reused, so an id that is not pending is simply late.
-        future = self.pending.get(reply.request_id)
-        if future is None or future.done():
-            self.late_replies += 1
-            return
-        future.set_result(reply)
-
-    def _lost(self, stream: FrameStream) -> None:
-        if self.stream is not stream:
-            return
-        self.stream = None
-        for request_id, future in self.pending.items():
-            if not future.done():
-                error = RequestError(ErrorKind.PEER_LOST)
-                future.set_result(error_reply(request_id, error))
+            async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
+                current = await self.connect()
+        except TimeoutError:
+            raise RequestError(ErrorKind.DEADLINE_NOT_RUN) from None
+        taken_ms = int((loop.time() - begun_s) * _MS_PER_S)
+        return current, attrs.evolve(
+            request,
+            sent_ms=request.sent_ms + taken_ms,
+            remaining_ms=request.remaining_ms - taken_ms,
+        )
 
     async def close(self) -> None:
         """Closes the stream."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @attrs.define
@@ -159,6 +161,11 @@
             link = self.links[address] = PeerLink(address, self.hello)
         return link
 
+    @property
+    def late_replies(self) -> int:
+        """Frames that nobody waited for any more, on all links."""
+        return sum(link.late_replies for link in self.links.values())
+
     async def start(self) -> None:
         """Does nothing; links are opened on need."""
 
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,19 +6,58 @@
 
 import attrs
 
+from pomelobank_core import ErrorKind, FrameAge
+from pomelobank_node._bodies import (
+    WINDOW_BYTES,
+    PartBuffer,
+    rest_of,
+    with_rest,
+)
+from pomelobank_node._body_frames import Credit, Grants, send_rest
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
-from pomelobank_schema import SchemaError, WireMessage, parse_address
+from pomelobank_node._requests import RequestError, error_reply
+from pomelobank_schema import (
+    SchemaError,
+    SchemaErrorKind,
+    WireMessage,
+    parse_address,
+)
 from pomelobank_schema.generated.peer import (
+    BodyChunk,
+    BodyCredit,
     CancelRequest,
+    ForwardReply,
     ForwardRequest,
     Gossip,
     Hello,
+    StreamClosing,
 )
 
 _logger = logging.getLogger(__name__)
 
+# Requests of one peer that are handled at once. A target has 10 to 20 slots
+# and a short queue, so more than this cannot start in time; the peer is told
+# so at once, and one peer cannot fill this node with tasks.
+MAX_RUNNING = 1024
+# Streams of peers. Each of 1,000 nodes opens one; the rest is for streams
+# that are being replaced during a storm of reconnects.
+MAX_STREAMS = 2048
+
+
+@attrs.define(eq=False)
+class Upload:
+    """The rest of a request's body on its way in.
+
+    Attributes:
+        buffer: Parts that the target has not taken yet.
+        grants: What the peer may send.
+    """
+
+    buffer: PartBuffer
+    grants: Grants
+
 
 @attrs.define(eq=False)
 class PeerConnection:
@@ -29,12 +68,26 @@
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
         running: Tasks of the peer's requests, by request id.
+        uploads: Bodies on their way in, by request id.
+        credits: What the peer granted for answers, by request id.
+        age: Tells how old the peer's frames are.
+        last_id: Highest request id taken.
+        duplicates: Requests whose id had been used.
+        aged: Requests that came after their deadline.
+        late_frames: Frames of requests that had ended.
     """
 
     stream: FrameStream
     owner: Owner
     membership: Membership
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
+    uploads: dict[int, Upload] = attrs.field(factory=dict)
+    credits: dict[int, Credit] = attrs.field(factory=dict)
+    age: FrameAge = attrs.field(factory=FrameAge)
+    last_id: int = 0
+    duplicates: int = 0
+    aged: int = 0
+    late_frames: int = 0
 
     async def run(self) -> None:
         """Handles frames until the stream ends."""
@@ -46,22 +99,120 @@
         finally:
             for task in list(self.running.values()):
                 task.cancel()
-            await self.stream.close()
+            self.stream.abort()
 
     def start(self, request: ForwardRequest) -> None:
         """Runs one request in a task of its own."""
+        if request.request_id <= self.last_id:
+            # Ids only grow. A frame that came twice must not run twice.
+            self.duplicates += 1
+            return
+        self.last_id = request.request_id
+        received_ms = self.owner.clock.now_ms()
+        age_ms = self.age.age_ms(request.sent_ms, received_ms)
+        if age_ms >= request.remaining_ms:
+            # This process or the peer was paused, or the network held the
+            # frame. Its caller has been answered; running it now could only
+            # do harm.
+            self.aged += 1
+            self._refuse(request, ErrorKind.DEADLINE_NOT_RUN)
+            return
+        if len(self.running) >= MAX_RUNNING:
+            self._refuse(request, ErrorKind.OVERLOADED)
+            return
+        if age_ms:
+            request = attrs.evolve(
+                request, remaining_ms=request.remaining_ms - age_ms
+            )
+        if request.more:
+            request = self._with_rest(request)
+        self._run(request)
+
+    def _run(self, request: ForwardRequest) -> None:
+        request_id = request.request_id
         task = asyncio.create_task(self._answer(request))
-        self.running[request.request_id] = task
+        self.running[request_id] = task
+        # A task that is cancelled before its first step runs no clean-up of
+        # its own.
+        task.add_done_callback(lambda _: self._ended(request_id))
+
+    def _ended(self, request_id: int) -> None:
+        del self.running[request_id]
+        self.uploads.pop(request_id, None)
+
+    def _refuse(self, request: ForwardRequest, kind: ErrorKind) -> None:
+        self.stream.send(error_reply(request.request_id, RequestError(kind)))
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
             reply = await self.owner.serve(request)
-            self.stream.send(reply)
-            await self.stream.writer.drain()
-        except OSError:
+        except Exception:
+            _logger.exception("request.failed")
+            self._refuse(request, ErrorKind.INTERNAL)
+            return
+        self.stream.send(reply)
+        rest = rest_of(reply)
+        if rest is None:
             return
+        credit = self.credits[request.request_id] = Credit()
+        credit.add(WINDOW_BYTES)
+        try:
+            await send_rest(self.stream, request.request_id, rest, credit)
         finally:
-            del self.running[request.request_id]
+            rest.close()
+            del self.credits[request.request_id]
+
+    def _with_rest(self, request: ForwardRequest) -> ForwardRequest:
+        request_id = request.request_id
+
+        def grant(size: int) -> None:
+            self.stream.send(BodyCredit(request_id=request_id, bytes=size))
+
+        grants = Grants(grant, 0)
+        buffer = PartBuffer(
+            grants.on_read, lambda: self._upload_closed(request_id)
+        )
+        self.uploads[request_id] = Upload(buffer, grants)
+        return with_rest(request, buffer)
+
+    def _upload_closed(self, request_id: int) -> None:
+        self.uploads.pop(request_id, None)
+
+    def chunk(self, frame: BodyChunk) -> None:
+        """Takes a part of a request's body."""
+        upload = self.uploads.get(frame.request_id)
+        if upload is None:
+            self.late_frames += 1
+            return
+        if not upload.grants.take(len(frame.data)):
+            raise SchemaError(
+                SchemaErrorKind.OUT_OF_RANGE, "", "more bytes than granted"
+            )
+        upload.buffer.put(frame.data)
+        if frame.aborted:
+            upload.buffer.fail(ErrorKind.BODY_INCOMPLETE)
+        elif not frame.more:
+            upload.buffer.end()
+
+    def credit(self, frame: BodyCredit) -> None:
+        """Takes the peer's leave to send more of an answer."""
+        credit = self.credits.get(frame.request_id)
+        if credit is None:
+            self.late_frames += 1
+            return
+        credit.add(max(0, frame.bytes))
+
+    def cancel(self, request_id: int) -> None:
+        """Ends a request that its caller gave up."""
+        task = self.running.get(request_id)
+        if task is None:
+            self.late_frames += 1
+            return
+        task.cancel()
+
+    def say_closing(self) -> None:
+        """Tells the peer that later requests will not be taken."""
+        self.stream.send(StreamClosing(last_request_id=self.last_id))
 
 
 @functools.singledispatch
@@ -79,11 +230,25 @@
     connection.start(frame)
 
 
+@handle_frame.register
+def _(frame: BodyChunk, connection: PeerConnection) -> None:
+    connection.chunk(frame)
+
+
+@handle_frame.register
+def _(frame: BodyCredit, connection: PeerConnection) -> None:
+    connection.credit(frame)
+
+
 @handle_frame.register
 def _(frame: CancelRequest, connection: PeerConnection) -> None:
-    task = connection.running.get(frame.request_id)
-    if task is not None:
-        task.cancel()
+    connection.cancel(frame.request_id)
+
+
+@handle_frame.register
+def _(frame: ForwardReply, connection: PeerConnection) -> None:
+    # Requests go the other way on this stream, so no caller waits here.
+    connection.late_frames += 1
 
 
 @handle_frame.register
@@ -100,6 +265,8 @@
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
         address: Address that is really used, once it listens.
+        connections: Accepted streams and their tasks.
+        refused_streams: Streams that were closed because there were too many.
     """
 
     listen: str
@@ -107,32 +274,40 @@
     membership: Membership
     address: str = ""
     server: asyncio.Server | None = None
-    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    connections: dict[PeerConnection, asyncio.Task[None]] = attrs.field(
+        factory=dict
+    )
+    refused_streams: int = 0
 
     async def start(self) -> None:
         """Starts listening."""
         host, port = parse_address(self.listen)
-        self.server = await asyncio.start_server(self._accept, host, port)
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: FrameStream(self._accept), host, port
+        )
         bound = self.server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        stream = FrameStream(reader, writer)
+    def _accept(self, stream: FrameStream) -> None:
+        if len(self.connections) >= MAX_STREAMS:
+            self.refused_streams += 1
+            stream.abort()
+            return
         connection = PeerConnection(stream, self.owner, self.membership)
-        task = asyncio.current_task()
-        assert task is not None
-        self.tasks.add(task)
-        try:
-            await connection.run()
-        finally:
-            self.tasks.discard(task)
+        task = asyncio.create_task(connection.run())
+        self.connections[connection] = task
+        task.add_done_callback(lambda _: self.connections.pop(connection))
 
     async def stop(self) -> None:
         """Stops listening and ends every stream."""
         if self.server is not None:
             self.server.close()
-        for task in list(self.tasks):
+        connections = list(self.connections)
+        for connection in connections:
+            connection.say_closing()
+        await asyncio.gather(*(item.stream.close() for item in connections))
+        tasks = list(self.connections.values())
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
@@ -2,116 +2,33 @@
 
 The house style asks for aiohttp as client. Towards the target it costs about
 twice the latency that the users allow for a whole call, and it resends some
-requests by itself, which could run one twice; see docs/design.
+requests by itself, which could run one twice; see docs/design/request-path.md.
 """
 
 import asyncio
 from collections import deque
 
 import attrs
-import httptools
 
 from pomelobank_core import ErrorKind
-from pomelobank_node._requests import Headers, RequestError
+from pomelobank_node._bodies import BodySource
+from pomelobank_node._http_messages import (
+    encode_request,
+    end_to_end,
+)
+from pomelobank_node._requests import RequestError
+from pomelobank_node._upstream_connection import (
+    UpstreamAnswer,
+    UpstreamConnection,
+)
 
 _CONNECT_TIMEOUT_S = 1.0
+# Servers commonly close connections after 5 s without a request. Staying well
+# below keeps a request from meeting a connection that is about to be closed.
+_LONGEST_IDLE_S = 2.0
 
 
-@attrs.frozen
-class UpstreamAnswer:
-    """A whole answer of the target.
-
-    Attributes:
-        status: HTTP status.
-        headers: Headers as received.
-        body: The whole body.
-    """
-
-    status: int
-    headers: Headers
-    body: bytes
-
-
-class _Connection(asyncio.Protocol):
-    """One connection; it carries one request at a time."""
-
-    def __init__(self, pool: "UpstreamPool") -> None:
-        self.pool = pool
-        self.transport: asyncio.Transport | None = None
-        self.open = False
-        self.answer: asyncio.Future[UpstreamAnswer] | None = None
-        self._reset()
-
-    def _reset(self) -> None:
-        self.parser = httptools.HttpResponseParser(self)
-        self.headers: list[tuple[bytes, bytes]] = []
-        self.chunks: list[bytes] = []
-        self.size = 0
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
-        self.open = True
-
-    def data_received(self, data: bytes) -> None:
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._fail(ErrorKind.ANSWER_TRUNCATED)
-
-    def connection_lost(self, _: Exception | None) -> None:
-        self.open = False
-        self.pool.forget(self)
-        started = bool(self.headers)
-        self._fail(
-            ErrorKind.ANSWER_TRUNCATED if started else ErrorKind.UPSTREAM_LOST
-        )
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name.lower(), value))
-
-    def on_body(self, data: bytes) -> None:
-        self.size += len(data)
-        if self.size > self.pool.max_body_bytes:
-            self._fail(ErrorKind.ANSWER_TOO_LARGE)
-            return
-        self.chunks.append(data)
-
-    def on_message_complete(self) -> None:
-        status = self.parser.get_status_code()
-        if status < 200:
-            self._reset()
-            return
-        answer = UpstreamAnswer(status, self.headers, b"".join(self.chunks))
-        keep = self.parser.should_keep_alive()
-        future, self.answer = self.answer, None
-        if future is not None and not future.done():
-            future.set_result(answer)
-        self._reset()
-        if keep and future is not None:
-            self.pool.give_back(self)
-        else:
-            self.close()
-
-    def _fail(self, kind: ErrorKind) -> None:
-        future, self.answer = self.answer, None
-        if future is not None and not future.done():
-            future.set_exception(RequestError(kind))
-        self.close()
-
-    def close(self) -> None:
-        self.open = False
-        if self.transport is not None:
-            self.transport.close()
-
-    def send(self, data: bytes) -> "asyncio.Future[UpstreamAnswer]":
-        assert self.transport is not None
-        self.answer = asyncio.get_running_loop().create_future()
-        self.transport.write(data)
-        return self.answer
-
-
-@attrs.define
+@attrs.define(eq=False)
 class UpstreamPool:
     """Connections to one target.
 
@@ -120,28 +37,51 @@
         port: The target's port.
         max_body_bytes: Largest answer that is taken, in bytes.
         idle: Connections without a request, the one used last at the end.
+        closed: Set once connections are not kept any more.
+        stale_connections: Pooled connections that were found unusable.
+        connects: Connections that were opened.
     """
 
     host: str
     port: int
     max_body_bytes: int
-    idle: deque[_Connection] = attrs.field(factory=deque)
-
-    async def request(self, data: bytes) -> UpstreamAnswer:
-        """Sends one request and waits for its whole answer.
+    idle: deque[UpstreamConnection] = attrs.field(factory=deque)
+    closed: bool = False
+    stale_connections: int = 0
+    connects: int = 0
+
+    async def request(
+        self,
+        data: bytes,
+        deadline_s: float | None = None,
+        rest: BodySource | None = None,
+        chunked: bool = False,
+    ) -> UpstreamAnswer:
+        """Sends one request and waits for its answer.
 
         Args:
-            data: The request's bytes, head and body.
+            data: The request's bytes: head, and body or its first part.
+            deadline_s: Loop time at which the request is given up; it holds
+                for the whole answer.
+            rest: The rest of the body.
+            chunked: Whether the rest is sent in HTTP's chunks.
 
         Returns:
-            The answer.
+            The answer, once its head and first part are there.
 
         Raises:
-            RequestError: UPSTREAM_UNREACHABLE before any byte was sent;
-                UPSTREAM_LOST, ANSWER_TRUNCATED or ANSWER_TOO_LARGE after.
+            RequestError: UPSTREAM_UNREACHABLE or DEADLINE_NOT_RUN before any
+                byte was sent; any other kind after.
         """
-        connection = await self._take()
-        future = connection.send(data)
+        connection = await self._take(deadline_s)
+        loop = asyncio.get_running_loop()
+        # A process that was paused finds its deadline passed only now.
+        if deadline_s is not None and loop.time() >= deadline_s:
+            self.give_back(connection)
+            raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
+        future = connection.send(data, deadline_s)
+        if rest is not None:
+            connection.start_upload(rest, chunked)
         try:
             return await future
         except asyncio.CancelledError:
@@ -149,65 +89,55 @@
             connection.close()
             raise
 
-    async def _take(self) -> _Connection:
+    async def _take(self, deadline_s: float | None) -> UpstreamConnection:
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
         while self.idle:
             connection = self.idle.pop()
-            if connection.open:
+            if connection.is_usable(now_s, _LONGEST_IDLE_S):
                 return connection
-        loop = asyncio.get_running_loop()
+            self.stale_connections += 1
+            connection.close()
+        return await self._connect(loop, deadline_s)
+
+    async def _connect(
+        self, loop: asyncio.AbstractEventLoop, deadline_s: float | None
+    ) -> UpstreamConnection:
+        limit_s = loop.time() + _CONNECT_TIMEOUT_S
+        self.connects += 1
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+            async with asyncio.timeout_at(min(limit_s, deadline_s or limit_s)):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self), self.host, self.port
+                    lambda: UpstreamConnection(self), self.host, self.port
                 )
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            kind = ErrorKind.UPSTREAM_UNREACHABLE
+            if deadline_s is not None and deadline_s < limit_s:
+                kind = ErrorKind.DEADLINE_NOT_RUN
+            raise RequestError(kind) from None
+        except OSError:
             raise RequestError(ErrorKind.UPSTREAM_UNREACHABLE) from None
         return connection
 
-    def give_back(self, connection: _Connection) -> None:
+    def give_back(self, connection: UpstreamConnection) -> None:
         """Takes a connection whose request has ended."""
-        if connection.open:
+        if self.closed:
+            connection.close()
+        elif connection.open:
+            connection.idle_since_s = asyncio.get_running_loop().time()
             self.idle.append(connection)
 
-    def forget(self, connection: _Connection) -> None:
+    def forget(self, connection: UpstreamConnection) -> None:
         """Drops a connection that was closed."""
         if connection in self.idle:
             self.idle.remove(connection)
 
     def close(self) -> None:
-        """Closes every connection."""
+        """Closes every idle connection now, the others after their request."""
+        self.closed = True
         for connection in list(self.idle):
             connection.close()
         self.idle.clear()
 
 
-_HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
-
-
-def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
-    """Returns the headers that travel on, without those of one connection."""
-    return [item for item in headers if item[0] not in _HOP_BY_HOP]
-
-
-def encode_request(
-    method: str, target: bytes, headers: Headers, body: bytes
-) -> bytes:
-    """Returns the bytes of an HTTP/1.1 request."""
-    lines = [b"%s %s HTTP/1.1\r\n" % (method.encode(), target)]
-    lines += [b"%s: %s\r\n" % item for item in end_to_end(headers)]
-    lines.append(b"content-length: %d\r\n\r\n" % len(body))
-    lines.append(body)
-    return b"".join(lines)
+__all__ = ["UpstreamAnswer", "UpstreamPool", "encode_request", "end_to_end"]
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -0,0 +1,313 @@
+"""One HTTP/1.1 connection to the node's own target."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+from typing import TYPE_CHECKING
+
+import attrs
+import httptools
+
+from pomelobank_core import ErrorKind
+from pomelobank_node._bodies import (
+    INLINE_BYTES,
+    WINDOW_BYTES,
+    BodySource,
+    PartBuffer,
+)
+from pomelobank_node._http_messages import (
+    LAST_CHUNK,
+    content_length,
+    encode_chunk,
+)
+from pomelobank_node._requests import Headers, RequestError
+
+if TYPE_CHECKING:
+    from pomelobank_node._upstream_client import UpstreamPool
+
+_FIRST_FINAL_STATUS = 200
+_HEAD = b"HEAD "
+
+
+@attrs.frozen
+class UpstreamAnswer:
+    """An answer of the target.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers as received.
+        body: The whole body, or its first part.
+        rest: The rest of the body, None where it is whole.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    rest: PartBuffer | None = None
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Carries one request at a time.
+
+    Attributes:
+        pool: Where it returns to after a request.
+        transport: The connection.
+        open: Whether it can be used.
+        idle_since_s: Loop time since which it has no request.
+        timer: Ends the request under way at its deadline.
+        upload: Sends the rest of the request's body.
+        uploading: Whether that has not come to its end.
+    """
+
+    def __init__(self, pool: UpstreamPool) -> None:
+        self.pool = pool
+        self.transport: asyncio.Transport | None = None
+        self.open = False
+        self.idle_since_s = 0.0
+        self.future: asyncio.Future[UpstreamAnswer] | None = None
+        self.rest: PartBuffer | None = None
+        self.upload: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.uploading = False
+        self.head_only = False
+        self.write_ready = asyncio.Event()
+        self.write_ready.set()
+        self.poll = select.poll()
+        self._reset()
+
+    def _reset(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.chunks: list[bytes] = []
+        self.size = 0
+        self.started = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keeps the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.open = True
+        sock = transport.get_extra_info("socket")
+        self.poll.register(sock.fileno(), select.POLLIN)
+
+    def is_usable(self, now_s: float, longest_idle_s: float) -> bool:
+        """Tells whether a request can be sent without a doubt.
+
+        A target may close a connection just when it is taken out of the pool.
+        The request would be lost with nobody knowing whether it ran. So one
+        that was idle for long is left alone, and the kernel is asked whether
+        the target's end has arrived before the event loop has seen it.
+        """
+        if not self.open or now_s - self.idle_since_s > longest_idle_s:
+            return False
+        return not self.poll.poll(0)
+
+    def send(
+        self, data: bytes, deadline_s: float | None
+    ) -> asyncio.Future[UpstreamAnswer]:
+        """Sends a request, or the first part of it.
+
+        Args:
+            data: Head and body.
+            deadline_s: Loop time at which it is given up, its answer's body
+                included.
+
+        Returns:
+            The answer, once its head and first part are there.
+        """
+        assert self.transport is not None
+        loop = asyncio.get_running_loop()
+        self.future = loop.create_future()
+        if deadline_s is not None:
+            self.timer = loop.call_at(
+                deadline_s, self.fail, ErrorKind.DEADLINE_UNKNOWN
+            )
+        self.head_only = data.startswith(_HEAD)
+        self.transport.write(data)
+        return self.future
+
+    def start_upload(self, source: BodySource, chunked: bool) -> None:
+        """Sends the rest of the request's body.
+
+        Args:
+            source: The rest.
+            chunked: Whether it goes in HTTP's chunks.
+        """
+        self.uploading = True
+        self.upload = asyncio.create_task(self._upload(source, chunked))
+
+    async def _upload(self, source: BodySource, chunked: bool) -> None:
+        assert self.transport is not None
+        try:
+            while data := await source.read():
+                await self.write_ready.wait()
+                if not self.open:
+                    return
+                self.transport.write(encode_chunk(data) if chunked else data)
+            if chunked:
+                self.transport.write(LAST_CHUNK)
+            self.uploading = False
+        except RequestError as error:
+            # Closing the connection is what tells the target that the body
+            # is not whole.
+            self.fail(error.kind)
+        finally:
+            source.close()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is under way."""
+        return self.future is not None or self.rest is not None
+
+    def data_received(self, data: bytes) -> None:
+        """Parses what came in."""
+        if not self.busy:
+            # Bytes that answer no request must never be taken for the answer
+            # to the next one.
+            self.close()
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.fail(ErrorKind.ANSWER_TRUNCATED)
+
+    def connection_lost(self, _: Exception | None) -> None:
+        """Ends the request under way."""
+        self.open = False
+        self.write_ready.set()
+        self.pool.forget(self)
+        # An answer that has no length and ends with the connection cannot be
+        # told from one that broke off, so it counts as broken off too.
+        self.fail(
+            ErrorKind.ANSWER_TRUNCATED
+            if self.started
+            else ErrorKind.UPSTREAM_LOST
+        )
+
+    def pause_writing(self) -> None:
+        """Stops the upload until the target has read more."""
+        self.write_ready.clear()
+
+    def resume_writing(self) -> None:
+        """Continues the upload."""
+        self.write_ready.set()
+
+    def on_message_begin(self) -> None:
+        """Notes that an answer has begun."""
+        self.started = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Keeps a header."""
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Refuses what is too large; ends an answer without a body."""
+        length = content_length(self.headers)
+        if self.head_only and self._is_final():
+            self._complete()
+        elif length is not None and length > self.pool.max_body_bytes:
+            self.fail(ErrorKind.ANSWER_TOO_LARGE)
+
+    def on_body(self, data: bytes) -> None:
+        """Collects the body, or passes it on once it is large."""
+        if not self.busy:
+            return
+        self.size += len(data)
+        if self.size > self.pool.max_body_bytes:
+            self.fail(ErrorKind.ANSWER_TOO_LARGE)
+        elif self.rest is not None:
+            self._pass_on(self.rest, data)
+        else:
+            self.chunks.append(data)
+            if self.size > INLINE_BYTES:
+                self._begin_rest()
+
+    def _begin_rest(self) -> None:
+        rest = PartBuffer(self._was_read, lambda: self._rest_closed(rest))
+        self.rest = rest
+        self._answer(rest)
+
+    def _pass_on(self, rest: PartBuffer, data: bytes) -> None:
+        rest.put(data)
+        if rest.size > WINDOW_BYTES and self.transport is not None:
+            # The caller reads more slowly than the target writes.
+            self.transport.pause_reading()
+
+    def _was_read(self, _: int) -> None:
+        rest, transport = self.rest, self.transport
+        if rest is None or transport is None or transport.is_closing():
+            return
+        if rest.size <= WINDOW_BYTES // 2:
+            transport.resume_reading()
+
+    def _rest_closed(self, rest: PartBuffer) -> None:
+        # The connection may carry another request by now.
+        if self.rest is rest:
+            self.close()
+
+    def _is_final(self) -> bool:
+        return bool(self.parser.get_status_code() >= _FIRST_FINAL_STATUS)
+
+    def on_message_complete(self) -> None:
+        """Ends the answer."""
+        if not self._is_final():
+            self.headers = []
+            self.started = False
+            return
+        self._complete()
+
+    def _complete(self) -> None:
+        if not self.busy:
+            return
+        keep = self.parser.should_keep_alive() and not self.uploading
+        self._end_helpers()
+        if self.rest is not None:
+            self.rest.end()
+            self.rest = None
+            assert self.transport is not None
+            self.transport.resume_reading()
+        else:
+            self._answer(None)
+        if self.head_only or not keep:
+            self.close()
+            return
+        self._reset()
+        self.pool.give_back(self)
+
+    def _answer(self, rest: PartBuffer | None) -> None:
+        answer = UpstreamAnswer(
+            self.parser.get_status_code(),
+            self.headers,
+            b"".join(self.chunks),
+            rest,
+        )
+        self.chunks = []
+        future, self.future = self.future, None
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    def _end_helpers(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.upload is not None:
+            self.upload.cancel()
+            self.upload = None
+
+    def fail(self, kind: ErrorKind) -> None:
+        """Ends the request under way with an error; closes the connection."""
+        self._end_helpers()
+        future, self.future = self.future, None
+        rest, self.rest = self.rest, None
+        if future is not None and not future.done():
+            future.set_exception(RequestError(kind))
+        if rest is not None:
+            rest.fail(kind)
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.open = False
+        if self.transport is not None:
+            self.transport.abort()
--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -163,7 +163,7 @@
     @classmethod
     async def start(cls, service: UpstreamService) -> "EmbeddedTarget":
         """Starts the stand-in's server."""
-        server = HttpServer(ANY_PORT, service)
+        server = HttpServer(ANY_PORT, service, cancels=True)
         await server.start()
         return cls(service, server)
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/_upstream_service.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_upstream_service.py
@@ -75,7 +75,6 @@
             await self._run(headers, scope, body, send)
         except asyncio.CancelledError:
             self.cancelled += 1
-            raise
         finally:
             self.busy -= 1
 
