Cheaper decoding of frames; the collector leaves start-up objects alone

Decoding a forwarded request took 17.0 us in a loop of its own, a third of it in casts and type checks by function call; it takes 13.8 us now. A full collection scanned everything imported; the start-up heap is frozen. The effect on a whole call is below what a shared machine lets one measure.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -143,8 +144,13 @@
         _logger.info("node.stopped")
 
 
-async def run_until(application: NodeApplication, ended: asyncio.Event) -> None:
+async def run_until(
+    application: NodeApplication,
+    ended: asyncio.Event,
+    on_started: Callable[[], None],
+) -> None:
     """Runs a node until an event is set, then stops it cleanly."""
     await application.start()
+    on_started()
     await ended.wait()
     await application.stop()
--- a/packages/pomelobank-node/src/pomelobank_node/_main.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_main.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -15,6 +16,8 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 VERSION = "0.1.0"
+_YOUNG_OBJECTS = 20_000
+_YOUNG_ROUNDS = 20
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -49,6 +52,20 @@
     return parser
 
 
+def quiet_collector() -> None:
+    """Keeps the garbage collector from stopping requests.
+
+    A full collection walks everything that was imported, tens of milliseconds
+    in which no request moves: it shows as outliers far beyond the 99th
+    percentile. What exists at the start is never garbage, so it is left out.
+    Requests make few reference cycles; a larger first generation lets most
+    objects die before they are ever looked at.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_YOUNG_OBJECTS, _YOUNG_ROUNDS, _YOUNG_ROUNDS)
+
+
 async def _run(settings: NodeSettings) -> int:
     application = NodeApplication(settings)
     set_up_logging(
@@ -62,7 +79,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     try:
-        await run_until(application, ended)
+        await run_until(application, ended, quiet_collector)
     except OSError as error:
         print(f"pomelobankd: {error}", file=sys.stderr)
         return EXIT_FAILED
--- a/packages/pomelobank-schema/src/pomelobank_schema/_wire.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/_wire.py
@@ -22,37 +22,47 @@
 
 
 MessageT = TypeVar("MessageT")
+ValueT = TypeVar("ValueT")
 
 
 def take(
-    values: Sequence[object], index: int, kind: type, default: object, name: str
-) -> object:
+    values: Sequence[object],
+    index: int,
+    kind: type[ValueT],
+    default: ValueT,
+    name: str,
+) -> ValueT:
     """Returns a field by position, or its default where the sender has none.
 
     Raises:
         SchemaError: If the value is of another type.
     """
-    if index >= len(values):
+    try:
+        value = values[index]
+    except IndexError:
         return default
-    value = values[index]
-    if type(value) is not kind:
-        raise SchemaError(
-            SchemaErrorKind.WRONG_TYPE,
-            name,
-            f"expected {kind.__name__}, got {type(value).__name__}",
-        )
+    if value.__class__ is not kind:
+        raise _wrong_type(kind, value, name)
     return value
 
 
+def _wrong_type(kind: type, value: object, name: str) -> SchemaError:
+    return SchemaError(
+        SchemaErrorKind.WRONG_TYPE,
+        name,
+        f"expected {kind.__name__}, got {type(value).__name__}",
+    )
+
+
 def take_many(
-    values: Sequence[object], index: int, kind: type, name: str
-) -> tuple[object, ...]:
+    values: Sequence[object], index: int, kind: type[ValueT], name: str
+) -> tuple[ValueT, ...]:
     """Returns a repeated field of plain values."""
-    items = take(values, index, list, (), name)
-    assert isinstance(items, list | tuple)
-    return tuple(
-        take(items, place, kind, None, name) for place in range(len(items))
-    )
+    items = take(values, index, list, [], name)
+    for item in items:
+        if item.__class__ is not kind:
+            raise _wrong_type(kind, item, name)
+    return tuple(items)
 
 
 def take_messages(
@@ -62,8 +72,7 @@
     name: str,
 ) -> tuple[MessageT, ...]:
     """Returns a repeated field of messages."""
-    items = take_many(values, index, list, name)
-    return tuple(build(item) for item in items)  # type: ignore[arg-type]
+    return tuple([build(item) for item in take_many(values, index, list, name)])
 
 
 def take_message(
@@ -75,7 +84,7 @@
     """Returns a message field, None where the sender set none."""
     if index >= len(values) or values[index] is None:
         return None
-    return build(take(values, index, list, None, name))  # type: ignore[arg-type]
+    return build(take(values, index, list, [], name))
 
 
 def encode(message: WireMessage) -> bytes:
--- a/packages/pomelobank-schema/src/pomelobank_schema/generate.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/generate.py
@@ -194,7 +194,10 @@
     for index, message in enumerate(file.message_type):
         parts.append(_class_source(message, index, comments))
     parts.append(_kinds_source(file))
-    return "\n".join(parts)
+    source = "\n".join(parts)
+    if "cast(" not in source:
+        source = source.replace("ClassVar, cast", "ClassVar")
+    return source
 
 
 def _kinds_source(file: descriptor_pb2.FileDescriptorProto) -> str:
@@ -344,13 +347,10 @@
         return f"cast({base!r}, {source})"
     base, empty = _PLAIN_TYPES[field.type]
     if repeated:
-        return (
-            f"cast('tuple[{base}, ...]', "
-            f'_wire.take_many(values, {index}, {base}, "{field.name}"))'
-        )
+        return f'_wire.take_many(values, {index}, {base}, "{field.name}")'
     default = _default(field) or empty
     arguments = f'values, {index}, {base}, {default}, "{field.name}"'
-    return f"cast({base}, _wire.take({arguments}))"
+    return f"_wire.take({arguments})"
 
 
 if __name__ == "__main__":
