--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -18,6 +18,15 @@
 )
 from pomelobank_core._clock import Clock, ManualClock
 from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._distribution import (
+    Distribution,
+    Neighbours,
+    PullRecords,
+    PushRecords,
+    ReadPlan,
+    SendDigest,
+    find_neighbours,
+)
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
 from pomelobank_core._exchange import (
     ExchangeState,
@@ -27,6 +36,7 @@
     deadline_kind,
     lost_kind,
 )
+from pomelobank_core._floor import VersionFloor
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._objects import (
     ConfigObject,
@@ -36,8 +46,10 @@
     VersionedObject,
     object_key,
     operation_object,
+    snapshot_object_value,
 )
 from pomelobank_core._placing import RoundRobin
+from pomelobank_core._rendezvous import rank_of, rendezvous_order
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -46,6 +58,13 @@
     skip_record,
 )
 from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._snapshots import (
+    Recovery,
+    SnapshotSchedule,
+    restore_snapshot,
+    snapshot_record,
+    usable_snapshot,
+)
 from pomelobank_core._validation import Problem, ProblemKind, check_objects
 
 __all__ = [
@@ -59,6 +78,7 @@
     "ConcurrencyLimit",
     "ConfigObject",
     "ConfigState",
+    "Distribution",
     "ErrorKind",
     "ExchangeState",
     "ExchangeTable",
@@ -70,31 +90,46 @@
     "ManualClock",
     "MemberState",
     "MemberTable",
+    "Neighbours",
     "ObjectKey",
     "ObjectKind",
     "Problem",
     "ProblemKind",
+    "PullRecords",
+    "PushRecords",
     "Queued",
+    "ReadPlan",
+    "Recovery",
     "Refused",
     "RoundRobin",
     "RouteTable",
     "RunState",
+    "SendDigest",
     "Snapshot",
+    "SnapshotSchedule",
     "Started",
     "Ticket",
     "TrafficClass",
     "Unlimited",
     "Verdict",
+    "VersionFloor",
     "VersionedObject",
     "WorkResult",
     "check_objects",
     "deadline_kind",
     "evaluate",
+    "find_neighbours",
     "is_idempotent",
     "lost_kind",
     "object_key",
     "operation_object",
     "pick_upstream",
+    "rank_of",
+    "rendezvous_order",
     "replay_change",
+    "restore_snapshot",
     "skip_record",
+    "snapshot_object_value",
+    "snapshot_record",
+    "usable_snapshot",
 ]
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -14,6 +14,7 @@
     with_rest,
 )
 from pomelobank_node._body_frames import Credit, Grants, send_rest
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
@@ -32,7 +33,11 @@
     ForwardRequest,
     Gossip,
     Hello,
+    RecordsPull,
+    RecordsPush,
+    SnapshotPush,
     StreamClosing,
+    VersionDigest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -67,6 +72,7 @@
         stream: The stream.
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
+        feed: Takes the peer's frames about the configuration.
         running: Tasks of the peer's requests, by request id.
         uploads: Bodies on their way in, by request id.
         credits: What the peer granted for answers, by request id.
@@ -80,6 +86,7 @@
     stream: FrameStream
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -256,6 +263,14 @@
     connection.membership.receive(frame)
 
 
+@handle_frame.register(RecordsPull)
+@handle_frame.register(RecordsPush)
+@handle_frame.register(SnapshotPush)
+@handle_frame.register(VersionDigest)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.feed.receive(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -264,6 +279,7 @@
         listen: Address to listen on.
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
+        feed: Takes peers' frames about the configuration.
         address: Address that is really used, once it listens.
         connections: Accepted streams and their tasks.
         refused_streams: Streams that were closed because there were too many.
@@ -272,6 +288,7 @@
     listen: str
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[PeerConnection, asyncio.Task[None]] = attrs.field(
@@ -294,7 +311,9 @@
             self.refused_streams += 1
             stream.abort()
             return
-        connection = PeerConnection(stream, self.owner, self.membership)
+        connection = PeerConnection(
+            stream, self.owner, self.membership, self.feed
+        )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
         task.add_done_callback(lambda _: self.connections.pop(connection))
