Tests of streams, frames and the target's client; extra bytes close a connection

Fuzzing the client with two answers to one request showed that the second one was parsed after the connection had gone back to the pool. A message that begins while no request is under way closes the connection now.

--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_exchange.py
@@ -0,0 +1,164 @@
+"""Requests on a stream: who gets which frame, and what a break means."""
+
+from hypothesis import settings, strategies
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from pomelobank_core import (
+    ErrorKind,
+    ExchangeState,
+    ExchangeTable,
+    FrameAge,
+    FrameVerdict,
+    deadline_kind,
+)
+
+WINDOW = 100
+IDS = strategies.integers(-2, 12)
+SIZES = strategies.integers(0, WINDOW)
+
+
+class StreamMachine(RuleBasedStateMachine):
+    """Any frame may come at any time; a plain model says who is waiting.
+
+    A peer with a fault, a reset connection or a late answer brings frames in
+    an order that no test writer thinks of. A user would notice as an answer
+    that belongs to somebody else, or a reorder reported as not run that ran.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = ExchangeTable(WINDOW)
+        self.states: dict[int, ExchangeState] = {}
+        self.left: dict[int, int] = {}
+        self.written: set[int] = set()
+        self.used: set[int] = set()
+        self.dropped = 0
+
+    @rule()
+    def open(self) -> None:
+        request_id = self.table.open()
+        assert request_id not in self.used
+        self.used.add(request_id)
+        self.states[request_id] = ExchangeState.QUEUED
+        self.left[request_id] = WINDOW
+
+    @rule(request_id=IDS)
+    def write(self, request_id: int) -> None:
+        self.table.written(request_id)
+        if self.states.get(request_id) is ExchangeState.QUEUED:
+            self.states[request_id] = ExchangeState.SENT
+            self.written.add(request_id)
+
+    @rule(request_id=IDS, more=strategies.booleans())
+    def reply(self, request_id: int, more: bool) -> None:
+        verdict = self.table.replied(request_id, more)
+        state = self.states.get(request_id)
+        if state is None:
+            self.dropped += 1
+            assert verdict is FrameVerdict.DROP
+        elif state is not ExchangeState.SENT:
+            assert verdict is FrameVerdict.VIOLATION
+        elif more:
+            assert verdict is FrameVerdict.DELIVER
+            self.states[request_id] = ExchangeState.ANSWERING
+        else:
+            assert verdict is FrameVerdict.DELIVER
+            del self.states[request_id]
+
+    @rule(
+        request_id=IDS,
+        size=SIZES,
+        more=strategies.booleans(),
+        aborted=strategies.booleans(),
+    )
+    def chunk(
+        self, request_id: int, size: int, more: bool, aborted: bool
+    ) -> None:
+        verdict = self.table.chunk(request_id, size, more, aborted)
+        state = self.states.get(request_id)
+        if state is None:
+            self.dropped += 1
+            assert verdict is FrameVerdict.DROP
+            return
+        if state is not ExchangeState.ANSWERING:
+            assert verdict is FrameVerdict.VIOLATION
+            return
+        self.left[request_id] -= size
+        if self.left[request_id] < 0:
+            assert verdict is FrameVerdict.VIOLATION
+            return
+        assert verdict is FrameVerdict.DELIVER
+        if aborted or not more:
+            del self.states[request_id]
+
+    @rule(request_id=IDS, size=SIZES)
+    def grant(self, request_id: int, size: int) -> None:
+        told = self.table.granted(request_id, size)
+        assert told is (request_id in self.states)
+        if told:
+            self.left[request_id] += size
+
+    @rule(request_id=IDS)
+    def give_up(self, request_id: int) -> None:
+        state = self.table.given_up(request_id)
+        assert state is self.states.pop(request_id, None)
+        if state is not None:
+            not_run = deadline_kind(state) is ErrorKind.DEADLINE_NOT_RUN
+            assert not_run is (request_id not in self.written)
+
+    @rule(last_id=IDS)
+    def peer_stops(self, last_id: int) -> None:
+        refused = self.table.refused_after(last_id)
+        assert refused == [item for item in self.states if item > last_id]
+        for request_id in refused:
+            del self.states[request_id]
+
+    @rule()
+    def lose(self) -> None:
+        for request_id, kind in self.table.lost():
+            del self.states[request_id]
+            not_run = kind is ErrorKind.PEER_UNREACHABLE
+            assert not_run is (request_id not in self.written)
+        assert not self.states
+
+    @invariant()
+    def agrees(self) -> None:
+        states = {
+            request_id: exchange.state
+            for request_id, exchange in self.table.exchanges.items()
+        }
+        assert states == self.states
+        counted = self.table.late_frames + self.table.unknown_frames
+        assert counted == self.dropped
+
+
+StreamMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=40, deadline=None, derandomize=True
+)
+TestStream = StreamMachine.TestCase
+
+
+def test_age_of_held_up_frame() -> None:
+    """A node that was paused for seconds reads requests whose callers left.
+
+    Clocks of two nodes have nothing in common, so the age shows only against
+    the frames that came through quickly.
+    """
+    age = FrameAge()
+    assert age.age_ms(sent_ms=1_000, received_ms=501_002) == 0
+    assert age.age_ms(sent_ms=1_010, received_ms=501_011) == 0
+    assert age.age_ms(sent_ms=1_020, received_ms=506_021) == 5_000
+    assert age.age_ms(sent_ms=6_020, received_ms=506_022) == 1
+
+
+def test_age_forgets_old_clock_difference() -> None:
+    """Clocks drift apart by seconds over weeks on a stream that stays open.
+
+    Against a minimum kept for ever, every request would look aged and be
+    refused.
+    """
+    age = FrameAge(period_ms=100)
+    for step in range(1_000):
+        drift = step // 10
+        sent = step * 10
+        assert age.age_ms(sent, sent + drift) <= 20
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -196,6 +196,9 @@
     def on_message_begin(self) -> None:
         """Notes that an answer has begun."""
         self.started = True
+        if not self.busy:
+            # More bytes came with the end of an answer; see data_received.
+            self.close()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Keeps a header."""
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
@@ -0,0 +1,128 @@
+"""Bytes from a peer, whatever they are."""
+
+import msgpack
+import pytest
+from hypothesis import given, settings, strategies
+
+from pomelobank_node._frames import MAX_QUEUED_BYTES, FrameStream
+from pomelobank_schema import SchemaError, SchemaErrorKind, encode
+from pomelobank_schema.generated import peer
+
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**63), 2**64 - 1)
+    | strategies.binary(max_size=20)
+    | strategies.text(max_size=20),
+    lambda inner: (
+        strategies.lists(inner, max_size=5)
+        | strategies.dictionaries(
+            strategies.text(max_size=3) | strategies.integers(0, 9), inner
+        )
+    ),
+    max_leaves=20,
+)
+FRAMES = strategies.builds(
+    lambda kind, fields: msgpack.packb([kind, *fields]),
+    strategies.integers(-1, 30),
+    strategies.lists(VALUES, max_size=16),
+)
+VALID = encode(peer.CancelRequest(request_id=7))
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(strategies.lists(strategies.binary(max_size=64) | FRAMES, max_size=6))
+def test_any_bytes_end_in_frames_or_one_typed_error(parts: list[bytes]) -> None:
+    """A peer of another version or with a fault sends what is no frame.
+
+    An exception that nobody expects would end the task of a stream without
+    closing it, and its callers would wait until their deadlines.
+    """
+    stream = FrameStream()
+    for part in parts:
+        stream.data_received(part)
+    assert stream.error is None or isinstance(stream.error, SchemaError)
+    assert all(type(frame) in peer.KINDS.values() for frame in stream.frames)
+
+
+def test_unknown_kind_is_skipped() -> None:
+    stream = FrameStream()
+    stream.data_received(msgpack.packb([99, "later version"]) + VALID)
+    assert stream.unknown_frames == 1
+    assert list(stream.frames) == [peer.CancelRequest(request_id=7)]
+
+
+def test_frames_before_an_error_are_kept() -> None:
+    stream = FrameStream()
+    stream.data_received(VALID + b"\xc1")
+    assert len(stream.frames) == 1
+    assert stream.error is not None
+    assert stream.error.kind is SchemaErrorKind.MALFORMED
+
+
+class StuckTransport:
+    """A transport whose peer takes nothing."""
+
+    def __init__(self) -> None:
+        self.written: list[bytes] = []
+        self.aborted = False
+
+    def write(self, data: bytes) -> None:
+        self.written.append(data)
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+def stuck_stream() -> tuple[FrameStream, StuckTransport]:
+    stream = FrameStream()
+    transport = StuckTransport()
+    stream.transport = transport  # type: ignore[assignment]
+    return stream, transport
+
+
+def test_peer_that_never_reads_is_given_up() -> None:
+    """A frozen peer reads nothing while frames for it go on arriving.
+
+    Without a bound the queue for one peer takes all memory of the node, and
+    callers of every other peer lose their requests with it.
+    """
+    stream, transport = stuck_stream()
+    stream.pause_writing()
+    frame = peer.BodyChunk(request_id=1, data=bytes(1024 * 1024))
+    sent = 0
+    while not transport.aborted:
+        stream.send(frame)
+        sent += 1
+    assert sent * 1024 * 1024 <= MAX_QUEUED_BYTES + 1024 * 1024
+
+
+@pytest.mark.parametrize(
+    ("paused", "tags"),
+    [
+        pytest.param(False, [5], id="handed over at once"),
+        pytest.param(True, [], id="still ours while the kernel is full"),
+    ],
+)
+def test_tag_is_told_when_a_frame_leaves(paused: bool, tags: list[int]) -> None:
+    stream, _ = stuck_stream()
+    told: list[int] = []
+    stream.on_written = told.append
+    if paused:
+        stream.pause_writing()
+    stream.send(peer.CancelRequest(request_id=5), tag=5)
+    assert told == tags
+    assert stream.withdraw(5) is paused
+    stream.resume_writing()
+    assert told == tags
+
+
+def test_waiting_frames_leave_in_order() -> None:
+    stream, transport = stuck_stream()
+    stream.pause_writing()
+    frames = [peer.CancelRequest(request_id=number) for number in (1, 2, 3)]
+    for frame in frames:
+        stream.send(frame)
+    stream.resume_writing()
+    assert transport.written == [encode(frame) for frame in frames]
+    assert stream.queued_bytes == 0
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_outgoing_stream.py
@@ -0,0 +1,230 @@
+"""Requests to a peer that answers late, twice, wrongly or not at all."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from pomelobank_core import ErrorKind
+from pomelobank_node._bodies import WINDOW_BYTES, rest_of
+from pomelobank_node._frames import FrameStream
+from pomelobank_node._peer_links import PeerLink
+from pomelobank_node._requests import ForwardReply, ForwardRequest, RequestError
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import (
+    BodyChunk,
+    BodyCredit,
+    CancelRequest,
+    Hello,
+    StreamClosing,
+)
+
+LONG_MS = 60_000
+
+
+class ScriptedPeer:
+    """A peer whose every frame the test sends by hand."""
+
+    def __init__(self) -> None:
+        self.accepted: asyncio.Queue[FrameStream] = asyncio.Queue()
+        self.stream: FrameStream | None = None
+
+    async def start(self) -> str:
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: FrameStream(self.accepted.put_nowait), "127.0.0.1", 0
+        )
+        host, port = self.server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    async def expect(self, kind: type[WireMessage]) -> WireMessage:
+        if self.stream is None:
+            self.stream = await self.accepted.get()
+            assert isinstance(await self.stream.receive(), Hello)
+        frame = await self.stream.receive()
+        assert isinstance(frame, kind), frame
+        return frame
+
+    def send(self, frame: WireMessage) -> None:
+        assert self.stream is not None
+        self.stream.send(frame)
+
+
+@pytest.fixture
+async def peer() -> AsyncIterator[ScriptedPeer]:
+    scripted = ScriptedPeer()
+    scripted.address = await scripted.start()  # type: ignore[attr-defined]
+    yield scripted
+    scripted.server.close()
+
+
+@pytest.fixture
+async def link(peer: ScriptedPeer) -> AsyncIterator[PeerLink]:
+    opened = PeerLink(peer.address, Hello(node="entry"))  # type: ignore[attr-defined]
+    yield opened
+    await opened.close()
+
+
+def request(remaining_ms: int = LONG_MS) -> ForwardRequest:
+    return ForwardRequest(method="GET", remaining_ms=remaining_ms)
+
+
+def start(
+    link: PeerLink, remaining_ms: int = LONG_MS
+) -> "asyncio.Task[ForwardReply]":
+    return asyncio.create_task(link.forward(request(remaining_ms)))
+
+
+async def test_crossed_late_and_repeated_replies(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """Answers come in another order, twice, and for ids that never existed.
+
+    A caller must get its own answer or none; a user would see another
+    counter's stock.
+    """
+    first, second = start(link), start(link)
+    await peer.expect(ForwardRequest)
+    await peer.expect(ForwardRequest)
+    peer.send(ForwardReply(request_id=99, status=200, body=b"nobody"))
+    peer.send(ForwardReply(request_id=2, status=200, body=b"two"))
+    peer.send(ForwardReply(request_id=2, status=200, body=b"two again"))
+    peer.send(ForwardReply(request_id=1, status=200, body=b"one"))
+    assert [(await first).body, (await second).body] == [b"one", b"two"]
+    assert link.late_replies == 2
+
+
+async def test_lost_stream_is_unknown(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The owner node dies with a request that it may have run."""
+    task = start(link)
+    await peer.expect(ForwardRequest)
+    assert peer.stream is not None
+    peer.stream.abort()
+    assert (await task).error == ErrorKind.PEER_LOST.value
+
+
+async def test_unsent_request_on_a_lost_stream_did_not_run(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The owner node is frozen, its socket is full, and then it dies.
+
+    Requests that never left this node are safe to send again; called unknown
+    they would be lost for callers that may not repeat them.
+    """
+    sent = start(link)
+    await peer.expect(ForwardRequest)
+    assert link.current is not None
+    link.current.stream.pause_writing()
+    waiting = start(link)
+    await asyncio.sleep(0)
+    assert len(link.current.calls) == 2
+    link.current.stream.abort()
+    assert (await sent).error == ErrorKind.PEER_LOST.value
+    assert (await waiting).error == ErrorKind.PEER_UNREACHABLE.value
+
+
+async def test_frozen_owner_does_not_hold_the_caller(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The owner node is stopped and answers nothing; its socket stays open.
+
+    Without a deadline at the entry the caller would wait for ever.
+    """
+    task = start(link, remaining_ms=30)
+    frame = await peer.expect(ForwardRequest)
+    assert isinstance(frame, ForwardRequest)
+    assert (await task).error == ErrorKind.DEADLINE_UNKNOWN.value
+    cancel = await peer.expect(CancelRequest)
+    assert cancel == CancelRequest(request_id=frame.request_id)
+
+
+async def test_unsent_request_past_its_deadline_did_not_run(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The socket to a frozen owner is full until the deadline passes.
+
+    The frame is taken back, so that it cannot leave after the caller was told
+    that it did not run.
+    """
+    await link.connect()
+    assert link.current is not None
+    stream = link.current.stream
+    stream.pause_writing()
+    reply = await link.forward(request(remaining_ms=20))
+    assert reply.error == ErrorKind.DEADLINE_NOT_RUN.value
+    assert not stream.queue
+
+
+async def test_caller_that_has_gone_cancels(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    task = start(link)
+    frame = await peer.expect(ForwardRequest)
+    assert isinstance(frame, ForwardRequest)
+    task.cancel()
+    cancel = await peer.expect(CancelRequest)
+    assert cancel == CancelRequest(request_id=frame.request_id)
+
+
+async def test_stopping_peer_says_what_it_never_took(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The owner stops as planned while a request is on its way to it.
+
+    It was never read, so it did not run; the earlier one is still answered.
+    """
+    first, second = start(link), start(link)
+    await peer.expect(ForwardRequest)
+    await peer.expect(ForwardRequest)
+    peer.send(StreamClosing(last_request_id=1))
+    assert (await second).error == ErrorKind.DRAINING.value
+    peer.send(ForwardReply(request_id=1, status=200, body=b"done"))
+    assert (await first).body == b"done"
+
+
+async def test_long_answer_waits_for_its_reader(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """An archive comes faster than its caller reads."""
+    task = start(link)
+    await peer.expect(ForwardRequest)
+    peer.send(ForwardReply(request_id=1, status=200, body=b"a", more=True))
+    peer.send(BodyChunk(request_id=1, data=bytes(WINDOW_BYTES), more=True))
+    rest = rest_of(await task)
+    assert rest is not None
+    assert len(await rest.read()) == WINDOW_BYTES
+    credit = await peer.expect(BodyCredit)
+    assert credit == BodyCredit(request_id=1, bytes=WINDOW_BYTES)
+    peer.send(BodyChunk(request_id=1, data=b"z"))
+    assert await rest.read() == b"z"
+    assert await rest.read() == b""
+
+
+async def test_answer_beyond_its_credit_closes_the_stream(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """A peer with a fault ignores credit and would fill this node's memory."""
+    task = start(link)
+    await peer.expect(ForwardRequest)
+    peer.send(ForwardReply(request_id=1, status=200, more=True))
+    peer.send(BodyChunk(request_id=1, data=bytes(WINDOW_BYTES + 1), more=True))
+    rest = rest_of(await task)
+    assert rest is not None
+    with pytest.raises(RequestError):
+        await rest.read()
+
+
+async def test_answer_that_breaks_off_is_never_whole(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The owner dies in the middle of a manual's page history."""
+    task = start(link)
+    await peer.expect(ForwardRequest)
+    peer.send(ForwardReply(request_id=1, status=200, body=b"a", more=True))
+    rest = rest_of(await task)
+    assert rest is not None and peer.stream is not None
+    peer.stream.abort()
+    with pytest.raises(RequestError):
+        await rest.read()
