--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -7,8 +7,9 @@
 
 import attrs
 
-from pomelobank_core import MemberState, MemberTable
+from pomelobank_core import MemberTable, TargetLease
 from pomelobank_node._admin import Admin
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
@@ -23,6 +24,7 @@
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
 from pomelobank_node._peer_server import PeerServer
+from pomelobank_node._target_watch import TargetWatch
 from pomelobank_schema.generated.peer import Hello, MemberEntry
 from pomelobank_schema.generated.settings import NodeSettings
 
@@ -68,7 +70,7 @@
         )
         self.store = ConfigStore()
         self.log = LogClient(settings.log)
-        self.links = PeerLinks(hello)
+        self.links = PeerLinks(hello, settings.membership.connect_limit)
         self.table = MemberTable(own)
         self.feed = ConfigFeed(
             settings,
@@ -87,6 +89,12 @@
             self.store,
             self.clock,
         )
+        self.target = TargetWatch(
+            self.owner,
+            self.membership,
+            self.clock,
+            TargetLease(settings.membership.target_lease_ms),
+        )
         self._build_servers()
 
     def _build_servers(self) -> None:
@@ -94,10 +102,11 @@
         dispatcher = Dispatcher(
             self.store, self.table, self.owner, self.links, self.clock
         )
+        self._build_claims(dispatcher)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.owner, self.membership)
+        admin = Admin(self.target)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
@@ -107,25 +116,40 @@
         self.http = HttpServer(listen.http, self.entry, cancels=True)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
-            listen.peer, self.owner, self.membership, self.feed
+            listen.peer, self.owner, self.membership, self.feed, self.claims
         )
         self.operator = OperatorServer(listen.operator, operator)
 
+    def _build_claims(self, dispatcher: Dispatcher) -> None:
+        self.claims = ClaimService(
+            self.table,
+            self.links,
+            self.log,
+            self.clock,
+            self.settings.claims,
+            dispatcher.place_claimed,
+        )
+        dispatcher.claims = self.claims
+
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
             self.metrics,
             self.log,
             self.links,
+            self.claims,
             self.peers,
             self.operator,
         ):
             await self._start(part)
         await self._start(self.feed)
+        await self._start(self.target)
         for server in (self.http, self.admin):
             await self._start(server)
+        advertised = self.settings.listen.peer_advertised
         self.table.update_own(
-            peer_address=self.peers.address, http_address=self.http.address
+            peer_address=advertised or self.peers.address,
+            http_address=self.http.address,
         )
         await self._start(self.membership)
         _logger.info(
@@ -143,13 +167,24 @@
         self.started.append(part)
 
     async def stop(self) -> None:
-        """Drains, then stops every part in reverse order."""
-        self.table.update_own(state=MemberState.DRAINING.value)
+        """Drains, then stops every part without cutting a request off.
+
+        Work from peers ends first, then callers' own requests, which still
+        need the streams to peers; membership goes on until nothing is left to
+        be told, and the streams go last.
+        """
+        await self.target.close()
         self.entry.draining = True
-        await self.membership.tell_all()
-        await self.owner.drain(self.settings.requests.drain_timeout_ms)
+        timeout_ms = self.settings.requests.drain_timeout_ms
+        await asyncio.gather(
+            self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
+        )
+        for server in (self.http, self.admin):
+            await server.stop()
+        await self.membership.leave()
         for part in reversed(self.started):
-            await part.stop()
+            if part not in (self.http, self.admin):
+                await part.stop()
         _logger.info("node.stopped")
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_bodies.py
@@ -26,6 +26,11 @@
 # cost 256 MiB at most on the node that serves them.
 WINDOW_BYTES = 256 * 1024
 
+# Bodies of requests with an idempotency key, and of their answers, travel
+# whole: the claim covers a digest of the whole request, and the answer is
+# kept for a resend. Reorders and acknowledgements are far smaller.
+KEYED_BYTES = 4 * 1024 * 1024
+
 
 class BodySource(Protocol):
     """The rest of a body, read part by part."""
@@ -194,3 +199,41 @@
         on_end()
         return reply
     return attrs.evolve(reply, rest=EndedBody(reply.rest, on_end))
+
+
+async def whole_reply(reply: ForwardReply, most_bytes: int) -> ForwardReply:
+    """Waits for the whole body of a reply.
+
+    Args:
+        reply: The reply.
+        most_bytes: Largest body that is waited for.
+
+    Returns:
+        A reply without a rest.
+
+    Raises:
+        RequestError: ANSWER_TOO_LARGE, or why the body broke off.
+    """
+    rest = rest_of(reply)
+    if rest is None:
+        return reply
+    parts = [reply.body]
+    size = len(reply.body)
+    try:
+        while part := await rest.read():
+            parts.append(part)
+            size += len(part)
+            if size > most_bytes:
+                raise RequestError(ErrorKind.ANSWER_TOO_LARGE)
+    finally:
+        rest.close()
+    return ForwardReply(
+        request_id=reply.request_id,
+        status=reply.status,
+        headers=tuple(
+            item for item in reply.headers if item.name != b"content-length"
+        ),
+        body=b"".join(parts),
+        retry_after_ms=reply.retry_after_ms,
+        outstanding=reply.outstanding,
+    )
--- a/packages/pomelobank-node/src/pomelobank_node/_entry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_entry.py
@@ -12,7 +12,12 @@
 import attrs
 
 from pomelobank_core import ANSWERS, ErrorKind
-from pomelobank_node._bodies import INLINE_BYTES, BodySource, rest_of
+from pomelobank_node._bodies import (
+    INLINE_BYTES,
+    KEYED_BYTES,
+    BodySource,
+    rest_of,
+)
 from pomelobank_node._dispatcher import CallerRequest, Dispatcher
 from pomelobank_node._http_messages import (
     CONTENT_LENGTH,
@@ -158,7 +163,10 @@
             for item in end_to_end(scope["headers"])
             if item[0] not in _OWN_HEADERS
         ]
-        body, rest = await self._read_body(receive)
+        inline = KEYED_BYTES if idempotency_key else INLINE_BYTES
+        body, rest = await self._read_body(receive, inline)
+        if rest is not None and idempotency_key:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
         if rest is not None and length:
             passed_on.append((CONTENT_LENGTH, length))
         return CallerRequest(
@@ -175,20 +183,22 @@
         )
 
     async def _read_body(
-        self, receive: Receive
+        self, receive: Receive, inline_bytes: int
     ) -> tuple[bytes, BodySource | None]:
         source = CallerBody(receive, self.max_body_bytes)
         try:
-            body = await source.read()
-            while not source.ended and len(body) <= INLINE_BYTES:
-                body += await source.read()
+            parts = [await source.read()]
+            size = len(parts[0])
+            while not source.ended and size <= inline_bytes:
+                parts.append(await source.read())
+                size += len(parts[-1])
         except RequestError:
             # Nothing has been sent anywhere yet.
             kind = ErrorKind.CANCELLED
             if source.room < 0:
                 kind = ErrorKind.BODY_TOO_LARGE
             raise RequestError(kind) from None
-        return body, None if source.ended else source
+        return b"".join(parts), None if source.ended else source
 
     async def _send_answer(
         self, send: Send, reply: ForwardReply, method: str
--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -8,6 +8,7 @@
 
 import msgpack
 
+from pomelobank_node._peer_sockets import notice_dead_peer
 from pomelobank_schema import (
     SchemaError,
     SchemaErrorKind,
@@ -85,6 +86,7 @@
         self.transport = transport
         # Be told as soon as the kernel did not take all of a frame.
         transport.set_write_buffer_limits(high=0)
+        notice_dead_peer(transport)
         sock = transport.get_extra_info("socket")
         if hasattr(socket, "TCP_NOTSENT_LOWAT"):
             sock.setsockopt(
@@ -261,7 +263,7 @@
                     # would be lost on the way.
                     self.transport.write_eof()
                 await self.lost.wait()
-        except TimeoutError:
+        except (OSError, TimeoutError):
             self.transport.abort()
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+from collections.abc import Callable
 
 import attrs
 
@@ -91,12 +92,14 @@
     Attributes:
         peer: The peer's address, for the log.
         stream: The stream.
+        on_frame: Takes frames that belong to no request.
         table: Decides which frames belong to whom.
         calls: Requests under way, by id.
     """
 
     peer: str
     stream: FrameStream
+    on_frame: Callable[[WireMessage, FrameStream], None]
     table: ExchangeTable = attrs.field(
         factory=lambda: ExchangeTable(WINDOW_BYTES)
     )
@@ -277,7 +280,8 @@
 
 @functools.singledispatch
 def handle_reply_frame(frame: WireMessage, stream: OutgoingStream) -> None:
-    """Handles one frame of the peer; frames without a handler are ignored."""
+    """Handles one frame of the peer; by default it is of no request."""
+    stream.on_frame(frame, stream.stream)
 
 
 @handle_reply_frame.register
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -1,6 +1,7 @@
 """Streams to peers: one connection per peer, opened on need."""
 
 import asyncio
+from collections.abc import Callable
 
 import attrs
 
@@ -18,8 +19,12 @@
 
 PROTOCOL_VERSION = 1
 CONNECT_TIMEOUT_S = 1.0
+DEFAULT_CONNECT_LIMIT = 32
 _MS_PER_S = 1000
 
+# Takes a frame that answers no request, and how to reply on its stream.
+FrameTaker = Callable[[WireMessage, Callable[[WireMessage], None]], None]
+
 
 @attrs.define(eq=False)
 class PeerLink:
@@ -31,12 +36,16 @@
         current: The open stream, None while there is none.
         ended_late_frames: Late and unknown frames of streams that are closed.
         tasks: Tasks of the streams that are not closed yet.
+        links: All links of the node, with what they share.
+        used_s: Time of the event loop when the link was last used.
     """
 
     address: str
     hello: Hello
+    links: "PeerLinks"
     current: OutgoingStream | None = None
     ended_late_frames: int = 0
+    used_s: float = 0.0
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     connecting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
@@ -54,6 +63,7 @@
         Raises:
             RequestError: PEER_UNREACHABLE.
         """
+        self.used_s = asyncio.get_running_loop().time()
         if self.current is not None and not self.current.closing:
             return self.current
         async with self.connecting:
@@ -66,14 +76,17 @@
         host, port = parse_address(self.address)
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            async with (
+                self.links.handshakes,
+                asyncio.timeout(CONNECT_TIMEOUT_S),
+            ):
                 _, stream = await loop.create_connection(
                     FrameStream, host, port
                 )
         except (OSError, TimeoutError):
             raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
         stream.send(self.hello)
-        outgoing = OutgoingStream(self.address, stream)
+        outgoing = OutgoingStream(self.address, stream, self._take)
         task = asyncio.create_task(
             self._run(outgoing), name=f"peer-link-{self.address}"
         )
@@ -81,6 +94,10 @@
         task.add_done_callback(self.tasks.discard)
         return outgoing
 
+    def _take(self, frame: WireMessage, stream: FrameStream) -> None:
+        if self.links.on_frame is not None:
+            self.links.on_frame(frame, stream.send)
+
     async def _run(self, outgoing: OutgoingStream) -> None:
         try:
             await outgoing.run()
@@ -109,6 +126,7 @@
             The reply; PEER_UNREACHABLE where no byte of the request was sent
             and PEER_LOST where the stream broke after that.
         """
+        self.used_s = asyncio.get_running_loop().time()
         current = self.current
         if current is None or current.closing:
             try:
@@ -134,6 +152,19 @@
             remaining_ms=request.remaining_ms - taken_ms,
         )
 
+    def drop(self) -> None:
+        """Gives up the stream; what waits for it ends as lost."""
+        current, self.current = self.current, None
+        if current is not None:
+            current.lost()
+            current.stream.abort()
+
+    def is_idle(self, since_s: float) -> bool:
+        """Tells whether the open stream was not used since a time."""
+        if self.current is None or self.current.calls:
+            return False
+        return self.used_s < since_s
+
     async def close(self) -> None:
         """Closes the stream."""
         tasks = list(self.tasks)
@@ -148,19 +179,44 @@
 
     Attributes:
         hello: What this node says of itself.
+        connect_limit: Streams that are being opened at once. When most of the
+            fleet returns, or a cut data centre makes every attempt wait for
+            its time-out, each further handshake only delays the others.
+        on_frame: Takes frames that answer no request.
         links: The links.
+        handshakes: Room for streams that are being opened.
     """
 
     hello: Hello
+    connect_limit: int = DEFAULT_CONNECT_LIMIT
+    on_frame: FrameTaker | None = None
     links: dict[str, PeerLink] = attrs.field(factory=dict)
+    handshakes: asyncio.Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.handshakes = asyncio.Semaphore(self.connect_limit)
 
     def to(self, address: str) -> PeerLink:
         """Returns the link to an address; it is opened when it is used."""
         link = self.links.get(address)
         if link is None:
-            link = self.links[address] = PeerLink(address, self.hello)
+            link = self.links[address] = PeerLink(address, self.hello, self)
         return link
 
+    def drop(self, address: str) -> None:
+        """Gives up the stream to a peer that is held to be gone."""
+        link = self.links.get(address)
+        if link is not None:
+            link.drop()
+
+    def close_idle(self, idle_ms: int) -> None:
+        """Closes the streams that carry no request and were long unused."""
+        now_s = asyncio.get_running_loop().time()
+        since_s = now_s - idle_ms / _MS_PER_S
+        for link in list(self.links.values()):
+            if link.is_idle(since_s):
+                link.drop()
+
     @property
     def late_replies(self) -> int:
         """Frames that nobody waited for any more, on all links."""
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -14,6 +14,7 @@
     with_rest,
 )
 from pomelobank_node._body_frames import Credit, Grants, send_rest
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
@@ -33,10 +34,15 @@
     ForwardRequest,
     Gossip,
     Hello,
+    IndirectProbe,
+    ProbeReply,
+    ProbeRequest,
     RecordsPull,
     RecordsPush,
     SnapshotPush,
     StreamClosing,
+    SyncReply,
+    SyncRequest,
     VersionDigest,
 )
 
@@ -73,6 +79,7 @@
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
         feed: Takes the peer's frames about the configuration.
+        claims: Runs the peer's requests with an idempotency key.
         running: Tasks of the peer's requests, by request id.
         uploads: Bodies on their way in, by request id.
         credits: What the peer granted for answers, by request id.
@@ -87,6 +94,7 @@
     owner: Owner
     membership: Membership
     feed: ConfigFeed
+    claims: ClaimService
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -152,7 +160,9 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            reply = await self.owner.serve(request)
+            # Without an upstream: the key is to be claimed here first.
+            serve = self.owner.serve if request.upstream else self.claims.serve
+            reply = await serve(request)
         except Exception:
             _logger.exception("request.failed")
             self._refuse(request, ErrorKind.INTERNAL)
@@ -258,9 +268,14 @@
     connection.late_frames += 1
 
 
-@handle_frame.register
-def _(frame: Gossip, connection: PeerConnection) -> None:
-    connection.membership.receive(frame)
+@handle_frame.register(Gossip)
+@handle_frame.register(ProbeRequest)
+@handle_frame.register(ProbeReply)
+@handle_frame.register(IndirectProbe)
+@handle_frame.register(SyncRequest)
+@handle_frame.register(SyncReply)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.membership.receive(frame, connection.stream.send)
 
 
 @handle_frame.register(RecordsPull)
@@ -280,6 +295,7 @@
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
         feed: Takes peers' frames about the configuration.
+        claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
         connections: Accepted streams and their tasks.
         refused_streams: Streams that were closed because there were too many.
@@ -289,6 +305,7 @@
     owner: Owner
     membership: Membership
     feed: ConfigFeed
+    claims: ClaimService
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[PeerConnection, asyncio.Task[None]] = attrs.field(
@@ -312,7 +329,7 @@
             stream.abort()
             return
         connection = PeerConnection(
-            stream, self.owner, self.membership, self.feed
+            stream, self.owner, self.membership, self.feed, self.claims
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_outgoing_stream.py
@@ -8,7 +8,7 @@
 from pomelobank_core import ErrorKind
 from pomelobank_node._bodies import WINDOW_BYTES, rest_of
 from pomelobank_node._frames import FrameStream
-from pomelobank_node._peer_links import PeerLink
+from pomelobank_node._peer_links import PeerLink, PeerLinks
 from pomelobank_node._requests import ForwardReply, ForwardRequest, RequestError
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
@@ -29,13 +29,13 @@
         self.accepted: asyncio.Queue[FrameStream] = asyncio.Queue()
         self.stream: FrameStream | None = None
 
-    async def start(self) -> str:
+    async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
             lambda: FrameStream(self.accepted.put_nowait), "127.0.0.1", 0
         )
         host, port = self.server.sockets[0].getsockname()
-        return f"{host}:{port}"
+        self.address = f"{host}:{port}"
 
     async def expect(self, kind: type[WireMessage]) -> WireMessage:
         if self.stream is None:
@@ -53,14 +53,14 @@
 @pytest.fixture
 async def peer() -> AsyncIterator[ScriptedPeer]:
     scripted = ScriptedPeer()
-    scripted.address = await scripted.start()  # type: ignore[attr-defined]
+    await scripted.start()
     yield scripted
     scripted.server.close()
 
 
 @pytest.fixture
 async def link(peer: ScriptedPeer) -> AsyncIterator[PeerLink]:
-    opened = PeerLink(peer.address, Hello(node="entry"))  # type: ignore[attr-defined]
+    opened = PeerLinks(Hello(node="entry")).to(peer.address)
     yield opened
     await opened.close()
 
@@ -228,3 +228,17 @@
     peer.stream.abort()
     with pytest.raises(RequestError):
         await rest.read()
+
+
+async def test_answer_that_the_owner_gives_up_is_never_whole(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """The target crashes in the middle of an archive; its node lives on."""
+    task = start(link)
+    await peer.expect(ForwardRequest)
+    peer.send(ForwardReply(request_id=1, status=200, body=b"a", more=True))
+    peer.send(BodyChunk(request_id=1, aborted=True))
+    rest = rest_of(await task)
+    assert rest is not None
+    with pytest.raises(RequestError):
+        await rest.read()
