--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -112,7 +113,7 @@
         listen = settings.listen
         pages = admin.application()
         pages.add_route("/metrics", self.metrics.page)
-        self.http = HttpServer(listen.http, self.entry)
+        self.http = HttpServer(listen.http, self.entry, cancels=True)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
             listen.peer, self.owner, self.membership, self.feed, self.claims
@@ -177,6 +178,7 @@
         be told, and the streams go last.
         """
         await self.target.close()
+        self.entry.draining = True
         timeout_ms = self.settings.requests.drain_timeout_ms
         await asyncio.gather(
             self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
@@ -190,8 +192,13 @@
         _logger.info("node.stopped")
 
 
-async def run_until(application: NodeApplication, ended: asyncio.Event) -> None:
+async def run_until(
+    application: NodeApplication,
+    ended: asyncio.Event,
+    on_started: Callable[[], None],
+) -> None:
     """Runs a node until an event is set, then stops it cleanly."""
     await application.start()
+    on_started()
     await ended.wait()
     await application.stop()
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_sockets.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_sockets.py
@@ -12,9 +12,9 @@
 _TRIES = 3
 
 
-def notice_dead_peer(writer: asyncio.StreamWriter) -> None:
+def notice_dead_peer(transport: asyncio.BaseTransport) -> None:
     """Lets the kernel break a stream whose other end is silent for good."""
-    link = writer.get_extra_info("socket")
+    link = transport.get_extra_info("socket")
     if link is None:
         return
     link.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
