Placing by two choices, ejection, retry budget, shifting by weight

Cause: targets were taken in turn with a scan of all members for each request, a failed try was final, and the upstream was drawn anew for each request.

Change: two random draws by outstanding work and latency in the own data centre, spill to others when full or slow, ramp for targets that come or come back, ejection by own observations for at most half of an upstream's targets; an index of targets that is made anew only when members change in a way that counts. Retries only of what did not run, or of idempotent work, to another target, within the deadline, a bound of tries and a budget of a tenth; a header keeps retries from multiplying along a chain. The upstream is picked by weighted rendezvous hashing over the request's key.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -16,6 +16,7 @@
     Verdict,
     WorkResult,
 )
+from pomelobank_core._candidates import CandidateIndex, Candidates
 from pomelobank_core._clock import Clock, ManualClock
 from pomelobank_core._concurrency import ConcurrencyLimit
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
@@ -29,7 +30,14 @@
     object_key,
     operation_object,
 )
-from pomelobank_core._placing import RoundRobin
+from pomelobank_core._placing import (
+    Observation,
+    Placing,
+    RoundRobin,
+    TargetResult,
+    TwoChoices,
+    target_result,
+)
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -37,6 +45,7 @@
     replay_change,
     skip_record,
 )
+from pomelobank_core._retries import Attempt, Retries, Retry, RetryBudget
 from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
 from pomelobank_core._validation import Problem, ProblemKind, check_objects
 
@@ -45,6 +54,9 @@
     "Admission",
     "AdmissionPolicy",
     "Answer",
+    "Attempt",
+    "CandidateIndex",
+    "Candidates",
     "Change",
     "ChangeVerdict",
     "Clock",
@@ -60,17 +72,24 @@
     "MemberTable",
     "ObjectKey",
     "ObjectKind",
+    "Observation",
+    "Placing",
     "Problem",
     "ProblemKind",
     "Queued",
     "Refused",
+    "Retries",
+    "Retry",
+    "RetryBudget",
     "RoundRobin",
     "RouteTable",
     "RunState",
     "Snapshot",
     "Started",
+    "TargetResult",
     "Ticket",
     "TrafficClass",
+    "TwoChoices",
     "Unlimited",
     "Verdict",
     "VersionedObject",
@@ -83,4 +102,5 @@
     "pick_upstream",
     "replay_change",
     "skip_record",
+    "target_result",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/_members.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_members.py
@@ -39,6 +39,17 @@
     return entry.incarnation, entry.sequence, _ORDER[entry.state]
 
 
+def _serving(entry: MemberEntry) -> tuple[object, ...]:
+    return (
+        entry.incarnation,
+        entry.state,
+        entry.data_centre,
+        entry.peer_address,
+        entry.upstream,
+        entry.slots,
+    )
+
+
 @attrs.define
 class MemberTable:
     """Members by node id; the own entry is never taken from others.
@@ -47,16 +58,20 @@
         own: The node's own entry.
         others: Every other member that was heard of.
         heard_ms: When each other member was last heard of at first hand.
+        serving_changes: Grows whenever it changes who serves what, and where.
     """
 
     own: MemberEntry
     others: dict[str, MemberEntry] = attrs.field(factory=dict)
     heard_ms: dict[str, int] = attrs.field(factory=dict)
+    serving_changes: int = 0
 
     def update_own(self, **changes: Any) -> None:
         """Changes the own entry so that others take the change."""
         sequence = self.own.sequence + 1
+        before = self.own
         self.own = attrs.evolve(self.own, sequence=sequence, **changes)
+        self._note(before, self.own)
 
     def merge(self, entries: Iterable[MemberEntry]) -> list[MemberEntry]:
         """Takes what a peer knows.
@@ -75,9 +90,14 @@
             known = self.others.get(entry.node)
             if known is None or is_newer(entry, known):
                 self.others[entry.node] = entry
+                self._note(known, entry)
                 news.append(entry)
         return news
 
+    def _note(self, before: MemberEntry | None, after: MemberEntry) -> None:
+        if before is None or _serving(before) != _serving(after):
+            self.serving_changes += 1
+
     def _refute(self, entry: MemberEntry) -> None:
         # A node that was paused may be held to be gone by its peers; unless it
         # says otherwise with a higher sequence it would get no work for good.
@@ -109,26 +129,10 @@
             if silent and entry.state != MemberState.GONE.value:
                 entry = attrs.evolve(entry, state=MemberState.GONE.value)
                 self.others[node] = entry
+                self.serving_changes += 1
                 gone.append(entry)
         return gone
 
     def all(self) -> list[MemberEntry]:
         """Returns every entry, the own one first."""
         return [self.own, *self.others.values()]
-
-    def ready_for(self, upstream: str) -> list[MemberEntry]:
-        """Returns the members whose target serves an upstream."""
-        return [
-            entry
-            for entry in self.all()
-            if entry.upstream == upstream
-            and entry.state == MemberState.READY.value
-        ]
-
-    def available_upstreams(self) -> frozenset[str]:
-        """Returns the upstreams with at least one ready member."""
-        return frozenset(
-            entry.upstream
-            for entry in self.all()
-            if entry.upstream and entry.state == MemberState.READY.value
-        )
--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -1,9 +1,133 @@
 """Chooses the target that runs a request."""
 
+import enum
+import math
+import random
+from collections.abc import Sequence
+from collections.abc import Set as AbstractSet
+from typing import Protocol
+
 import attrs
 
+from pomelobank_core._candidates import Candidates
+from pomelobank_core._ejection import Ejection, may_eject
+from pomelobank_core._errors import ErrorKind
+from pomelobank_core._latency import MovingAverage
 from pomelobank_schema.generated.peer import MemberEntry
 
+# What a target's node said of its load half a second ago says nothing now: at
+# 20 slots and 10 ms a request it has served a thousand since.
+REPORT_LIFE_MS = 500
+# A refusal for want of room keeps requests away this long at most, because a
+# queue of 200 ms is gone by then and nothing else would end the hint.
+FULL_HINT_MS = 250
+# A target that drains is kept out until its membership entry must have come.
+LEAVING_HINT_MS = 5000
+# A target that is new or comes back gets its full part after ten seconds: long
+# enough for the cold starts of most services, short against a rush.
+RAMP_MS = 10_000
+RAMP_START = 0.1
+# A near target whose answers take this many times longer than a far one's is
+# no longer near in any way that a caller notices.
+SLOW_RATIO = 3.0
+# Chances to draw a target that may be used before all are looked at.
+DRAWS = 4
+_CHOICES = 2
+
+
+class TargetResult(enum.Enum):
+    """What a request's end says about the target.
+
+    Attributes:
+        ANSWERED: It works.
+        FULL: It has no room just now.
+        LEAVING: It takes no more requests.
+        FAILED: It could not be reached, or it was lost on the way.
+        NEUTRAL: Nothing; the caller went away or the request was wrong.
+    """
+
+    ANSWERED = "answered"
+    FULL = "full"
+    LEAVING = "leaving"
+    FAILED = "failed"
+    NEUTRAL = "neutral"
+
+
+TARGET_RESULTS: dict[ErrorKind, TargetResult] = {
+    ErrorKind.OVERLOADED: TargetResult.FULL,
+    ErrorKind.DRAINING: TargetResult.LEAVING,
+    ErrorKind.NO_TARGET: TargetResult.LEAVING,
+    ErrorKind.NOT_READY: TargetResult.LEAVING,
+    ErrorKind.PEER_UNREACHABLE: TargetResult.FAILED,
+    ErrorKind.PEER_LOST: TargetResult.FAILED,
+    ErrorKind.UPSTREAM_UNREACHABLE: TargetResult.FAILED,
+    ErrorKind.UPSTREAM_LOST: TargetResult.FAILED,
+    ErrorKind.ANSWER_TRUNCATED: TargetResult.FAILED,
+}
+# A deadline that passes at the target counts against it only where it had this
+# long; a caller in a hurry would else get healthy targets ejected.
+MIN_DEADLINE_FAILURE_MS = 1000
+
+
+def target_result(error: ErrorKind, allowed_ms: float) -> TargetResult:
+    """Returns what an error says about the target.
+
+    Args:
+        error: How the request ended.
+        allowed_ms: Time that the target had for it.
+
+    Returns:
+        The result.
+    """
+    if error is ErrorKind.DEADLINE_UNKNOWN:
+        long_enough = allowed_ms >= MIN_DEADLINE_FAILURE_MS
+        return TargetResult.FAILED if long_enough else TargetResult.NEUTRAL
+    return TARGET_RESULTS.get(error, TargetResult.NEUTRAL)
+
+
+@attrs.frozen
+class Observation:
+    """The end of a request, as placing sees it.
+
+    Attributes:
+        result: What it says about the target.
+        took_ms: Time from sending to the end.
+        outstanding: Requests at the target as its node reported them.
+        retry_after_ms: When a full target expects to have room.
+    """
+
+    result: TargetResult
+    took_ms: float = 0.0
+    outstanding: int = 0
+    retry_after_ms: int = 0
+
+
+class Placing(Protocol):
+    """Chooses targets and learns from what becomes of the requests."""
+
+    def place(
+        self,
+        candidates: Candidates,
+        tried: AbstractSet[str],
+        now_ms: float,
+    ) -> MemberEntry | None:
+        """Returns a target that was not tried yet, None without any."""
+
+    def sent(self, target: MemberEntry, now_ms: float) -> None:
+        """Notes that a request is sent to a target."""
+
+    def ended(
+        self,
+        target: MemberEntry,
+        candidates: Candidates,
+        seen: Observation,
+        now_ms: float,
+    ) -> None:
+        """Takes the end of a request that was sent."""
+
+    def has_room(self, target: MemberEntry, now_ms: float) -> bool:
+        """Tells whether a target plausibly has room for one more request."""
+
 
 @attrs.define
 class RoundRobin:
@@ -18,12 +142,282 @@
     turns: dict[str, int] = attrs.field(factory=dict)
 
     def place(
-        self, upstream: str, candidates: list[MemberEntry]
+        self,
+        candidates: Candidates,
+        tried: AbstractSet[str],
+        now_ms: float,
     ) -> MemberEntry | None:
         """Returns the next target in turn, None where there is no candidate."""
-        if not candidates:
+        untried = [item for item in candidates.all if item.node not in tried]
+        if not untried:
             return None
+        upstream = untried[0].upstream
         turn = self.turns.get(upstream, 0)
         self.turns[upstream] = turn + 1
-        ordered = sorted(candidates, key=lambda entry: entry.node)
-        return ordered[turn % len(ordered)]
+        return untried[turn % len(untried)]
+
+    def sent(self, target: MemberEntry, now_ms: float) -> None:
+        """Does nothing; the turn does not depend on it."""
+
+    def ended(
+        self,
+        target: MemberEntry,
+        candidates: Candidates,
+        seen: Observation,
+        now_ms: float,
+    ) -> None:
+        """Does nothing; the turn does not depend on it."""
+
+    def has_room(self, target: MemberEntry, now_ms: float) -> bool:
+        """Returns True; round-robin knows no load."""
+        return True
+
+
+@attrs.define(eq=False)
+class TargetLoad:
+    """What this node knows of one target's load.
+
+    Attributes:
+        incarnation: Incarnation of its node that this is about.
+        own: Requests of this node that are there.
+        others: Requests of other nodes that were there at the last report.
+        reported_ms: When that was.
+        latency: Recent time to an answer, in ms.
+        full_until_ms: Until when it is held to be full.
+        ramp_from_ms: When it came, or came back.
+        ejection: What failed there.
+    """
+
+    incarnation: int
+    own: int = 0
+    others: int = 0
+    reported_ms: float = -math.inf
+    latency: MovingAverage = attrs.field(factory=MovingAverage)
+    full_until_ms: float = 0.0
+    ramp_from_ms: float = -math.inf
+    ejection: Ejection = attrs.field(factory=Ejection)
+
+    def load(self, now_ms: float) -> float:
+        """Returns the requests that are probably there; reports fade."""
+        age_ms = now_ms - self.reported_ms
+        fresh = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
+        return self.own + self.others * fresh
+
+    def room(self, slots: int, now_ms: float) -> float:
+        """Returns the slots that it is trusted with after its start."""
+        ramp = (now_ms - self.ramp_from_ms) / RAMP_MS
+        return max(1.0, slots * min(1.0, max(RAMP_START, ramp)))
+
+    def score(self, slots: int, now_ms: float) -> float:
+        """Returns how unattractive it is.
+
+        Outstanding work already grows with slowness; the square root of the
+        latency adds to that without letting one odd answer decide.
+        """
+        latency_ms = max(1.0, self.latency.value or 1.0)
+        used = (self.load(now_ms) + 1) / self.room(slots, now_ms)
+        return used * math.sqrt(latency_ms)
+
+
+@attrs.define(eq=False)
+class TwoChoices:
+    """Draws two targets and takes the one with less to do.
+
+    Made for demand that is skewed and for one target that is slow. Taking
+    turns gives the slow one its full part, and callers of one in n requests
+    wait; taking the least loaded of all sends every node's next request to
+    the same target at once. Two random draws avoid both.
+
+    Targets of the own data centre come first; work spills to others when the
+    better draw there is full or much slower.
+
+    Attributes:
+        seeded: Source of randomness.
+        loads: Known loads, by node.
+        ejections: How often a target was ejected.
+        spills: Requests that left the data centre though it has a target.
+        known: Targets of each upstream at its last placing.
+    """
+
+    seeded: random.Random = attrs.field(factory=random.Random)
+    loads: dict[str, TargetLoad] = attrs.field(factory=dict)
+    ejections: int = 0
+    spills: int = 0
+    known: dict[str, Candidates] = attrs.field(factory=dict)
+
+    def place(
+        self,
+        candidates: Candidates,
+        tried: AbstractSet[str],
+        now_ms: float,
+    ) -> MemberEntry | None:
+        """Returns a target that was not tried yet, None without any.
+
+        Args:
+            candidates: The upstream's ready targets.
+            tried: Nodes that this request was sent to already.
+            now_ms: Current time.
+
+        Returns:
+            The target; an ejected one only where every other was tried.
+        """
+        self._compare(candidates, now_ms)
+        near = self._draw(candidates.local, tried, now_ms)
+        far = self._draw(candidates.remote, tried, now_ms)
+        if near is None or far is None:
+            return near or far or self._any(candidates, tried)
+        if self._is_better(far, near, now_ms):
+            self.spills += 1
+            return far
+        return near
+
+    def sent(self, target: MemberEntry, now_ms: float) -> None:
+        """Notes that a request is sent to a target."""
+        load = self._load(target)
+        load.own += 1
+        load.ejection.sent()
+
+    def ended(
+        self,
+        target: MemberEntry,
+        candidates: Candidates,
+        seen: Observation,
+        now_ms: float,
+    ) -> None:
+        """Takes the end of a request that was sent.
+
+        Args:
+            target: Where it was sent.
+            candidates: The upstream's ready targets.
+            seen: How it ended.
+            now_ms: Current time.
+        """
+        load = self._load(target)
+        load.own = max(0, load.own - 1)
+        if seen.result is TargetResult.ANSWERED:
+            load.latency.add(seen.took_ms)
+            load.others = max(0, seen.outstanding - load.own - 1)
+            load.reported_ms = now_ms
+            if load.ejection.succeeded():
+                load.ramp_from_ms = now_ms
+        elif seen.result is TargetResult.FAILED:
+            self._failed(load, candidates, now_ms)
+        else:
+            load.ejection.abandoned()
+            load.full_until_ms = max(
+                load.full_until_ms, now_ms + _hint_ms(seen)
+            )
+
+    def has_room(self, target: MemberEntry, now_ms: float) -> bool:
+        """Tells whether a target plausibly has room for one more request."""
+        return not self._is_full(target, now_ms)
+
+    def ejected_nodes(self) -> list[str]:
+        """Returns the nodes whose targets are ejected."""
+        return [n for n, load in self.loads.items() if load.ejection.ejected]
+
+    def _compare(self, candidates: Candidates, now_ms: float) -> None:
+        targets = candidates.all
+        if not targets:
+            return
+        before = self.known.get(targets[0].upstream)
+        if before is candidates:
+            return
+        self.known[targets[0].upstream] = candidates
+        if before is None:
+            # A node's own start finds every target at work; only those that
+            # come later are cold.
+            return
+        old = {item.node: item.incarnation for item in before.all}
+        for target in targets:
+            if old.pop(target.node, None) != target.incarnation:
+                self._load(target).ramp_from_ms = now_ms
+        for node in old:
+            if node in self.loads and not self.loads[node].own:
+                del self.loads[node]
+
+    def _load(self, target: MemberEntry) -> TargetLoad:
+        load = self.loads.get(target.node)
+        if load is not None and load.incarnation == target.incarnation:
+            return load
+        own = load.own if load else 0
+        fresh = TargetLoad(target.incarnation, own=own)
+        self.loads[target.node] = fresh
+        return fresh
+
+    def _draw(
+        self,
+        targets: Sequence[MemberEntry],
+        tried: AbstractSet[str],
+        now_ms: float,
+    ) -> MemberEntry | None:
+        drawn: list[MemberEntry] = []
+        for _ in range(DRAWS):
+            if not targets or len(drawn) == _CHOICES:
+                break
+            entry = targets[self.seeded.randrange(len(targets))]
+            if entry not in drawn and self._usable(entry, tried, now_ms):
+                drawn.append(entry)
+        if not drawn:
+            drawn = [e for e in targets if self._usable(e, tried, now_ms)]
+        return min(
+            drawn, key=lambda entry: self._rank(entry, now_ms), default=None
+        )
+
+    def _rank(self, entry: MemberEntry, now_ms: float) -> tuple[bool, float]:
+        load = self._load(entry)
+        hinted = now_ms < load.full_until_ms
+        return hinted, load.score(entry.slots, now_ms)
+
+    def _usable(
+        self, entry: MemberEntry, tried: AbstractSet[str], now_ms: float
+    ) -> bool:
+        if entry.node in tried:
+            return False
+        return self._load(entry).ejection.allows(now_ms)
+
+    def _is_full(self, entry: MemberEntry, now_ms: float) -> bool:
+        load = self._load(entry)
+        if now_ms < load.full_until_ms:
+            return True
+        return load.load(now_ms) >= load.room(entry.slots, now_ms)
+
+    def _is_better(
+        self, far: MemberEntry, near: MemberEntry, now_ms: float
+    ) -> bool:
+        near_full = self._is_full(near, now_ms)
+        far_full = self._is_full(far, now_ms)
+        if near_full != far_full:
+            return near_full
+        if near_full:
+            return self._rank(far, now_ms) < self._rank(near, now_ms)
+        near_ms = self.loads[near.node].latency.value or 0.0
+        far_ms = self.loads[far.node].latency.value or near_ms
+        return near_ms > SLOW_RATIO * far_ms
+
+    def _any(
+        self, candidates: Candidates, tried: AbstractSet[str]
+    ) -> MemberEntry | None:
+        # Every target that is left is ejected. One of them, drawn at random,
+        # is a better bet than a certain error.
+        left = [item for item in candidates.all if item.node not in tried]
+        return self.seeded.choice(left) if left else None
+
+    def _failed(
+        self, load: TargetLoad, candidates: Candidates, now_ms: float
+    ) -> None:
+        out = sum(
+            item.node in self.loads and self.loads[item.node].ejection.ejected
+            for item in candidates.all
+        )
+        allowed = may_eject(out, len(candidates.all))
+        if load.ejection.failed(now_ms, allowed, self.seeded):
+            self.ejections += 1
+
+
+def _hint_ms(seen: Observation) -> float:
+    if seen.result is TargetResult.FULL:
+        return min(seen.retry_after_ms or FULL_HINT_MS, FULL_HINT_MS)
+    if seen.result is TargetResult.LEAVING:
+        return LEAVING_HINT_MS
+    return 0.0
--- a/packages/pomelobank-core/src/pomelobank_core/_routing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_routing.py
@@ -1,8 +1,9 @@
 """Matches requests to routes and picks the upstream by weight."""
 
-import random
+import math
 
 import attrs
+import xxhash
 
 from pomelobank_core._objects import Snapshot
 from pomelobank_schema.generated.records import RouteObject
@@ -75,14 +76,22 @@
 
 
 def pick_upstream(
-    route: RouteObject, available: frozenset[str], seeded: random.Random
+    route: RouteObject, available: frozenset[str], request_key: str
 ) -> str | None:
     """Picks one of the route's upstreams by weight.
 
+    Made for work that is shifted from one upstream to another while requests
+    are sent again. Drawn anew for each try, one request could reach both; here
+    the same key keeps its upstream while the weights stand, and a change of
+    the weights moves no more requests than it must.
+
+    An upstream without any target loses its weight to the others. One that is
+    merely full does not: its load would push the others over as well.
+
     Args:
         route: The route.
         available: Upstreams with at least one target that can serve.
-        seeded: Source of randomness.
+        request_key: What identifies the request: its key or its trace id.
 
     Returns:
         The upstream's name, None where none with a weight is available.
@@ -92,9 +101,17 @@
         for item in route.destinations
         if item.weight and item.upstream in available
     ]
-    if not choices:
-        return None
-    if len(choices) == 1:
-        return choices[0].upstream
-    weights = [item.weight for item in choices]
-    return seeded.choices(choices, weights)[0].upstream
+    if len(choices) < 2:
+        return choices[0].upstream if choices else None
+    best = max(
+        choices,
+        key=lambda item: _score(item.weight, item.upstream, request_key),
+    )
+    return best.upstream
+
+
+def _score(weight: int, upstream: str, request_key: str) -> float:
+    # Weighted rendezvous hashing: the highest score falls to an upstream with
+    # the probability of its weight, and no other weight enters its score.
+    digest = xxhash.xxh3_64_intdigest(f"{upstream}\0{request_key}".encode())
+    return -weight / math.log((digest + 0.5) / 2**64)
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/fleet_support.py
@@ -0,0 +1,287 @@
+"""Entries and targets on the heap of events: placing, admission, retries."""
+
+import random
+
+import attrs
+
+from pomelobank_core import (
+    Admission,
+    Attempt,
+    CandidateIndex,
+    Change,
+    ConcurrencyLimit,
+    ErrorKind,
+    MemberTable,
+    Observation,
+    Placing,
+    Refused,
+    Retries,
+    RoundRobin,
+    Started,
+    TargetResult,
+    Ticket,
+    TrafficClass,
+    TwoChoices,
+    WorkResult,
+    target_result,
+)
+from pomelobank_core.tests.load_support import POLICIES, Call, Events
+from pomelobank_schema.generated.peer import MemberEntry
+
+HOP_MS = 1.0
+UPSTREAM = "stock"
+
+
+def member(name: str, data_centre: str = "hobart", slots: int = 10, **changes):
+    return MemberEntry(
+        node=name,
+        incarnation=changes.pop("incarnation", 1),
+        state=changes.pop("state", "ready"),
+        data_centre=data_centre,
+        upstream=changes.pop("upstream", UPSTREAM),
+        slots=slots,
+        **changes,
+    )
+
+
+@attrs.define(eq=False)
+class FleetTarget:
+    """A target behind its own admission; it may be slow or dead."""
+
+    entry: MemberEntry
+    admission: Admission
+    slow_factor: float = 1.0
+    dead: bool = False
+    runs: int = 0
+    waiting: dict[Ticket, "Visit"] = attrs.field(factory=dict)
+    present: list["Visit"] = attrs.field(factory=list)
+
+
+@attrs.define(eq=False)
+class Visit:
+    """One try of a call at a target."""
+
+    call: Call
+    entry: "FleetEntry"
+    target: FleetTarget
+    tried: set[str]
+    sent_ms: float
+    ticket: Ticket | None = None
+    over: bool = False
+
+
+@attrs.define(eq=False)
+class FleetEntry:
+    """A node that callers enter by."""
+
+    index: CandidateIndex
+    placing: Placing
+    retries: Retries
+
+
+class Fleet:
+    """Some entries, some targets and every call's outcome."""
+
+    def __init__(
+        self,
+        members: list[MemberEntry],
+        entries: int = 3,
+        round_robin: bool = False,
+        data_centre: str = "hobart",
+        retrying: bool = True,
+    ) -> None:
+        self.events = Events()
+        self.calls: list[Call] = []
+        self.runs: dict[int, int] = {}
+        self.retrying = retrying
+        self.tries = 0
+        self.targets = {item.node: _target(item) for item in members}
+        self.entries = []
+        for number in range(entries):
+            own = member(f"entry-{number}", data_centre, upstream="")
+            table = MemberTable(own)
+            table.merge(members)
+            placing: Placing = RoundRobin()
+            if not round_robin:
+                placing = TwoChoices(random.Random(number))
+            self.entries.append(
+                FleetEntry(
+                    CandidateIndex(table),
+                    placing,
+                    Retries(random.Random(number)),
+                )
+            )
+
+    def load(
+        self,
+        per_s: float,
+        until_ms: float,
+        from_ms: float = 0,
+        work_ms: float = 10,
+        timeout_ms: float = 1000,
+        seed: int = 1,
+        weights: tuple[int, ...] | None = None,
+    ) -> None:
+        seeded = random.Random(seed)
+        at_ms = from_ms
+        while (at_ms := at_ms + seeded.expovariate(per_s / 1000)) < until_ms:
+            call = Call(
+                TrafficClass.INTERACTIVE, at_ms, work_ms, timeout_ms, "r"
+            )
+            (entry,) = seeded.choices(self.entries, weights)
+            self.calls.append(call)
+            self.events.at(at_ms, lambda c=call, e=entry: self._first(c, e))
+
+    def merge(self, *entries: MemberEntry) -> None:
+        for entry in self.entries:
+            entry.index.table.merge(entries)
+
+    def kill(self, name: str) -> None:
+        """The target's instance dies with all that runs there."""
+        target = self.targets[name]
+        target.dead = True
+        for visit in list(target.present):
+            self._leave(visit, ErrorKind.PEER_LOST)
+        target.admission = _target(target.entry).admission
+        target.waiting.clear()
+
+    def outcomes(self, from_ms: float = 0, until_ms: float = 1e9):
+        found: dict[str, list[float]] = {}
+        for call in self.calls:
+            if from_ms <= call.at_ms < until_ms:
+                found.setdefault(call.outcome, []).append(call.took_ms)
+        return found
+
+    def _first(self, call: Call, entry: FleetEntry) -> None:
+        entry.retries.first_try(UPSTREAM, self.events.now_ms)
+        self._try(call, entry, set())
+
+    def _try(self, call: Call, entry: FleetEntry, tried: set[str]) -> None:
+        now_ms = self.events.now_ms
+        candidates = entry.index.of(UPSTREAM)
+        chosen = entry.placing.place(candidates, tried, now_ms)
+        if chosen is None:
+            self._end(call, ErrorKind.NO_TARGET.value)
+            return
+        self.tries += 1
+        tried.add(chosen.node)
+        entry.placing.sent(chosen, now_ms)
+        target = self.targets[chosen.node]
+        visit = Visit(call, entry, target, tried, now_ms)
+        target.present.append(visit)
+        self.events.at(now_ms + HOP_MS, lambda: self._arrive(visit))
+
+    def _arrive(self, visit: Visit) -> None:
+        if visit.over:
+            return
+        if visit.target.dead:
+            self._leave(visit, ErrorKind.PEER_UNREACHABLE)
+            return
+        now_ms = self.events.now_ms
+        call = visit.call
+        visit.ticket = Ticket(
+            call.traffic_class, call.route, call.at_ms + call.timeout_ms
+        )
+        verdict = visit.target.admission.offer(visit.ticket, now_ms)
+        if isinstance(verdict, Refused):
+            self._leave(visit, verdict.kind)
+        elif isinstance(verdict, Started):
+            self._run(visit)
+        else:
+            visit.target.waiting[visit.ticket] = visit
+            self.events.at(
+                visit.ticket.deadline_ms, lambda: self._look(visit.target)
+            )
+
+    def _look(self, target: FleetTarget) -> None:
+        change = target.admission.start_waiting(self.events.now_ms)
+        self._carry_out(target, change)
+
+    def _run(self, visit: Visit) -> None:
+        visit.target.runs += 1
+        key = id(visit.call)
+        self.runs[key] = self.runs.get(key, 0) + 1
+        work_ms = visit.call.work_ms * visit.target.slow_factor
+        end_ms = self.events.now_ms + work_ms
+        self.events.at(end_ms, lambda: self._ran(visit))
+
+    def _ran(self, visit: Visit) -> None:
+        if visit.over:
+            return
+        assert visit.ticket is not None
+        now_ms = self.events.now_ms
+        change = visit.target.admission.finish(
+            visit.ticket, WorkResult.ANSWERED, now_ms
+        )
+        late = now_ms > visit.ticket.deadline_ms
+        self._leave(visit, ErrorKind.DEADLINE_UNKNOWN if late else None)
+        self._carry_out(visit.target, change)
+
+    def _carry_out(self, target: FleetTarget, change: Change) -> None:
+        for ticket in change.started:
+            self._run(target.waiting.pop(ticket))
+        for ticket in change.expired:
+            self._leave(target.waiting.pop(ticket), ErrorKind.DEADLINE_NOT_RUN)
+
+    def _leave(self, visit: Visit, error: ErrorKind | None) -> None:
+        visit.over = True
+        visit.target.present.remove(visit)
+        self.events.at(
+            self.events.now_ms + HOP_MS, lambda: self._back(visit, error)
+        )
+
+    def _back(self, visit: Visit, error: ErrorKind | None) -> None:
+        now_ms = self.events.now_ms
+        result = TargetResult.ANSWERED
+        if error is not None:
+            result = target_result(error, visit.call.timeout_ms)
+        admission = visit.target.admission
+        seen = Observation(
+            result,
+            now_ms - visit.sent_ms,
+            admission.in_flight + admission.waiting,
+        )
+        entry = visit.entry
+        candidates = entry.index.of(UPSTREAM)
+        chosen = visit.target.entry
+        entry.placing.ended(chosen, candidates, seen, now_ms)
+        if error is None:
+            self._end(visit.call, "answered")
+            return
+        self._again(visit, error)
+
+    def _again(self, visit: Visit, error: ErrorKind) -> None:
+        now_ms = self.events.now_ms
+        entry = visit.entry
+        other = entry.placing.place(
+            entry.index.of(UPSTREAM), visit.tried, now_ms
+        )
+        attempt = Attempt(
+            error=error,
+            idempotent=True,
+            tries=len(visit.tried),
+            redirects=0,
+            left_ms=visit.call.at_ms + visit.call.timeout_ms - now_ms,
+            other_room=other is not None
+            and entry.placing.has_room(other, now_ms),
+        )
+        retry = entry.retries.decide(UPSTREAM, attempt, now_ms)
+        if retry is None or not self.retrying:
+            self._end(visit.call, error.value)
+            return
+        self.events.at(
+            now_ms + retry.after_ms,
+            lambda: self._try(visit.call, entry, visit.tried),
+        )
+
+    def _end(self, call: Call, outcome: str) -> None:
+        call.outcome = outcome
+        call.ended_ms = self.events.now_ms
+
+
+def _target(entry: MemberEntry) -> FleetTarget:
+    limit = ConcurrencyLimit(entry.slots, entry.slots, cold=False)
+    policy = POLICIES["guaranteed_shared"]
+    return FleetTarget(
+        entry, Admission(policy, limit, 200, random.Random(entry.node))
+    )
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_retries.py
@@ -0,0 +1,125 @@
+"""Retries help with one failure and add little load to many."""
+
+import random
+
+import attrs
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomelobank_core import Attempt, ErrorKind, Retries, RetryBudget
+from pomelobank_core._retries import BUDGET_MOST, MAX_REDIRECTS, MAX_TRIES
+from pomelobank_core.tests.fleet_support import Fleet, member
+
+FAILED = Attempt(
+    error=ErrorKind.UPSTREAM_UNREACHABLE,
+    idempotent=False,
+    tries=1,
+    redirects=0,
+    left_ms=1000,
+)
+
+
+@pytest.mark.parametrize(
+    ("changes", "retried"),
+    [
+        pytest.param({}, True, id="not_run"),
+        pytest.param({"error": ErrorKind.PEER_LOST}, False, id="unknown"),
+        pytest.param(
+            {"error": ErrorKind.PEER_LOST, "idempotent": True},
+            True,
+            id="idempotent_unknown",
+        ),
+        pytest.param({"error": None}, False, id="shed"),
+        pytest.param(
+            {"error": None, "idempotent": True}, True, id="idempotent_shed"
+        ),
+        pytest.param({"error": ErrorKind.OVERLOADED}, True, id="other_room"),
+        pytest.param(
+            {"error": ErrorKind.OVERLOADED, "other_room": False},
+            False,
+            id="all_full",
+        ),
+        pytest.param({"error": ErrorKind.QUARANTINED}, False, id="quarantined"),
+        pytest.param(
+            {"error": ErrorKind.DEADLINE_NOT_RUN}, False, id="deadline"
+        ),
+        pytest.param({"error": ErrorKind.CLAIM_UNAVAILABLE}, False, id="claim"),
+        pytest.param({"is_retry": True}, False, id="part_of_a_retry"),
+        pytest.param({"tries": MAX_TRIES}, False, id="tries_used_up"),
+        pytest.param({"left_ms": 5}, False, id="no_time_left"),
+        pytest.param({"usual_ms": 999}, False, id="would_end_too_late"),
+        pytest.param(
+            {"error": ErrorKind.DRAINING, "redirects": 1, "is_retry": True},
+            True,
+            id="redirect",
+        ),
+        pytest.param(
+            {"error": ErrorKind.DRAINING, "redirects": MAX_REDIRECTS},
+            False,
+            id="redirected_too_often",
+        ),
+    ],
+)
+def test_which_failures_are_retried(
+    changes: dict[str, object], retried: bool
+) -> None:
+    attempt = attrs.evolve(FAILED, **changes)
+    verdict = Retries(random.Random(1)).decide("stock", attempt, 0)
+    assert (verdict is not None) is retried
+
+
+def test_failing_upstream_gets_a_tenth_more() -> None:
+    """Every target of an upstream breaks each connection.
+
+    With free retries the upstream would get three times its usual load just
+    when it cannot even carry that.
+    """
+    retries = Retries(random.Random(1))
+    tries = 0
+    for now_ms in range(0, 10_000, 2):
+        retries.first_try("stock", now_ms)
+        tries += 1
+        for number in range(1, 4):
+            attempt = attrs.evolve(FAILED, tries=number)
+            if retries.decide("stock", attempt, now_ms) is None:
+                break
+            tries += 1
+    assert tries <= 5000 * 1.1 + BUDGET_MOST + 10
+
+
+def test_runs_stay_bounded_when_targets_die_one_by_one() -> None:
+    """Targets die under load every 200 ms until one of four is left."""
+    fleet = Fleet([member(f"t{number}") for number in range(4)])
+    fleet.load(400, 3000)
+    for number in range(3):
+        fleet.events.at(
+            500 + 200 * number, lambda n=number: fleet.kill(f"t{n}")
+        )
+    fleet.events.run()
+    outcomes = fleet.outcomes()
+    assert len(outcomes["answered"]) > 0.98 * len(fleet.calls)
+    assert max(fleet.runs.values()) <= MAX_TRIES
+
+
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["first", "take"]), st.integers(0, 5000)),
+    max_size=200,
+)
+
+
+@given(steps=STEPS)
+def test_budget_is_never_exceeded(steps: list[tuple[str, int]]) -> None:
+    budget = RetryBudget()
+    now_ms = 0
+    firsts = 0
+    for action, pause_ms in steps:
+        now_ms += pause_ms
+        if action == "first":
+            budget.first_try(now_ms)
+            firsts += 1
+        else:
+            budget.take(now_ms)
+        allowed = BUDGET_MOST + 0.1 * firsts + 0.5 * now_ms / 1000
+        assert budget.spent <= allowed + 1e-6
+        assert 0 <= budget.tokens <= BUDGET_MOST
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -13,6 +13,7 @@
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._entry import Entry
+from pomelobank_node._forwarder import Forwarder, new_placing
 from pomelobank_node._http_server import HttpServer
 from pomelobank_node._log_client import LogClient
 from pomelobank_node._membership import Membership
@@ -83,9 +84,14 @@
 
     def _build_servers(self) -> None:
         settings = self.settings
-        dispatcher = Dispatcher(
-            self.store, self.table, self.owner, self.links, self.clock
+        self.forwarder = Forwarder(
+            self.table,
+            self.owner,
+            self.links,
+            self.clock,
+            new_placing(settings.requests),
         )
+        dispatcher = Dispatcher(self.store, self.forwarder, self.clock)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,20 +1,10 @@
 """Takes a caller's request to the target that answers it."""
 
-import random
-
 import attrs
 
-from pomelobank_core import (
-    Clock,
-    ErrorKind,
-    MemberTable,
-    RoundRobin,
-    is_idempotent,
-    pick_upstream,
-)
+from pomelobank_core import Clock, ErrorKind, is_idempotent, pick_upstream
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._owner import Owner
-from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -53,25 +43,17 @@
 
 @attrs.define(eq=False)
 class Dispatcher:
-    """Routes, places and forwards requests.
+    """Finds the route and the upstream of requests.
 
     Attributes:
         store: The configuration in force.
-        members: Who can serve.
-        owner: The node's own target.
-        links: Streams to peers.
+        forwarder: Takes requests to the upstream's targets.
         clock: Tells the time.
-        placing: Chooses the target.
-        seeded: Source of randomness.
     """
 
     store: ConfigStore
-    members: MemberTable
-    owner: Owner
-    links: PeerLinks
+    forwarder: Forwarder
     clock: Clock
-    placing: RoundRobin = attrs.field(factory=RoundRobin)
-    seeded: random.Random = attrs.field(factory=random.Random)
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
         """Answers one request.
@@ -88,9 +70,9 @@
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
-        upstream = pick_upstream(
-            route, self.members.available_upstreams(), self.seeded
-        )
+        available = self.forwarder.index.available_upstreams()
+        request_key = caller.idempotency_key or caller.trace_id
+        upstream = pick_upstream(route, available, request_key)
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
         remaining_ms = route.timeout_ms
@@ -113,13 +95,4 @@
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
         )
-        return await self._place(request)
-
-    async def _place(self, request: ForwardRequest) -> ForwardReply:
-        candidates = self.members.ready_for(request.upstream)
-        chosen = self.placing.place(request.upstream, candidates)
-        if chosen is None:
-            raise RequestError(ErrorKind.NO_TARGET)
-        if chosen.node == self.members.own.node:
-            return await self.owner.serve(request)
-        return await self.links.to(chosen.peer_address).forward(request)
+        return await self.forwarder.forward(request)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -0,0 +1,218 @@
+"""Sends a request to targets of its upstream until one of them has it."""
+
+import asyncio
+import random
+
+import attrs
+
+from pomelobank_core import (
+    Attempt,
+    CandidateIndex,
+    Clock,
+    ErrorKind,
+    MemberTable,
+    Observation,
+    Placing,
+    Retries,
+    Retry,
+    RoundRobin,
+    TargetResult,
+    TwoChoices,
+    target_result,
+)
+from pomelobank_node._owner import Owner
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+    error_reply,
+    reply_error,
+)
+from pomelobank_schema.generated.peer import Header, MemberEntry
+from pomelobank_schema.generated.settings import RequestSettings
+
+# Marks a request that is part of a retry. A target that passes it on with the
+# calls it makes keeps the nodes behind it from retrying those as well.
+RETRY_HEADER = b"x-pomelobank-retry"
+_ERROR_HEADER = b"x-pomelobank-error"
+_MS_PER_S = 1000
+
+
+def new_placing(settings: RequestSettings) -> Placing:
+    """Returns the placing that the settings name."""
+    if settings.placing == "round_robin":
+        return RoundRobin()
+    return TwoChoices(random.Random())
+
+
+@attrs.define(eq=False)
+class Journey:
+    """A request and where it has been.
+
+    Attributes:
+        request: The request.
+        deadline_ms: When its caller stops waiting.
+        is_retry: Whether it came in as part of another's retry.
+        tried: Nodes that it was sent to.
+        tries: How often it was sent.
+        redirects: How many of these cost the upstream nothing.
+    """
+
+    request: ForwardRequest
+    deadline_ms: int
+    is_retry: bool
+    tried: set[str] = attrs.field(factory=set)
+    tries: int = 0
+    redirects: int = 0
+
+
+@attrs.define(eq=False)
+class Forwarder:
+    """Places requests and retries them.
+
+    Attributes:
+        members: Who can serve.
+        owner: The node's own target.
+        links: Streams to peers.
+        clock: Tells the time.
+        placing: Chooses the target.
+        index: The targets of each upstream.
+        retries: Decides about further tries.
+    """
+
+    members: MemberTable
+    owner: Owner
+    links: PeerLinks
+    clock: Clock
+    placing: Placing
+    index: CandidateIndex = attrs.field()
+    retries: Retries = attrs.field(factory=Retries)
+
+    @index.default
+    def _new_index(self) -> CandidateIndex:
+        return CandidateIndex(self.members)
+
+    async def forward(self, request: ForwardRequest) -> ForwardReply:
+        """Answers one request.
+
+        Args:
+            request: The request, its time left counted from now.
+
+        Returns:
+            The target's answer or an error report.
+
+        Raises:
+            RequestError: NO_TARGET.
+        """
+        now_ms = self.clock.now_ms()
+        names = {header.name for header in request.headers}
+        journey = Journey(
+            request, now_ms + request.remaining_ms, RETRY_HEADER in names
+        )
+        self.retries.first_try(request.upstream, now_ms)
+        target = self._place(journey)
+        if target is None:
+            raise RequestError(ErrorKind.NO_TARGET)
+        while True:
+            reply = await self._try(journey, target)
+            retry = self._decide(journey, reply)
+            if retry is None:
+                return reply
+            await asyncio.sleep(retry.after_ms / _MS_PER_S)
+            following = self._place(journey)
+            if following is None:
+                return reply
+            target = following
+
+    def _place(self, journey: Journey) -> MemberEntry | None:
+        candidates = self.index.of(journey.request.upstream)
+        now_ms = self.clock.now_ms()
+        return self.placing.place(candidates, journey.tried, now_ms)
+
+    async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
+        begun_ms = self.clock.now_ms()
+        left_ms = journey.deadline_ms - begun_ms
+        request = attrs.evolve(
+            journey.request, sent_ms=begun_ms, remaining_ms=left_ms
+        )
+        if journey.tries > journey.redirects:
+            request = _mark_retry(request)
+        journey.tries += 1
+        journey.tried.add(target.node)
+        self.placing.sent(target, begun_ms)
+        seen = Observation(TargetResult.NEUTRAL)
+        try:
+            reply = await self._send(target, request)
+            seen = observation(reply, self.clock.now_ms() - begun_ms, left_ms)
+            return reply
+        finally:
+            candidates = self.index.of(request.upstream)
+            now_ms = self.clock.now_ms()
+            self.placing.ended(target, candidates, seen, now_ms)
+
+    async def _send(
+        self, target: MemberEntry, request: ForwardRequest
+    ) -> ForwardReply:
+        if request.remaining_ms <= 0:
+            error = RequestError(ErrorKind.DEADLINE_NOT_RUN)
+            return error_reply(request.request_id, error)
+        if target.node == self.members.own.node:
+            return await self.owner.serve(request)
+        return await self.links.to(target.peer_address).forward(request)
+
+    def _decide(self, journey: Journey, reply: ForwardReply) -> Retry | None:
+        error = reply_error(reply)
+        if error is None and not is_shed(reply):
+            return None
+        request = journey.request
+        now_ms = self.clock.now_ms()
+        attempt = Attempt(
+            error=error.kind if error else None,
+            idempotent=request.idempotent,
+            tries=journey.tries,
+            redirects=journey.redirects,
+            left_ms=journey.deadline_ms - now_ms,
+            is_retry=journey.is_retry,
+            other_room=self._other_room(journey, now_ms),
+        )
+        retry = self.retries.decide(request.upstream, attempt, now_ms)
+        if retry is not None and retry.redirect:
+            journey.redirects += 1
+        return retry
+
+    def _other_room(self, journey: Journey, now_ms: int) -> bool:
+        other = self._place(journey)
+        return other is not None and self.placing.has_room(other, now_ms)
+
+
+def is_shed(reply: ForwardReply) -> bool:
+    """Tells whether a target turned the request away with its answer.
+
+    A target that passes on what a node said to its own call has not shed:
+    the node nearest to that failure has retried what could be retried.
+    """
+    if reply.error or not reply.retry_after_ms:
+        return False
+    return all(header.name != _ERROR_HEADER for header in reply.headers)
+
+
+def observation(
+    reply: ForwardReply, took_ms: int, allowed_ms: int
+) -> Observation:
+    """Returns what a reply says about the target that sent it."""
+    error = reply_error(reply)
+    if error is not None:
+        result = target_result(error.kind, allowed_ms)
+    elif is_shed(reply):
+        result = TargetResult.FULL
+    else:
+        result = TargetResult.ANSWERED
+    return Observation(result, took_ms, reply.outstanding, reply.retry_after_ms)
+
+
+def _mark_retry(request: ForwardRequest) -> ForwardRequest:
+    if any(header.name == RETRY_HEADER for header in request.headers):
+        return request
+    marked = (*request.headers, Header(name=RETRY_HEADER, value=b"1"))
+    return attrs.evolve(request, headers=marked)
