--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -17,9 +17,48 @@
     WorkResult,
 )
 from pomelobank_core._candidates import CandidateIndex, Candidates
+from pomelobank_core._claim_answers import AnswerStore
+from pomelobank_core._claim_attempts import (
+    Attempt,
+    AttemptState,
+    AttemptStep,
+    claim_seen,
+    combine_run_states,
+    give_up,
+    run_ended,
+)
+from pomelobank_core._claim_batcher import ClaimBatcher
+from pomelobank_core._claims import (
+    SHARDS,
+    Claim,
+    ClaimEnded,
+    ClaimEvent,
+    ClaimId,
+    ClaimSeen,
+    ClaimStatus,
+    ClaimTable,
+    KeptAnswer,
+    claim_key,
+    completion_record,
+    rank_claimants,
+    request_digest,
+    scoped_key,
+    service_of,
+    shard_of,
+)
 from pomelobank_core._clock import Clock, ManualClock
 from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._distribution import (
+    Distribution,
+    Neighbours,
+    PullRecords,
+    PushRecords,
+    ReadPlan,
+    SendDigest,
+    find_neighbours,
+)
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._floor import VersionFloor
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._objects import (
     ConfigObject,
@@ -29,6 +68,7 @@
     VersionedObject,
     object_key,
     operation_object,
+    snapshot_object_value,
 )
 from pomelobank_core._placing import (
     Observation,
@@ -38,6 +78,7 @@
     TwoChoices,
     target_result,
 )
+from pomelobank_core._rendezvous import rank_of, rendezvous_order
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
@@ -45,38 +86,65 @@
     replay_change,
     skip_record,
 )
-from pomelobank_core._retries import Attempt, Retries, Retry, RetryBudget
+from pomelobank_core._retries import FailedTry, Retries, Retry, RetryBudget
 from pomelobank_core._routing import RouteTable, is_idempotent, pick_upstream
+from pomelobank_core._snapshots import (
+    Recovery,
+    SnapshotSchedule,
+    restore_snapshot,
+    snapshot_record,
+    usable_snapshot,
+)
 from pomelobank_core._validation import Problem, ProblemKind, check_objects
 
 __all__ = [
     "ANSWERS",
+    "SHARDS",
     "Admission",
     "AdmissionPolicy",
     "Answer",
+    "AnswerStore",
     "Attempt",
+    "AttemptState",
+    "AttemptStep",
     "CandidateIndex",
     "Candidates",
     "Change",
     "ChangeVerdict",
+    "Claim",
+    "ClaimBatcher",
+    "ClaimEnded",
+    "ClaimEvent",
+    "ClaimId",
+    "ClaimSeen",
+    "ClaimStatus",
+    "ClaimTable",
     "Clock",
     "ConcurrencyLimit",
     "ConfigObject",
     "ConfigState",
+    "Distribution",
     "ErrorKind",
+    "FailedTry",
     "FirstCome",
     "FixedPartition",
     "GuaranteedShared",
+    "KeptAnswer",
     "ManualClock",
     "MemberState",
     "MemberTable",
+    "Neighbours",
     "ObjectKey",
     "ObjectKind",
     "Observation",
     "Placing",
     "Problem",
     "ProblemKind",
+    "PullRecords",
+    "PushRecords",
     "Queued",
+    "ReadPlan",
+    "Recovery",
     "Refused",
     "Retries",
     "Retry",
@@ -84,7 +152,9 @@
     "RoundRobin",
     "RouteTable",
     "RunState",
+    "SendDigest",
     "Snapshot",
+    "SnapshotSchedule",
     "Started",
     "TargetResult",
     "Ticket",
@@ -92,15 +162,34 @@
     "TwoChoices",
     "Unlimited",
     "Verdict",
+    "VersionFloor",
     "VersionedObject",
     "WorkResult",
     "check_objects",
+    "claim_key",
+    "claim_seen",
+    "combine_run_states",
+    "completion_record",
     "evaluate",
+    "find_neighbours",
+    "give_up",
     "is_idempotent",
     "object_key",
     "operation_object",
     "pick_upstream",
+    "rank_claimants",
+    "rank_of",
+    "rendezvous_order",
     "replay_change",
+    "request_digest",
+    "restore_snapshot",
+    "run_ended",
+    "scoped_key",
+    "service_of",
+    "shard_of",
     "skip_record",
+    "snapshot_object_value",
+    "snapshot_record",
     "target_result",
+    "usable_snapshot",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retries.py
@@ -100,7 +100,7 @@
 
 
 @attrs.frozen
-class Attempt:
+class FailedTry:
     """A try that has failed.
 
     Attributes:
@@ -170,7 +170,7 @@
         self._budget(upstream).first_try(now_ms)
 
     def decide(
-        self, upstream: str, attempt: Attempt, now_ms: float
+        self, upstream: str, attempt: FailedTry, now_ms: float
     ) -> Retry | None:
         """Decides about a failed try.
 
@@ -194,7 +194,7 @@
             return None
         return Retry(after_ms, redirect=False)
 
-    def _may(self, cost: RetryCost, attempt: Attempt) -> bool:
+    def _may(self, cost: RetryCost, attempt: FailedTry) -> bool:
         if cost is RetryCost.NEVER:
             return False
         if cost is RetryCost.REDIRECT:
@@ -207,7 +207,7 @@
         is_load = attempt.error in (None, ErrorKind.OVERLOADED)
         return attempt.other_room or not is_load
 
-    def _delay_ms(self, cost: RetryCost, attempt: Attempt) -> float:
+    def _delay_ms(self, cost: RetryCost, attempt: FailedTry) -> float:
         # Nodes that lost the same target at the same moment would all come to
         # the next one together; a delay of any length up to the bound spreads
         # them (full jitter).
--- a/packages/pomelobank-core/src/pomelobank_core/tests/fleet_support.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/fleet_support.py
@@ -6,11 +6,11 @@
 
 from pomelobank_core import (
     Admission,
-    Attempt,
     CandidateIndex,
     Change,
     ConcurrencyLimit,
     ErrorKind,
+    FailedTry,
     MemberTable,
     Observation,
     Placing,
@@ -256,7 +256,7 @@
         other = entry.placing.place(
             entry.index.of(UPSTREAM), visit.tried, now_ms
         )
-        attempt = Attempt(
+        attempt = FailedTry(
             error=error,
             idempotent=True,
             tries=len(visit.tried),
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_retries.py
@@ -7,11 +7,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pomelobank_core import Attempt, ErrorKind, Retries, RetryBudget
+from pomelobank_core import ErrorKind, FailedTry, Retries, RetryBudget
 from pomelobank_core._retries import BUDGET_MOST, MAX_REDIRECTS, MAX_TRIES
 from pomelobank_core.tests.fleet_support import Fleet, member
 
-FAILED = Attempt(
+FAILED = FailedTry(
     error=ErrorKind.UPSTREAM_UNREACHABLE,
     idempotent=False,
     tries=1,
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,8 +1,18 @@
 """Takes a caller's request to the target that answers it."""
 
+from urllib.parse import unquote_to_bytes
+
 import attrs
 
-from pomelobank_core import Clock, ErrorKind, is_idempotent, pick_upstream
+from pomelobank_core import (
+    Clock,
+    ErrorKind,
+    is_idempotent,
+    pick_upstream,
+    scoped_key,
+    service_of,
+)
+from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._requests import (
@@ -12,6 +22,7 @@
     RequestError,
 )
 from pomelobank_schema.generated.peer import Header
+from pomelobank_schema.generated.records import RouteObject
 
 
 @attrs.frozen
@@ -49,11 +60,13 @@
         store: The configuration in force.
         forwarder: Takes requests to the upstream's targets.
         clock: Tells the time.
+        claims: Runs requests with an idempotency key.
     """
 
     store: ConfigStore
     forwarder: Forwarder
     clock: Clock
+    claims: ClaimService = attrs.field(init=False)
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
         """Answers one request.
@@ -67,23 +80,56 @@
         Raises:
             RequestError: If the request cannot be placed.
         """
+        if not self.store.ready:
+            raise RequestError(ErrorKind.NOT_READY)
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
+        request = self._request(route, caller)
+        # A key is looked up before a target: its request may have run, and
+        # its resend must not be told that there is none.
+        if caller.idempotency_key and not request.idempotent:
+            key = scoped_key(caller.service, caller.idempotency_key)
+            keyed = attrs.evolve(request, idempotency_key=key)
+            return await self.claims.run_once(keyed)
+        return await self._route_on(route, request)
+
+    async def place_claimed(self, request: ForwardRequest) -> ForwardReply:
+        """Places a request whose key this node has claimed.
+
+        Raises:
+            RequestError: If the request cannot be placed.
+        """
+        service = service_of(request.idempotency_key)
+        path = unquote_to_bytes(request.target.partition(b"?")[0])
+        route = self.store.routes.match(service, path.decode(errors="replace"))
+        if route is None:
+            raise RequestError(ErrorKind.NO_ROUTE)
+        return await self._route_on(route, request)
+
+    async def _route_on(
+        self, route: RouteObject, request: ForwardRequest
+    ) -> ForwardReply:
         available = self.forwarder.index.available_upstreams()
-        request_key = caller.idempotency_key or caller.trace_id
+        request_key = request.idempotency_key or request.trace_id
         upstream = pick_upstream(route, available, request_key)
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
+        return await self.forwarder.forward(
+            attrs.evolve(request, upstream=upstream)
+        )
+
+    def _request(
+        self, route: RouteObject, caller: CallerRequest
+    ) -> ForwardRequest:
         remaining_ms = route.timeout_ms
         if caller.timeout_ms:
             remaining_ms = min(remaining_ms, caller.timeout_ms)
-        request = ForwardRequest(
+        return ForwardRequest(
             trace_id=caller.trace_id,
             sent_ms=self.clock.now_ms(),
             remaining_ms=remaining_ms,
             route=route.name,
-            upstream=upstream,
             traffic_class=route.traffic_class,
             method=caller.method,
             target=caller.target,
@@ -95,4 +141,3 @@
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
         )
-        return await self.forwarder.forward(request)
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -6,10 +6,10 @@
 import attrs
 
 from pomelobank_core import (
-    Attempt,
     CandidateIndex,
     Clock,
     ErrorKind,
+    FailedTry,
     MemberTable,
     Observation,
     Placing,
@@ -167,7 +167,7 @@
             return None
         request = journey.request
         now_ms = self.clock.now_ms()
-        attempt = Attempt(
+        attempt = FailedTry(
             error=error.kind if error else None,
             idempotent=request.idempotent,
             tries=journey.tries,
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from pomelobank_node._claims import ClaimService
+from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
@@ -15,6 +17,10 @@
     ForwardRequest,
     Gossip,
     Hello,
+    RecordsPull,
+    RecordsPush,
+    SnapshotPush,
+    VersionDigest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -28,12 +34,16 @@
         stream: The stream.
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
+        feed: Takes the peer's frames about the configuration.
+        claims: Runs the peer's requests with an idempotency key.
         running: Tasks of the peer's requests, by request id.
     """
 
     stream: FrameStream
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
+    claims: ClaimService
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
 
     async def run(self) -> None:
@@ -55,7 +65,9 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            reply = await self.owner.serve(request)
+            # Without an upstream: the key is to be claimed here first.
+            serve = self.owner.serve if request.upstream else self.claims.serve
+            reply = await serve(request)
             self.stream.send(reply)
             await self.stream.writer.drain()
         except OSError:
@@ -91,6 +103,14 @@
     connection.membership.receive(frame)
 
 
+@handle_frame.register(RecordsPull)
+@handle_frame.register(RecordsPush)
+@handle_frame.register(SnapshotPush)
+@handle_frame.register(VersionDigest)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.feed.receive(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -99,12 +119,16 @@
         listen: Address to listen on.
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
+        feed: Takes peers' frames about the configuration.
+        claims: Runs peers' requests with an idempotency key.
         address: Address that is really used, once it listens.
     """
 
     listen: str
     owner: Owner
     membership: Membership
+    feed: ConfigFeed
+    claims: ClaimService
     address: str = ""
     server: asyncio.Server | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -120,7 +144,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         stream = FrameStream(reader, writer)
-        connection = PeerConnection(stream, self.owner, self.membership)
+        connection = PeerConnection(
+            stream, self.owner, self.membership, self.feed, self.claims
+        )
         task = asyncio.current_task()
         assert task is not None
         self.tasks.add(task)
