Requests that crash targets run alone, then not at all

Cause: one request that crashes its target, sent again by its caller, could take down every target of an upstream, and nothing told the nodes so.

Change: the node beside a target notices a crash (nobody accepts any more, or every connection broke at once) and reports the fingerprints of what was in flight to every node. A suspect runs alone, on one target on which all nodes agree; it is cleared when it ends, quarantined when it crashes that target too. A retry that is refused after a try that may have run reports the earlier one, so that 'not run' stays true.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -76,8 +76,17 @@
     RoundRobin,
     TargetResult,
     TwoChoices,
+    isolation_target,
     target_result,
 )
+from pomelobank_core._quarantine import (
+    POINTS_NODE_LOST,
+    POINTS_TARGET_LOST,
+    Evidence,
+    QuarantineTable,
+    Standing,
+    fingerprint,
+)
 from pomelobank_core._rendezvous import rank_of, rendezvous_order
 from pomelobank_core._replay import (
     ChangeVerdict,
@@ -99,6 +108,8 @@
 
 __all__ = [
     "ANSWERS",
+    "POINTS_NODE_LOST",
+    "POINTS_TARGET_LOST",
     "SHARDS",
     "Admission",
     "AdmissionPolicy",
@@ -125,6 +136,7 @@
     "ConfigState",
     "Distribution",
     "ErrorKind",
+    "Evidence",
     "FailedTry",
     "FirstCome",
     "FixedPartition",
@@ -142,6 +154,7 @@
     "ProblemKind",
     "PullRecords",
     "PushRecords",
+    "QuarantineTable",
     "Queued",
     "ReadPlan",
     "Recovery",
@@ -155,6 +168,7 @@
     "SendDigest",
     "Snapshot",
     "SnapshotSchedule",
+    "Standing",
     "Started",
     "TargetResult",
     "Ticket",
@@ -172,8 +186,10 @@
     "completion_record",
     "evaluate",
     "find_neighbours",
+    "fingerprint",
     "give_up",
     "is_idempotent",
+    "isolation_target",
     "object_key",
     "operation_object",
     "pick_upstream",
--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -37,6 +37,8 @@
 # Taken for a class's service time before the first was measured: a burst at a
 # cold target would otherwise queue without any bound.
 UNMEASURED_MS = 100.0
+# Longest planned hold of all other requests for one that has to run alone.
+LONGEST_HOLD_MS = 500.0
 # Sooner than this a caller would meet the same queue again.
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 30_000
@@ -320,12 +322,22 @@
         # take it from the requests that are no danger.
         if self.alone is not None:
             return self._refuse(ErrorKind.OVERLOADED, self.max_queue_ms)
+        # Everything else is held until the target is empty. Behind long work
+        # that would idle it for seconds; the suspect comes back later.
+        empty_ms = self._empty_ms()
+        room_ms = min(ticket.deadline_ms - now_ms, LONGEST_HOLD_MS)
+        if empty_ms > room_ms:
+            return self._refuse(ErrorKind.OVERLOADED, empty_ms)
         self.alone = ticket
         if not self.in_flight:
             self._start(ticket, now_ms)
             return Started()
         return Queued()
 
+    def _empty_ms(self) -> float:
+        busy = [item for item, slots in self.running.items() if slots]
+        return max(map(self._usual_ms, busy), default=0.0)
+
     def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
         # Spread over once to twice the wait, because all those refused in one
         # burst would otherwise come back as the next burst.
--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 import attrs
+import xxhash
 
 from pomelobank_core._candidates import Candidates
 from pomelobank_core._ejection import Ejection, may_eject
@@ -421,3 +422,27 @@
     if seen.result is TargetResult.LEAVING:
         return LEAVING_HINT_MS
     return 0.0
+
+
+def isolation_target(
+    candidates: Candidates, fingerprint: bytes, tried: AbstractSet[str]
+) -> MemberEntry | None:
+    """Returns the target on which a suspect request runs alone.
+
+    Args:
+        candidates: The upstream's ready targets.
+        fingerprint: The request's fingerprint.
+        tried: Nodes that this request was sent to already.
+
+    Returns:
+        The first untried target in an order that depends on the request only,
+        so that all nodes agree on it; None without any.
+    """
+    untried = [item for item in candidates.all if item.node not in tried]
+    return max(
+        untried,
+        key=lambda item: xxhash.xxh3_64_intdigest(
+            item.node.encode() + fingerprint
+        ),
+        default=None,
+    )
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -12,6 +12,7 @@
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
+from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._entry import Entry
 from pomelobank_node._forwarder import Forwarder, new_placing
@@ -79,7 +80,8 @@
             self.links,
             self.clock,
         )
-        self.owner = Owner(settings.requests, self.clock)
+        self.crash_reports = CrashReports(self.table, self.links, self.clock)
+        self.owner = Owner(settings.requests, self.clock, self.crash_reports)
         self.membership = Membership(
             self.table,
             settings.membership,
@@ -135,6 +137,7 @@
             self.metrics,
             self.log,
             self.links,
+            self.crash_reports,
             self.claims,
             self.peers,
             self.operator,
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -6,6 +6,7 @@
 import attrs
 
 from pomelobank_core import (
+    ANSWERS,
     CandidateIndex,
     Clock,
     ErrorKind,
@@ -16,10 +17,14 @@
     Retries,
     Retry,
     RoundRobin,
+    RunState,
+    Standing,
     TargetResult,
     TwoChoices,
+    isolation_target,
     target_result,
 )
+from pomelobank_node._crash_reports import request_fingerprint
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import (
@@ -57,6 +62,7 @@
         tried: Nodes that it was sent to.
         tries: How often it was sent.
         redirects: How many of these cost the upstream nothing.
+        may_have_run: Reply of the last try that may have run, if any.
     """
 
     request: ForwardRequest
@@ -65,6 +71,7 @@
     tried: set[str] = attrs.field(factory=set)
     tries: int = 0
     redirects: int = 0
+    may_have_run: ForwardReply | None = None
 
 
 @attrs.define(eq=False)
@@ -118,16 +125,29 @@
             reply = await self._try(journey, target)
             retry = self._decide(journey, reply)
             if retry is None:
-                return reply
+                return _final(journey, reply)
+            _remember(journey, reply)
             await asyncio.sleep(retry.after_ms / _MS_PER_S)
-            following = self._place(journey)
+            try:
+                following = self._place(journey)
+            except RequestError as error:
+                # By now the request is known to crash targets.
+                refusal = error_reply(request.request_id, error)
+                return _final(journey, refusal)
             if following is None:
-                return reply
+                return _final(journey, reply)
             target = following
 
     def _place(self, journey: Journey) -> MemberEntry | None:
-        candidates = self.index.of(journey.request.upstream)
+        request = journey.request
+        candidates = self.index.of(request.upstream)
         now_ms = self.clock.now_ms()
+        standing = self.owner.reports.check(request)
+        if standing is Standing.SUSPECT:
+            # Every node sends it to the same target, so that it runs once at
+            # a time and a crash takes that one target only.
+            print_ = request_fingerprint(request)
+            return isolation_target(candidates, print_, journey.tried)
         return self.placing.place(candidates, journey.tried, now_ms)
 
     async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
@@ -145,6 +165,8 @@
         try:
             reply = await self._send(target, request)
             seen = observation(reply, self.clock.now_ms() - begun_ms, left_ms)
+            if reply.error == ErrorKind.PEER_LOST.value:
+                self.owner.reports.node_lost(request)
             return reply
         finally:
             candidates = self.index.of(request.upstream)
@@ -182,10 +204,32 @@
         return retry
 
     def _other_room(self, journey: Journey, now_ms: int) -> bool:
-        other = self._place(journey)
+        candidates = self.index.of(journey.request.upstream)
+        other = self.placing.place(candidates, journey.tried, now_ms)
         return other is not None and self.placing.has_room(other, now_ms)
 
 
+def _remember(journey: Journey, reply: ForwardReply) -> None:
+    error = reply_error(reply)
+    not_run = error and ANSWERS[error.kind].run_state is RunState.NOT_RUN
+    if not not_run:
+        journey.may_have_run = reply
+
+
+def _final(journey: Journey, reply: ForwardReply) -> ForwardReply:
+    # The last try may have been refused as not run after an earlier one was
+    # lost at a target. Told of the last one only, the caller would believe
+    # that the request has not run at all and lodge it anew.
+    error = reply_error(reply)
+    if error is None or journey.may_have_run is None:
+        return reply
+    if ANSWERS[error.kind].run_state is not RunState.NOT_RUN:
+        return reply
+    return attrs.evolve(
+        journey.may_have_run, retry_after_ms=reply.retry_after_ms
+    )
+
+
 def is_shed(reply: ForwardReply) -> bool:
     """Tells whether a target turned the request away with its answer.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -5,7 +5,16 @@
 
 import attrs
 
-from pomelobank_core import Clock, ErrorKind, Ticket, TrafficClass, WorkResult
+from pomelobank_core import (
+    Clock,
+    ErrorKind,
+    Standing,
+    Ticket,
+    TrafficClass,
+    WorkResult,
+)
+from pomelobank_node._crash_reports import CrashReports
+from pomelobank_node._crash_watch import CrashWatch
 from pomelobank_node._gate import Gate, new_admission
 from pomelobank_node._requests import (
     ForwardReply,
@@ -31,13 +40,8 @@
 _QUICK_MS = 5.0
 # How soon another try at a target that sheds may fare better.
 _SHED_RETRY_AFTER_MS = 200
-_LOST = frozenset(
-    {
-        ErrorKind.UPSTREAM_LOST,
-        ErrorKind.UPSTREAM_UNREACHABLE,
-        ErrorKind.ANSWER_TRUNCATED,
-    }
-)
+_BROKEN = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_TRUNCATED})
+_LOST = _BROKEN | {ErrorKind.UPSTREAM_UNREACHABLE}
 
 
 @attrs.frozen
@@ -62,19 +66,27 @@
     Attributes:
         settings: Limits of requests.
         clock: Tells the time.
+        reports: Knows the requests that crash targets.
         target: The target, None before it announced itself.
         pool: Connections to it.
         gate: Where requests wait for a slot.
+        watch: Notices crashes of the target.
         draining: Set when no new request is taken.
     """
 
     settings: RequestSettings
     clock: Clock
+    reports: CrashReports
     target: Target | None = None
     pool: UpstreamPool | None = None
     gate: Gate = attrs.field()
+    watch: CrashWatch = attrs.field()
     draining: bool = False
 
+    @watch.default
+    def _new_watch(self) -> CrashWatch:
+        return CrashWatch(self.reports)
+
     @gate.default
     def _new_gate(self) -> Gate:
         return Gate(new_admission(self.settings), self.clock)
@@ -123,26 +135,30 @@
             raise RequestError(ErrorKind.NO_TARGET)
         if request.remaining_ms <= 0:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-        return await self._admit(self.pool, request)
+        standing = self.reports.check(request)
+        ticket = Ticket(
+            TrafficClass(request.traffic_class),
+            request.route,
+            deadline_ms=self.clock.now_ms() + request.remaining_ms,
+            alone=standing is Standing.SUSPECT,
+        )
+        await self.gate.enter(ticket)
+        return await self._admitted(ticket, self.pool, request)
 
-    async def _admit(
-        self, pool: UpstreamPool, request: ForwardRequest
+    async def _admitted(
+        self, ticket: Ticket, pool: UpstreamPool, request: ForwardRequest
     ) -> ForwardReply:
-        ticket = self._ticket(request)
-        await self.gate.enter(ticket)
         result = WorkResult.ABANDONED
         try:
             left_ms = int(ticket.deadline_ms) - self.clock.now_ms()
             if left_ms <= 0:
                 raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-            reply = await self._run(
-                pool, attrs.evolve(request, remaining_ms=left_ms)
-            )
+            request = attrs.evolve(request, remaining_ms=left_ms)
+            reply = await self._run_watched(pool, request)
+            result = WorkResult.ANSWERED
             if self._is_shed(ticket, reply):
                 result = WorkResult.SHED
                 reply = attrs.evolve(reply, retry_after_ms=_SHED_RETRY_AFTER_MS)
-            else:
-                result = WorkResult.ANSWERED
             return reply
         except RequestError as error:
             if error.kind in _LOST:
@@ -151,12 +167,18 @@
         finally:
             self.gate.leave(ticket, result)
 
-    def _ticket(self, request: ForwardRequest) -> Ticket:
-        return Ticket(
-            TrafficClass(request.traffic_class),
-            request.route,
-            deadline_ms=self.clock.now_ms() + request.remaining_ms,
-        )
+    async def _run_watched(
+        self, pool: UpstreamPool, request: ForwardRequest
+    ) -> ForwardReply:
+        with self.watch.watching(request):
+            try:
+                reply = await self._run(pool, request)
+            except RequestError as error:
+                if error.kind in _BROKEN and self.target is not None:
+                    await self.watch.connection_broke(self.target.address)
+                raise
+        self.reports.ran(request)
+        return reply
 
     def _is_shed(self, ticket: Ticket, reply: ForwardReply) -> bool:
         if reply.status not in _SHED_STATUSES:
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -14,6 +14,7 @@
 from pomelobank_schema import SchemaError, WireMessage, parse_address
 from pomelobank_schema.generated.peer import (
     CancelRequest,
+    CrashReport,
     ForwardRequest,
     Gossip,
     Hello,
@@ -103,6 +104,11 @@
     connection.membership.receive(frame)
 
 
+@handle_frame.register
+def _(frame: CrashReport, connection: PeerConnection) -> None:
+    connection.owner.reports.receive(frame)
+
+
 @handle_frame.register(RecordsPull)
 @handle_frame.register(RecordsPush)
 @handle_frame.register(SnapshotPush)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -0,0 +1,152 @@
+"""What a caller is told after one or more tries."""
+
+from collections.abc import Callable
+
+import pytest
+
+from pomelobank_core import ErrorKind, ManualClock, MemberTable, TwoChoices
+from pomelobank_node._crash_reports import CrashReports, request_fingerprint
+from pomelobank_node._forwarder import RETRY_HEADER, Forwarder
+from pomelobank_node._owner import Owner
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+    error_reply,
+)
+from pomelobank_schema.generated.peer import Header, MemberEntry
+from pomelobank_schema.generated.settings import RequestSettings
+
+ANSWER = ForwardReply(status=200, body=b"whole")
+SHED = ForwardReply(status=503, retry_after_ms=200)
+
+
+class ScriptedLinks:
+    """Peers that reply as the test has written down."""
+
+    def __init__(self, *replies: ForwardReply | ErrorKind) -> None:
+        self.replies = list(replies)
+        self.sent: list[ForwardRequest] = []
+        self.before: Callable[[], None] = lambda: None
+
+    def to(self, address: str) -> "ScriptedLinks":
+        return self
+
+    async def send(self, frame: object) -> None:
+        return
+
+    async def forward(self, request: ForwardRequest) -> ForwardReply:
+        self.sent.append(request)
+        self.before()
+        reply = self.replies.pop(0)
+        if isinstance(reply, ErrorKind):
+            return error_reply(0, RequestError(reply))
+        return reply
+
+
+def _forwarder(links: ScriptedLinks) -> Forwarder:
+    table = MemberTable(MemberEntry(node="entry"))
+    table.merge(
+        MemberEntry(
+            node=f"t{number}",
+            state="ready",
+            upstream="stock",
+            slots=10,
+            peer_address=f"127.0.0.1:{number + 1}",
+        )
+        for number in range(4)
+    )
+    clock = ManualClock(1000)
+    reports = CrashReports(table, links, clock)
+    owner = Owner(RequestSettings(), clock, reports)
+    return Forwarder(table, owner, links, clock, TwoChoices())
+
+
+def _request(idempotent: bool, **changes: object) -> ForwardRequest:
+    return ForwardRequest(
+        upstream="stock",
+        route="stock",
+        method="GET",
+        target=b"/stock/1",
+        remaining_ms=5000,
+        traffic_class="interactive",
+        idempotent=idempotent,
+        **changes,
+    )
+
+
+LOST = ErrorKind.UPSTREAM_LOST
+FULL = ErrorKind.OVERLOADED
+DRAINING = ErrorKind.DRAINING
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "replies", "error", "status"),
+    [
+        pytest.param(True, [LOST, ANSWER], "", 200, id="lost_then_answered"),
+        pytest.param(False, [LOST], "upstream_lost", 0, id="lost_once_only"),
+        pytest.param(False, [FULL, ANSWER], "", 200, id="full_then_answered"),
+        pytest.param(
+            True, [LOST, FULL, FULL], "upstream_lost", 0, id="lost_then_full"
+        ),
+        pytest.param(False, [DRAINING, FULL, ANSWER], "", 200, id="redirected"),
+        pytest.param(True, [SHED, ANSWER], "", 200, id="shed_then_answered"),
+        pytest.param(False, [SHED], "", 503, id="shed_is_an_answer"),
+        pytest.param(True, [SHED, FULL, FULL], "", 503, id="shed_then_refused"),
+    ],
+)
+async def test_last_word(
+    idempotent: bool,
+    replies: list[ForwardReply | ErrorKind],
+    error: str,
+    status: int,
+) -> None:
+    """Tries end differently; the caller hears of one of them.
+
+    Where one may have run, "not run" would make a caller send a reorder anew.
+    """
+    links = ScriptedLinks(*replies)
+    reply = await _forwarder(links).forward(_request(idempotent))
+    assert (reply.error, reply.status) == (error, status)
+    assert not links.replies
+
+
+async def test_no_target_is_tried_twice_and_retries_are_marked() -> None:
+    links = ScriptedLinks(DRAINING, LOST, ANSWER)
+    await _forwarder(links).forward(_request(True))
+    marked = [
+        any(header.name == RETRY_HEADER for header in request.headers)
+        for request in links.sent
+    ]
+    assert marked == [False, False, True]
+
+
+async def test_part_of_a_retry_is_not_retried() -> None:
+    """A service calls another while its own request is being retried."""
+    header = Header(name=RETRY_HEADER, value=b"1")
+    links = ScriptedLinks(LOST)
+    reply = await _forwarder(links).forward(_request(True, headers=(header,)))
+    assert reply.error == "upstream_lost"
+
+
+async def test_quarantined_between_two_tries() -> None:
+    """The news that a request crashes targets comes during its first try.
+
+    It may have run there, so the caller must not hear that it has not.
+    """
+    links = ScriptedLinks(LOST)
+    forwarder = _forwarder(links)
+    reports = forwarder.owner.reports
+
+    def crash_alone_twice() -> None:
+        reports.target_lost([links.sent[0]])
+        reports.target_lost([links.sent[0]])
+
+    links.before = crash_alone_twice
+    reply = await forwarder.forward(_request(True))
+    assert reply.error == "upstream_lost"
+    assert reply.retry_after_ms == 60_000
+    with pytest.raises(RequestError) as refused:
+        await forwarder.forward(_request(True))
+    assert refused.value.kind is ErrorKind.QUARANTINED
+    assert request_fingerprint(links.sent[0]) in reports.table.entries
