--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -58,8 +58,14 @@
     find_neighbours,
 )
 from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._first_contact import (
+    TAIL_RECORDS,
+    FirstContact,
+    contacts_record,
+    is_announcer,
+)
 from pomelobank_core._floor import VersionFloor
-from pomelobank_core._members import MemberState, MemberTable
+from pomelobank_core._members import EntryRank, MemberState, MemberTable
 from pomelobank_core._objects import (
     ConfigObject,
     ObjectKey,
@@ -104,6 +110,9 @@
     snapshot_record,
     usable_snapshot,
 )
+from pomelobank_core._swim import Action, Reply, Send, Swim
+from pomelobank_core._swim_frames import take_frame
+from pomelobank_core._target_lease import TargetChange, TargetLease
 from pomelobank_core._validation import Problem, ProblemKind, check_objects
 
 __all__ = [
@@ -111,6 +120,8 @@
     "POINTS_NODE_LOST",
     "POINTS_TARGET_LOST",
     "SHARDS",
+    "TAIL_RECORDS",
+    "Action",
     "Admission",
     "AdmissionPolicy",
     "Answer",
@@ -135,10 +146,12 @@
     "ConfigObject",
     "ConfigState",
     "Distribution",
+    "EntryRank",
     "ErrorKind",
     "Evidence",
     "FailedTry",
     "FirstCome",
+    "FirstContact",
     "FixedPartition",
     "GuaranteedShared",
     "KeptAnswer",
@@ -159,17 +172,22 @@
     "ReadPlan",
     "Recovery",
     "Refused",
+    "Reply",
     "Retries",
     "Retry",
     "RetryBudget",
     "RoundRobin",
     "RouteTable",
     "RunState",
+    "Send",
     "SendDigest",
     "Snapshot",
     "SnapshotSchedule",
     "Standing",
     "Started",
+    "Swim",
+    "TargetChange",
+    "TargetLease",
     "TargetResult",
     "Ticket",
     "TrafficClass",
@@ -184,10 +202,12 @@
     "claim_seen",
     "combine_run_states",
     "completion_record",
+    "contacts_record",
     "evaluate",
     "find_neighbours",
     "fingerprint",
     "give_up",
+    "is_announcer",
     "is_idempotent",
     "isolation_target",
     "object_key",
@@ -206,6 +226,7 @@
     "skip_record",
     "snapshot_object_value",
     "snapshot_record",
+    "take_frame",
     "target_result",
     "usable_snapshot",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/_candidates.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_candidates.py
@@ -2,13 +2,13 @@
 
 import attrs
 
-from pomelobank_core._members import MemberState, MemberTable
+from pomelobank_core._members import MemberTable
 from pomelobank_schema.generated.peer import MemberEntry
 
 
 @attrs.frozen
 class Candidates:
-    """The ready targets of an upstream, in the order of their nodes.
+    """The targets of an upstream, in the order of their nodes.
 
     Attributes:
         local: Those in the node's own data centre.
@@ -24,9 +24,6 @@
         return self.local + self.remote
 
 
-NO_CANDIDATES = Candidates()
-
-
 @attrs.define
 class CandidateIndex:
     """Finds an upstream's targets without a look at every member.
@@ -51,40 +48,31 @@
 
     def of(self, upstream: str) -> Candidates:
         """Returns the targets of an upstream."""
-        self.refresh()
-        return self.by_upstream.get(upstream, NO_CANDIDATES)
+        self._refresh()
+        found = self.by_upstream.get(upstream)
+        if found is None:
+            found = self.by_upstream[upstream] = self._candidates(upstream)
+        return found
 
     def available_upstreams(self) -> frozenset[str]:
-        """Returns the upstreams with at least one ready target."""
-        self.refresh()
+        """Returns the upstreams with at least one target to send work to."""
+        self._refresh()
         return self.available
 
-    def refresh(self) -> None:
-        """Makes the index anew if the members have changed."""
+    def _refresh(self) -> None:
         if self.seen == self.table.serving_changes:
             return
         self.seen = self.table.serving_changes
         self.builds += 1
-        ready = [
-            entry
-            for entry in self.table.all()
-            if entry.upstream and entry.state == MemberState.READY.value
-        ]
-        ready.sort(key=lambda entry: entry.node)
-        self.by_upstream = {
-            upstream: self._candidates(upstream, ready)
-            for upstream in {entry.upstream for entry in ready}
-        }
-        self.available = frozenset(self.by_upstream)
-
-    def _candidates(
-        self, upstream: str, ready: list[MemberEntry]
-    ) -> Candidates:
+        self.by_upstream.clear()
+        self.available = self.table.available_upstreams()
+
+    def _candidates(self, upstream: str) -> Candidates:
         own_data_centre = self.table.own.data_centre
         local: list[MemberEntry] = []
         remote: list[MemberEntry] = []
-        for entry in ready:
-            if entry.upstream == upstream:
-                near = entry.data_centre == own_data_centre
-                (local if near else remote).append(entry)
+        entries = self.table.ready_for(upstream)
+        for entry in sorted(entries, key=lambda item: item.node):
+            near = entry.data_centre == own_data_centre
+            (local if near else remote).append(entry)
         return Candidates(tuple(local), tuple(remote))
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -11,6 +11,7 @@
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
+from pomelobank_node._peer_sockets import notice_dead_peer
 from pomelobank_schema import SchemaError, WireMessage, parse_address
 from pomelobank_schema.generated.peer import (
     CancelRequest,
@@ -18,9 +19,14 @@
     ForwardRequest,
     Gossip,
     Hello,
+    IndirectProbe,
+    ProbeReply,
+    ProbeRequest,
     RecordsPull,
     RecordsPush,
     SnapshotPush,
+    SyncReply,
+    SyncRequest,
     VersionDigest,
 )
 
@@ -99,9 +105,14 @@
         task.cancel()
 
 
-@handle_frame.register
-def _(frame: Gossip, connection: PeerConnection) -> None:
-    connection.membership.receive(frame)
+@handle_frame.register(Gossip)
+@handle_frame.register(ProbeRequest)
+@handle_frame.register(ProbeReply)
+@handle_frame.register(IndirectProbe)
+@handle_frame.register(SyncRequest)
+@handle_frame.register(SyncReply)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    connection.membership.receive(frame, connection.stream.send)
 
 
 @handle_frame.register
@@ -149,6 +160,7 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        notice_dead_peer(writer)
         stream = FrameStream(reader, writer)
         connection = PeerConnection(
             stream, self.owner, self.membership, self.feed, self.claims
