Refuse at the entry what every target has just refused; goodput tool

Change: the entry refuses a class for 20 ms after every target has refused it; hints are kept by class; an overload is retried once, at once, and only where another target plausibly has room. A tool measures goodput, refusals and the classes with nodes and targets as processes of their own.

Seen to fail first: without the 20 ms bound the saturation test loses goodput.

--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -22,6 +22,9 @@
 # A refusal for want of room keeps requests away this long at most, because a
 # queue of 200 ms is gone by then and nothing else would end the hint.
 FULL_HINT_MS = 250
+# When every target has refused a class within this time, the entry refuses it
+# too and saves the way there. A queue of 200 ms does not run empty meanwhile.
+JUST_REFUSED_MS = 20
 # A target that drains is kept out until its membership entry must have come.
 LEAVING_HINT_MS = 5000
 # A target that is new or comes back gets its full part after ten seconds: long
@@ -92,12 +95,14 @@
 
     Attributes:
         result: What it says about the target.
+        traffic_class: The request's class.
         took_ms: Time from sending to the end.
         outstanding: Requests at the target as its node reported them.
         retry_after_ms: When a full target expects to have room.
     """
 
     result: TargetResult
+    traffic_class: str = ""
     took_ms: float = 0.0
     outstanding: int = 0
     retry_after_ms: int = 0
@@ -110,6 +115,7 @@
         self,
         candidates: Candidates,
         tried: AbstractSet[str],
+        traffic_class: str,
         now_ms: float,
     ) -> MemberEntry | None:
         """Returns a target that was not tried yet, None without any."""
@@ -126,9 +132,16 @@
     ) -> None:
         """Takes the end of a request that was sent."""
 
-    def has_room(self, target: MemberEntry, now_ms: float) -> bool:
+    def has_room(
+        self, target: MemberEntry, traffic_class: str, now_ms: float
+    ) -> bool:
         """Tells whether a target plausibly has room for one more request."""
 
+    def turned_away(
+        self, candidates: Candidates, traffic_class: str, now_ms: float
+    ) -> int:
+        """Returns when to come back if all are full; 0 if they are not."""
+
 
 @attrs.define
 class RoundRobin:
@@ -146,6 +159,7 @@
         self,
         candidates: Candidates,
         tried: AbstractSet[str],
+        traffic_class: str,
         now_ms: float,
     ) -> MemberEntry | None:
         """Returns the next target in turn, None where there is no candidate."""
@@ -169,10 +183,33 @@
     ) -> None:
         """Does nothing; the turn does not depend on it."""
 
-    def has_room(self, target: MemberEntry, now_ms: float) -> bool:
+    def has_room(
+        self, target: MemberEntry, traffic_class: str, now_ms: float
+    ) -> bool:
         """Returns True; round-robin knows no load."""
         return True
 
+    def turned_away(
+        self, candidates: Candidates, traffic_class: str, now_ms: float
+    ) -> int:
+        """Returns 0; round-robin knows no load."""
+        return 0
+
+
+@attrs.frozen
+class FullHint:
+    """What a target's refusal of one class tells.
+
+    Attributes:
+        at_ms: When it came.
+        until_ms: Until when the target is held to be full.
+        retry_after_ms: When it expected to have room, counted from then.
+    """
+
+    at_ms: float
+    until_ms: float
+    retry_after_ms: int
+
 
 @attrs.define(eq=False)
 class TargetLoad:
@@ -184,7 +221,9 @@
         others: Requests of other nodes that were there at the last report.
         reported_ms: When that was.
         latency: Recent time to an answer, in ms.
-        full_until_ms: Until when it is held to be full.
+        full: Its last refusal of each class; batch work that finds no room
+            says nothing about the slots kept for look-ups.
+        leaving_until_ms: Until when it is held to take no more requests.
         ramp_from_ms: When it came, or came back.
         ejection: What failed there.
     """
@@ -194,7 +233,8 @@
     others: int = 0
     reported_ms: float = -math.inf
     latency: MovingAverage = attrs.field(factory=MovingAverage)
-    full_until_ms: float = 0.0
+    full: dict[str, FullHint] = attrs.field(factory=dict)
+    leaving_until_ms: float = 0.0
     ramp_from_ms: float = -math.inf
     ejection: Ejection = attrs.field(factory=Ejection)
 
@@ -204,6 +244,13 @@
         fresh = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
         return self.own + self.others * fresh
 
+    def is_full(self, traffic_class: str, now_ms: float) -> bool:
+        """Tells whether it refused a class lately, or takes nothing more."""
+        if now_ms < self.leaving_until_ms:
+            return True
+        hint = self.full.get(traffic_class)
+        return hint is not None and now_ms < hint.until_ms
+
     def room(self, slots: int, now_ms: float) -> float:
         """Returns the slots that it is trusted with after its start."""
         ramp = (now_ms - self.ramp_from_ms) / RAMP_MS
@@ -250,6 +297,7 @@
         self,
         candidates: Candidates,
         tried: AbstractSet[str],
+        traffic_class: str,
         now_ms: float,
     ) -> MemberEntry | None:
         """Returns a target that was not tried yet, None without any.
@@ -257,17 +305,18 @@
         Args:
             candidates: The upstream's ready targets.
             tried: Nodes that this request was sent to already.
+            traffic_class: The request's class.
             now_ms: Current time.
 
         Returns:
             The target; an ejected one only where every other was tried.
         """
         self._compare(candidates, now_ms)
-        near = self._draw(candidates.local, tried, now_ms)
-        far = self._draw(candidates.remote, tried, now_ms)
+        near = self._draw(candidates.local, tried, traffic_class, now_ms)
+        far = self._draw(candidates.remote, tried, traffic_class, now_ms)
         if near is None or far is None:
             return near or far or self._any(candidates, tried)
-        if self._is_better(far, near, now_ms):
+        if self._is_better(far, near, traffic_class, now_ms):
             self.spills += 1
             return far
         return near
@@ -305,13 +354,38 @@
             self._failed(load, candidates, now_ms)
         else:
             load.ejection.abandoned()
-            load.full_until_ms = max(
-                load.full_until_ms, now_ms + _hint_ms(seen)
-            )
+            _keep_hint(load, seen, now_ms)
 
-    def has_room(self, target: MemberEntry, now_ms: float) -> bool:
+    def has_room(
+        self, target: MemberEntry, traffic_class: str, now_ms: float
+    ) -> bool:
         """Tells whether a target plausibly has room for one more request."""
-        return not self._is_full(target, now_ms)
+        return not self._is_full(target, traffic_class, now_ms)
+
+    def turned_away(
+        self, candidates: Candidates, traffic_class: str, now_ms: float
+    ) -> int:
+        """Returns when to come back if all are full; 0 if they are not.
+
+        Made for an upstream that is asked for several times its capacity: the
+        way to a target and back only to be refused costs both nodes more than
+        the refusal itself.
+
+        Args:
+            candidates: The upstream's ready targets.
+            traffic_class: The request's class.
+            now_ms: Current time.
+
+        Returns:
+            Time in ms; 0 unless every target refused the class just now.
+        """
+        soonest = 0
+        for target in candidates.all:
+            hint = self._load(target).full.get(traffic_class)
+            if hint is None or now_ms - hint.at_ms > JUST_REFUSED_MS:
+                return 0
+            soonest = min(soonest or hint.retry_after_ms, hint.retry_after_ms)
+        return soonest
 
     def ejected_nodes(self) -> list[str]:
         """Returns the nodes whose targets are ejected."""
@@ -350,6 +424,7 @@
         self,
         targets: Sequence[MemberEntry],
         tried: AbstractSet[str],
+        traffic_class: str,
         now_ms: float,
     ) -> MemberEntry | None:
         drawn: list[MemberEntry] = []
@@ -362,13 +437,17 @@
         if not drawn:
             drawn = [e for e in targets if self._usable(e, tried, now_ms)]
         return min(
-            drawn, key=lambda entry: self._rank(entry, now_ms), default=None
+            drawn,
+            key=lambda entry: self._rank(entry, traffic_class, now_ms),
+            default=None,
         )
 
-    def _rank(self, entry: MemberEntry, now_ms: float) -> tuple[bool, float]:
+    def _rank(
+        self, entry: MemberEntry, traffic_class: str, now_ms: float
+    ) -> tuple[bool, float]:
         load = self._load(entry)
-        hinted = now_ms < load.full_until_ms
-        return hinted, load.score(entry.slots, now_ms)
+        is_full = load.is_full(traffic_class, now_ms)
+        return is_full, load.score(entry.slots, now_ms)
 
     def _usable(
         self, entry: MemberEntry, tried: AbstractSet[str], now_ms: float
@@ -377,21 +456,28 @@
             return False
         return self._load(entry).ejection.allows(now_ms)
 
-    def _is_full(self, entry: MemberEntry, now_ms: float) -> bool:
+    def _is_full(
+        self, entry: MemberEntry, traffic_class: str, now_ms: float
+    ) -> bool:
         load = self._load(entry)
-        if now_ms < load.full_until_ms:
+        if load.is_full(traffic_class, now_ms):
             return True
         return load.load(now_ms) >= load.room(entry.slots, now_ms)
 
     def _is_better(
-        self, far: MemberEntry, near: MemberEntry, now_ms: float
+        self,
+        far: MemberEntry,
+        near: MemberEntry,
+        traffic_class: str,
+        now_ms: float,
     ) -> bool:
-        near_full = self._is_full(near, now_ms)
-        far_full = self._is_full(far, now_ms)
+        near_full = self._is_full(near, traffic_class, now_ms)
+        far_full = self._is_full(far, traffic_class, now_ms)
         if near_full != far_full:
             return near_full
         if near_full:
-            return self._rank(far, now_ms) < self._rank(near, now_ms)
+            far_rank = self._rank(far, traffic_class, now_ms)
+            return far_rank < self._rank(near, traffic_class, now_ms)
         near_ms = self.loads[near.node].latency.value or 0.0
         far_ms = self.loads[far.node].latency.value or near_ms
         return near_ms > SLOW_RATIO * far_ms
@@ -416,12 +502,14 @@
             self.ejections += 1
 
 
-def _hint_ms(seen: Observation) -> float:
-    if seen.result is TargetResult.FULL:
-        return min(seen.retry_after_ms or FULL_HINT_MS, FULL_HINT_MS)
+def _keep_hint(load: TargetLoad, seen: Observation, now_ms: float) -> None:
     if seen.result is TargetResult.LEAVING:
-        return LEAVING_HINT_MS
-    return 0.0
+        load.leaving_until_ms = now_ms + LEAVING_HINT_MS
+    elif seen.result is TargetResult.FULL:
+        hint_ms = min(seen.retry_after_ms or FULL_HINT_MS, FULL_HINT_MS)
+        load.full[seen.traffic_class] = FullHint(
+            now_ms, now_ms + hint_ms, seen.retry_after_ms
+        )
 
 
 def isolation_target(
--- a/packages/pomelobank-core/src/pomelobank_core/_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retries.py
@@ -10,6 +10,8 @@
 # Tries of one request, the first included. Three reach past one dead target
 # and one that dies meanwhile; more only add load when most are dead.
 MAX_TRIES = 3
+# Two targets drawn by their load that are both full mean a full upstream.
+MAX_LOAD_TRIES = 2
 # Tries that were turned away before they cost a target anything.
 MAX_REDIRECTS = 4
 # One try in ten more than the first tries: a failing upstream gets 10% more
@@ -205,6 +207,8 @@
             return False
         # A full upstream as a whole is not helped by asking it again.
         is_load = attempt.error in (None, ErrorKind.OVERLOADED)
+        if is_load and attempt.tries - attempt.redirects >= MAX_LOAD_TRIES:
+            return False
         return attempt.other_room or not is_load
 
     def _delay_ms(self, cost: RetryCost, attempt: FailedTry) -> float:
@@ -213,6 +217,10 @@
         # them (full jitter).
         if cost is RetryCost.REDIRECT and attempt.redirects <= 1:
             return 0.0
+        if attempt.error is ErrorKind.OVERLOADED:
+            # Another target has room now or not; waiting would only make a
+            # refusal late.
+            return 0.0
         bound_ms = FIRST_DELAY_MS * 2 ** (attempt.tries - 1)
         bound_ms = min(MAX_DELAY_MS, bound_ms)
         return MIN_DELAY_MS + self.seeded.uniform(0.0, bound_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -86,6 +86,7 @@
         placing: Chooses the target.
         index: The targets of each upstream.
         retries: Decides about further tries.
+        turned_away: Requests refused here because all targets just refused.
     """
 
     members: MemberTable
@@ -95,6 +96,7 @@
     placing: Placing
     index: CandidateIndex = attrs.field()
     retries: Retries = attrs.field(factory=Retries)
+    turned_away: int = 0
 
     @index.default
     def _new_index(self) -> CandidateIndex:
@@ -110,7 +112,7 @@
             The target's answer or an error report.
 
         Raises:
-            RequestError: NO_TARGET.
+            RequestError: NO_TARGET, OVERLOADED or QUARANTINED; it has not run.
         """
         now_ms = self.clock.now_ms()
         names = {header.name for header in request.headers}
@@ -121,6 +123,7 @@
         target = self._place(journey)
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
+        self._turn_away(request, now_ms)
         while True:
             reply = await self._try(journey, target)
             retry = self._decide(journey, reply)
@@ -138,6 +141,15 @@
                 return _final(journey, reply)
             target = following
 
+    def _turn_away(self, request: ForwardRequest, now_ms: int) -> None:
+        candidates = self.index.of(request.upstream)
+        retry_after_ms = self.placing.turned_away(
+            candidates, request.traffic_class, now_ms
+        )
+        if retry_after_ms:
+            self.turned_away += 1
+            raise RequestError(ErrorKind.OVERLOADED, retry_after_ms)
+
     def _place(self, journey: Journey) -> MemberEntry | None:
         request = journey.request
         candidates = self.index.of(request.upstream)
@@ -148,7 +160,9 @@
             # a time and a crash takes that one target only.
             print_ = request_fingerprint(request)
             return isolation_target(candidates, print_, journey.tried)
-        return self.placing.place(candidates, journey.tried, now_ms)
+        return self.placing.place(
+            candidates, journey.tried, request.traffic_class, now_ms
+        )
 
     async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
         begun_ms = self.clock.now_ms()
@@ -164,7 +178,8 @@
         seen = Observation(TargetResult.NEUTRAL)
         try:
             reply = await self._send(target, request)
-            seen = observation(reply, self.clock.now_ms() - begun_ms, left_ms)
+            took_ms = self.clock.now_ms() - begun_ms
+            seen = observation(request, reply, took_ms)
             if reply.error == ErrorKind.PEER_LOST.value:
                 self.owner.reports.node_lost(request)
             return reply
@@ -204,9 +219,14 @@
         return retry
 
     def _other_room(self, journey: Journey, now_ms: int) -> bool:
+        traffic_class = journey.request.traffic_class
         candidates = self.index.of(journey.request.upstream)
-        other = self.placing.place(candidates, journey.tried, now_ms)
-        return other is not None and self.placing.has_room(other, now_ms)
+        other = self.placing.place(
+            candidates, journey.tried, traffic_class, now_ms
+        )
+        return other is not None and self.placing.has_room(
+            other, traffic_class, now_ms
+        )
 
 
 def _remember(journey: Journey, reply: ForwardReply) -> None:
@@ -242,17 +262,23 @@
 
 
 def observation(
-    reply: ForwardReply, took_ms: int, allowed_ms: int
+    request: ForwardRequest, reply: ForwardReply, took_ms: int
 ) -> Observation:
     """Returns what a reply says about the target that sent it."""
     error = reply_error(reply)
     if error is not None:
-        result = target_result(error.kind, allowed_ms)
+        result = target_result(error.kind, request.remaining_ms)
     elif is_shed(reply):
         result = TargetResult.FULL
     else:
         result = TargetResult.ANSWERED
-    return Observation(result, took_ms, reply.outstanding, reply.retry_after_ms)
+    return Observation(
+        result,
+        request.traffic_class,
+        took_ms,
+        reply.outstanding,
+        reply.retry_after_ms,
+    )
 
 
 def _mark_retry(request: ForwardRequest) -> ForwardRequest:
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -3,10 +3,18 @@
 import sys
 
 from pomelobank_testing._demo import main as demo
+from pomelobank_testing._goodput import main as goodput
 from pomelobank_testing._latency import main as latency
 from pomelobank_testing._light_target import main as light_target
+from pomelobank_testing._queueing_target import main as queueing_target
 
-_TOOLS = {"demo": demo, "latency": latency, "light-target": light_target}
+_TOOLS = {
+    "demo": demo,
+    "goodput": goodput,
+    "latency": latency,
+    "light-target": light_target,
+    "queueing-target": queueing_target,
+}
 
 
 def main() -> int:
