--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -137,7 +137,7 @@
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
         standing = self.reports.check(request)
         ticket = Ticket(
-            TrafficClass(request.traffic_class),
+            _traffic_class(request),
             request.route,
             deadline_ms=self.clock.now_ms() + request.remaining_ms,
             alone=standing is Standing.SUSPECT,
@@ -231,3 +231,11 @@
             _logger.error("drain.timeout", extra={"in_flight": self.in_flight})
         if self.pool is not None:
             self.pool.close()
+
+
+def _traffic_class(request: ForwardRequest) -> TrafficClass:
+    try:
+        return TrafficClass(request.traffic_class)
+    except ValueError:
+        # A newer node may know more classes; its caller must get an answer.
+        return TrafficClass.INTERACTIVE
