--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -30,6 +30,7 @@
     BodyChunk,
     BodyCredit,
     CancelRequest,
+    CrashReport,
     ForwardReply,
     ForwardRequest,
     Gossip,
@@ -278,6 +279,11 @@
     connection.membership.receive(frame, connection.stream.send)
 
 
+@handle_frame.register
+def _(frame: CrashReport, connection: PeerConnection) -> None:
+    connection.owner.reports.receive(frame)
+
+
 @handle_frame.register(RecordsPull)
 @handle_frame.register(RecordsPush)
 @handle_frame.register(SnapshotPush)
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -9,8 +9,10 @@
     "core-members": "_core_members",
     "convergence": "_convergence",
     "demo": "_demo",
+    "goodput": "_goodput",
     "latency": "_latency",
     "light-target": "_light_target",
+    "queueing-target": "_queueing_target",
     "rest": "_rest",
 }
 
