--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -95,6 +95,7 @@
     ConfigState,
     advance,
     evaluate,
+    operations_digest,
     replay_change,
     skip_record,
 )
@@ -212,6 +213,7 @@
     "is_idempotent",
     "object_key",
     "operation_object",
+    "operations_digest",
     "pick_upstream",
     "rank_claimants",
     "rank_of",
--- a/packages/pomelobank-core/src/pomelobank_core/_distribution.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_distribution.py
@@ -160,6 +160,14 @@
     )
 
 
+def _live_members(members: Iterable[MemberEntry]) -> list[tuple[str, str]]:
+    return [
+        (item.node, item.peer_address)
+        for item in members
+        if item.state in _LIVE and item.peer_address
+    ]
+
+
 def _children(
     order: list[str], place: int, roots: int, fan_out: int
 ) -> list[str]:
@@ -195,6 +203,7 @@
         retry_limit_ms: Limit of the next pause after a failed read.
         read_due_ms: Earliest time of the next read, None while none is due.
         pull_until_ms: Until when the answer to a pull is waited for.
+        live: Nodes and addresses that the neighbours were chosen from.
     """
 
     settings: DistributionSettings
@@ -206,18 +215,25 @@
     retry_limit_ms: int = FIRST_RETRY_MS
     read_due_ms: int | None = None
     pull_until_ms: int = 0
+    live: list[tuple[str, str]] = attrs.field(factory=list)
 
     def update_members(
         self, own: MemberEntry, others: Iterable[MemberEntry]
     ) -> None:
         """Takes the members that the node knows now."""
         others = list(others)
+        for entry in others:
+            self.heard_version = max(self.heard_version, entry.version)
+        # Putting a thousand members in order takes some milliseconds, and at
+        # rest nothing changes from one heartbeat to the next.
+        live = _live_members(others)
+        if live == self.live:
+            return
+        self.live = live
         found = find_neighbours(own, others, self.settings)
         if found.is_reader != self.neighbours.is_reader:
             self.read_due_ms = None
         self.neighbours = found
-        for entry in others:
-            self.heard_version = max(self.heard_version, entry.version)
 
     def next_read(self, now_ms: int) -> ReadPlan:
         """Decides when to read the log next.
--- a/packages/pomelobank-core/src/pomelobank_core/_objects.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_objects.py
@@ -20,12 +20,16 @@
 class ObjectKind(enum.Enum):
     """The three kinds of object that operators create."""
 
+    # Replay looks up some thousand keys for each change; the enumeration's own
+    # hash, written in Python, was most of the time that this took.
+    __hash__ = object.__hash__
+
     SERVICE = "service"
     UPSTREAM = "upstream"
     ROUTE = "route"
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class ObjectKey:
     """Identifies an object.
 
--- a/packages/pomelobank-core/src/pomelobank_core/_replay.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_replay.py
@@ -2,8 +2,11 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
+from typing import TypeVar
 
 import attrs
+import msgpack
+import xxhash
 from returns.result import Failure, Result, Success
 
 from pomelobank_core._objects import (
@@ -18,14 +21,18 @@
     MUST_NOT_EXIST,
     Problem,
     ProblemKind,
-    check_objects,
+    check_touched,
 )
 from pomelobank_schema.generated.records import ChangeRecord, OperationRecord
 
+KeyT = TypeVar("KeyT")
+ValueT = TypeVar("ValueT")
+
 # The audit trail and the window in which a repeated change id is recognised:
 # both end after this many changes. An entry takes about 1 KB; at 420 changes a
 # day 2,000 cover four days and a node holds 2 MB of them at most.
 MAX_AUDIT_ENTRIES = 2000
+_DIGEST_MASK = (1 << 63) - 1
 
 
 @attrs.frozen
@@ -43,6 +50,7 @@
         at_ms: When the accepting node appended it, in ms since the epoch.
         objects: Keys of the objects it names, as text.
         problems: Why it was rejected; none where it was accepted.
+        digest: Digest of the change's operations.
     """
 
     version: int
@@ -52,6 +60,7 @@
     at_ms: int = 0
     objects: tuple[str, ...] = ()
     problems: tuple[Problem, ...] = ()
+    digest: int = 0
 
     @classmethod
     def of(
@@ -70,6 +79,7 @@
             at_ms=record.at_ms,
             objects=tuple(str(object_key(value)) for value in values if value),
             problems=problems,
+            digest=operations_digest(record),
         )
 
     @property
@@ -93,6 +103,17 @@
     )
 
 
+def operations_digest(record: ChangeRecord) -> int:
+    """Returns a digest of what a change does, the same on every node.
+
+    It tells a change that is sent again from another change that was given
+    the same id by mistake: answering the second with the verdict on the first
+    would tell an operator that something is in force which never was.
+    """
+    operations = [item.to_wire() for item in record.operations]
+    return xxhash.xxh3_64_intdigest(msgpack.packb(operations)) & _DIGEST_MASK
+
+
 def replay_change(
     state: ConfigState, offset: int, record: ChangeRecord
 ) -> ConfigState:
@@ -186,18 +207,31 @@
             ProblemKind.EMPTY_CHANGE, "", "a change needs an operation"
         )
         return Failure((empty,))
-    objects = dict(snapshot.objects)
+    objects = _copied(snapshot.objects)
     problems: list[Problem] = []
     for operation in record.operations:
         problem = _apply_operation(objects, operation, version)
         if problem is not None:
             problems.append(problem)
-    problems.extend(check_objects(objects))
+    problems.extend(check_touched(objects, _touched(record)))
     if problems:
         return Failure(tuple(problems))
     return Success(MappingProxyType(objects))
 
 
+def _touched(record: ChangeRecord) -> list[ObjectKey]:
+    values = map(operation_object, record.operations)
+    keys = [object_key(value) for value in values if value is not None]
+    return list(dict.fromkeys(keys))
+
+
+def _copied(items: Mapping[KeyT, ValueT]) -> dict[KeyT, ValueT]:
+    # Copying through the read-only view would hash every key again.
+    if isinstance(items, MappingProxyType):
+        return items.copy()
+    return dict(items)
+
+
 def _apply_operation(
     objects: dict[ObjectKey, VersionedObject],
     operation: OperationRecord,
@@ -243,7 +277,7 @@
 def _remember(
     verdicts: Mapping[str, ChangeVerdict], verdict: ChangeVerdict
 ) -> Mapping[str, ChangeVerdict]:
-    kept = dict(verdicts)
+    kept = _copied(verdicts)
     kept[verdict.change_id] = verdict
     while len(kept) > MAX_AUDIT_ENTRIES:
         del kept[next(iter(kept))]
--- a/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
@@ -33,6 +33,13 @@
 # the log, and for nodes that read the snapshot late.
 _RETENTION_PART = 3
 
+SNAPSHOT_FORMAT = 1
+_NEWER_FORMAT = Problem(
+    ProblemKind.MALFORMED_OPERATION,
+    "",
+    "the snapshot was written by a newer program; update this node",
+)
+
 
 def snapshot_record(
     state: ConfigState, node: str = "", at_ms: int = 0
@@ -53,6 +60,7 @@
         audit=tuple(map(_audit_record, state.verdicts.values())),
         node=node,
         at_ms=at_ms,
+        format=SNAPSHOT_FORMAT,
     )
 
 
@@ -68,6 +76,9 @@
         The state, or what is wrong with the snapshot. A snapshot that breaks
         a reference is never taken: a route of it would lead nowhere.
     """
+    if record.format > SNAPSHOT_FORMAT:
+        # It may hold what this program would drop without noticing.
+        return Failure((_NEWER_FORMAT,))
     objects: dict[ObjectKey, VersionedObject] = {}
     for item in record.objects:
         value = snapshot_object_value(item)
@@ -142,6 +153,7 @@
             )
             for problem in verdict.problems
         ),
+        digest=verdict.digest,
     )
 
 
@@ -160,6 +172,7 @@
         at_ms=item.at_ms,
         objects=item.objects,
         problems=tuple(map(_problem, item.problems)),
+        digest=item.digest,
     )
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/_validation.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_validation.py
@@ -1,11 +1,12 @@
 """Checks a transaction and the configuration that it leads to."""
 
 import enum
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterable, Iterator, Mapping
 
 import attrs
 
 from pomelobank_core._objects import (
+    ConfigObject,
     ObjectKey,
     ObjectKind,
     VersionedObject,
@@ -65,14 +66,80 @@
     """
     problems: list[Problem] = []
     for key, item in objects.items():
-        if isinstance(item.value, UpstreamObject):
-            problems.extend(_check_upstream(key, item.value, objects))
-        elif isinstance(item.value, RouteObject):
-            problems.extend(_check_route(key, item.value, objects))
-    problems.extend(_check_ambiguous(objects))
+        problems.extend(_check_object(key, item.value, objects))
+    problems.extend(_check_ambiguous(objects, None))
     return tuple(problems)
 
 
+def check_touched(
+    objects: Objects, touched: Collection[ObjectKey]
+) -> tuple[Problem, ...]:
+    """Checks what a transaction may have broken.
+
+    Checking all of a large configuration takes milliseconds for each record;
+    a node that starts replays thousands of records. What was consistent
+    before can only have been broken in the objects that the transaction wrote
+    or removed and in those that refer to them.
+
+    Args:
+        objects: Every object after the transaction; before it they were
+            consistent.
+        touched: Keys of the objects written or removed.
+
+    Returns:
+        The same problems as the check of everything.
+    """
+    problems: list[Problem] = []
+    for key in _affected(objects, touched):
+        problems.extend(_check_object(key, objects[key].value, objects))
+    matches = {
+        (found.service, found.path_prefix)
+        for key in touched
+        if key in objects
+        and isinstance(found := objects[key].value, RouteObject)
+    }
+    if matches:
+        problems.extend(_check_ambiguous(objects, matches))
+    return tuple(problems)
+
+
+def _affected(
+    objects: Objects, touched: Collection[ObjectKey]
+) -> list[ObjectKey]:
+    services = _names(touched, ObjectKind.SERVICE)
+    upstreams = _names(touched, ObjectKind.UPSTREAM)
+    if not services and not upstreams:
+        return [key for key in touched if key in objects]
+    return [
+        key
+        for key, item in objects.items()
+        if key in touched or _refers(item.value, services, upstreams)
+    ]
+
+
+def _names(keys: Iterable[ObjectKey], kind: ObjectKind) -> frozenset[str]:
+    return frozenset(key.name for key in keys if key.kind is kind)
+
+
+def _refers(
+    value: ConfigObject, services: frozenset[str], upstreams: frozenset[str]
+) -> bool:
+    if isinstance(value, RouteObject):
+        return value.service in services or any(
+            item.upstream in upstreams for item in value.destinations
+        )
+    return isinstance(value, UpstreamObject) and value.service in services
+
+
+def _check_object(
+    key: ObjectKey, value: ConfigObject, objects: Objects
+) -> Iterator[Problem]:
+    if isinstance(value, UpstreamObject):
+        yield from _check_upstream(key, value, objects)
+    elif isinstance(value, RouteObject):
+        yield from _check_route(key, value, objects)
+
+
 def _check_upstream(
     key: ObjectKey, upstream: UpstreamObject, objects: Objects
 ) -> Iterator[Problem]:
@@ -127,12 +194,16 @@
     )
 
 
-def _check_ambiguous(objects: Objects) -> Iterator[Problem]:
+def _check_ambiguous(
+    objects: Objects, only: Collection[tuple[str, str]] | None
+) -> Iterator[Problem]:
     seen: dict[tuple[str, str], ObjectKey] = {}
     for key, item in objects.items():
         if not isinstance(item.value, RouteObject):
             continue
         match = (item.value.service, item.value.path_prefix)
+        if only is not None and match not in only:
+            continue
         first = seen.setdefault(match, key)
         if first != key:
             yield Problem(
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_validation.py
@@ -0,0 +1,96 @@
+"""The check of what a transaction touched finds what the whole check finds."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pomelobank_core import ConfigState, check_objects, replay_change
+from pomelobank_core._replay import _apply_operation, _copied, _touched
+from pomelobank_core._validation import check_touched
+from pomelobank_schema.generated.records import (
+    ChangeRecord,
+    OperationRecord,
+    RouteObject,
+    ServiceObject,
+    UpstreamObject,
+    WeightedDestination,
+)
+
+NAMES = st.sampled_from("ab")
+OBJECTS = st.one_of(
+    st.builds(ServiceObject, name=NAMES),
+    st.builds(UpstreamObject, name=NAMES, service=NAMES),
+    st.builds(
+        RouteObject,
+        name=NAMES,
+        service=NAMES,
+        path_prefix=st.sampled_from(["/", "/x", "bad"]),
+        destinations=st.lists(
+            st.builds(
+                WeightedDestination,
+                upstream=NAMES,
+                weight=st.integers(0, 1),
+            ),
+            max_size=2,
+        ).map(tuple),
+    ),
+)
+
+
+def operation(
+    kind: str, value: ServiceObject | UpstreamObject | RouteObject
+) -> OperationRecord:
+    return OperationRecord(
+        kind=kind,
+        expected_revision=-1,
+        service=value if isinstance(value, ServiceObject) else None,
+        upstream=value if isinstance(value, UpstreamObject) else None,
+        route=value if isinstance(value, RouteObject) else None,
+    )
+
+
+BASE = [
+    operation("put", ServiceObject(name="a")),
+    operation("put", UpstreamObject(name="a", service="a")),
+    operation(
+        "put",
+        RouteObject(
+            name="a",
+            service="a",
+            path_prefix="/",
+            destinations=(WeightedDestination(upstream="a", weight=1),),
+        ),
+    ),
+]
+CHANGES = st.lists(
+    st.lists(
+        st.builds(
+            operation, st.sampled_from(["put", "put", "delete"]), OBJECTS
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+@settings(max_examples=300, deadline=None)
+@given(CHANGES)
+def test_same_problems(changes: list[list[OperationRecord]]) -> None:
+    """A change removes an upstream that a route elsewhere still needs.
+
+    If only the changed objects were looked at, the route would come into
+    force and its callers would be sent nowhere.
+    """
+    state = ConfigState()
+    for offset, operations in enumerate([BASE, *changes]):
+        record = ChangeRecord(
+            change_id=str(offset), operations=tuple(operations)
+        )
+        objects = _copied(state.snapshot.objects)
+        for item in operations:
+            _apply_operation(objects, item, offset + 1)
+        found = check_touched(objects, _touched(record))
+        assert set(found) == set(check_objects(objects))
+        state = replay_change(state, offset, record)
+        assert check_objects(state.snapshot.objects) == ()
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -86,6 +86,7 @@
         unreadable: Number of records that were passed over, for the metrics.
         mismatches: Number of snapshot records that differ from the own state,
             for the metrics; anything but 0 is a fault of this program.
+        encoded: A version and its encoded snapshot, once a peer has asked.
     """
 
     state: ConfigState = attrs.field(factory=ConfigState)
@@ -101,6 +102,7 @@
     restored: int = 0
     unreadable: int = 0
     mismatches: int = 0
+    encoded: tuple[int, bytes] | None = None
 
     @property
     def version(self) -> int:
@@ -138,6 +140,10 @@
         Returns:
             Whether it was taken.
         """
+        if self.blocked:
+            # The snapshot lies behind a record that this program does not
+            # understand; its effect may be more than the snapshot tells it.
+            return False
         result = adopt_snapshot(self.state, record)
         if isinstance(result, Failure):
             problem = result.failure()[0]
@@ -149,7 +155,6 @@
         state = result.unwrap()
         if state is self.state:
             return False
-        self.blocked = False
         self.restored += 1
         self._swap(state)
         if self.on_snapshot is not None:
@@ -157,8 +162,15 @@
         return True
 
     def whole(self, node: str, at_ms: int) -> bytes:
-        """Returns a snapshot record of the state, encoded."""
-        return encode(snapshot_record(self.state, node, at_ms))
+        """Returns a snapshot record of the state, encoded.
+
+        After a herd restart many peers ask for it within seconds; making it
+        takes long enough to hold up requests, so it is made once a version.
+        """
+        if self.encoded is None or self.encoded[0] != self.version:
+            data = encode(snapshot_record(self.state, node, at_ms))
+            self.encoded = (self.version, data)
+        return self.encoded[1]
 
     def _pass_snapshot(self, record: SnapshotRecord) -> None:
         # Replay is deterministic, so a snapshot of this version must be equal
--- a/packages/pomelobank-node/src/pomelobank_node/_operator.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator.py
@@ -15,6 +15,7 @@
     Problem,
     VersionedObject,
     evaluate,
+    operations_digest,
 )
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
@@ -79,13 +80,13 @@
     ) -> pb.ApplyReply:
         """Publishes a transaction and answers once it was read back."""
         change_id = request.change_id or uuid.uuid4().hex
-        known = self.store.state.verdicts.get(change_id)
-        if known is not None:
-            return _verdict_reply(known)
         try:
             record = change_record(request, change_id, self.clock.wall_ms())
         except SchemaError as error:
             return _invalid(change_id, error)
+        known = self.store.state.verdicts.get(change_id)
+        if known is not None:
+            return _same_or_rejected(known, record)
         problems = self._check(record)
         if problems or request.dry_run:
             return await self._check_again(record, request.dry_run)
@@ -112,7 +113,7 @@
             return _unknown(record.change_id, _LOG_SILENT)
         known = self.store.state.verdicts.get(record.change_id)
         if known is not None:
-            return _verdict_reply(known)
+            return _same_or_rejected(known, record)
         problems = self._check(record)
         if problems:
             return _rejected(record.change_id, problems)
@@ -133,7 +134,8 @@
         # node the first to pass the change on.
         try:
             async with asyncio.timeout(READ_BACK_TIMEOUT_S):
-                return _verdict_reply(await self._read_back(record.change_id))
+                verdict = await self._read_back(record.change_id)
+                return _same_or_rejected(verdict, record)
         except TimeoutError:
             return _unknown(record.change_id, _LOG_SILENT)
 
@@ -234,6 +236,22 @@
     )
 
 
+def _same_or_rejected(
+    known: ChangeVerdict, record: ChangeRecord
+) -> pb.ApplyReply:
+    if known.digest == operations_digest(record):
+        return _verdict_reply(known)
+    problem = pb.ChangeProblem(
+        kind="change_id_in_use",
+        message="another change has this id already; choose a new one",
+    )
+    return pb.ApplyReply(
+        change_id=record.change_id,
+        status=pb.CHANGE_REJECTED,
+        problems=[problem],
+    )
+
+
 def _rejected(change_id: str, problems: tuple[Problem, ...]) -> pb.ApplyReply:
     return pb.ApplyReply(
         change_id=change_id,
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_config_outbox.py
@@ -0,0 +1,47 @@
+"""One peer's outbox: bounded, merged, built when it is sent."""
+
+import asyncio
+
+from pomelobank_core import ErrorKind, PullRecords, PushRecords, SendDigest
+from pomelobank_node._config_outbox import Action, Outbox
+from pomelobank_node._requests import RequestError
+
+
+async def test_a_slow_peer_costs_one_action_of_each_type() -> None:
+    """A peer takes no bytes for a while, and changes go on.
+
+    Without merging, each change would queue its frames and the node would run
+    out of memory together with its slowest peer.
+    """
+    sent: list[Action] = []
+    gate = asyncio.Event()
+
+    async def send(_: str, action: Action) -> None:
+        await gate.wait()
+        sent.append(action)
+
+    outbox = Outbox("p:1", send)
+    outbox.put(SendDigest("p:1", heartbeat=True))
+    await asyncio.sleep(0)
+    for version in range(9, 3, -1):
+        outbox.put(PushRecords("p:1", version))
+        outbox.put(SendDigest("p:1", heartbeat=False))
+        outbox.put(PullRecords("p:1", version, 0))
+    assert len(outbox.waiting) == 3
+    gate.set()
+    assert outbox.task is not None
+    await outbox.task
+    assert sent[1] == PushRecords("p:1", 4)
+    assert len(sent) == 4
+
+
+async def test_an_unreachable_peer_ends_nothing() -> None:
+    async def send(_: str, __: Action) -> None:
+        raise RequestError(ErrorKind.PEER_UNREACHABLE)
+
+    outbox = Outbox("p:1", send)
+    outbox.put(SendDigest("p:1", heartbeat=True))
+    outbox.put(PushRecords("p:1", 0))
+    assert outbox.task is not None
+    await outbox.task
+    assert (outbox.failures, outbox.waiting) == (2, {})
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_config_store.py
@@ -0,0 +1,137 @@
+"""The store takes records and snapshots, or leaves them alone."""
+
+import attrs
+import msgpack
+import pytest
+
+from pomelobank_core import ConfigState, operations_digest, snapshot_record
+from pomelobank_node._config_store import (
+    MAX_RECENT_BYTES,
+    MAX_RECENT_RECORDS,
+    ConfigStore,
+    RecentRecords,
+)
+from pomelobank_schema import encode
+from pomelobank_schema.generated.records import (
+    ChangeRecord,
+    OperationRecord,
+    ServiceObject,
+    SnapshotRecord,
+)
+
+UNKNOWN_KIND = msgpack.packb([99, "from the future"])
+
+
+def change(change_id: str) -> ChangeRecord:
+    service = ServiceObject(name=change_id)
+    operation = OperationRecord(kind="put", service=service)
+    return ChangeRecord(change_id=change_id, operations=(operation,))
+
+
+def store_with(*items: bytes) -> ConfigStore:
+    store = ConfigStore()
+    for offset, data in enumerate(items):
+        store.apply(offset, data)
+    return store
+
+
+@pytest.mark.parametrize(
+    ("offset", "applied"),
+    [
+        pytest.param(0, False, id="repeated"),
+        pytest.param(1, True, id="next"),
+        pytest.param(2, False, id="after-a-gap"),
+    ],
+)
+def test_only_the_next_record_counts(offset: int, applied: bool) -> None:
+    store = store_with(encode(change("a")))
+    assert store.apply(offset, encode(change("b"))) is applied
+    assert store.version == 1 + applied
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"", id="empty"),
+        pytest.param(b"\xc1", id="not-msgpack"),
+        pytest.param(msgpack.packb([1, 5]), id="wrong-type"),
+        pytest.param(msgpack.packb([1, ""]), id="no-change-id"),
+        pytest.param(msgpack.packb([3, -1]), id="half-a-snapshot"),
+    ],
+)
+def test_unreadable_records_are_passed_over(data: bytes) -> None:
+    """A broken client writes garbage into the configuration's stream.
+
+    A node that stopped there would never see a change again.
+    """
+    store = store_with(data, encode(change("a")))
+    assert store.version == 2
+    assert list(store.state.verdicts) == ["a"]
+
+
+def test_a_record_of_a_newer_program_stops_the_replay() -> None:
+    """During an upgrade a newer node writes what this one cannot know.
+
+    Passing over it, or over it by way of a snapshot, would route differently
+    from the others without a sign.
+    """
+    store = store_with(encode(change("a")), UNKNOWN_KIND)
+    assert (store.version, store.blocked) == (1, True)
+    assert not store.apply(2, encode(change("b")))
+    assert not store.restore(SnapshotRecord(as_of=9))
+    assert store.version == 1
+
+
+@pytest.mark.parametrize(
+    ("record", "taken"),
+    [
+        pytest.param(SnapshotRecord(as_of=9), True, id="newer"),
+        pytest.param(SnapshotRecord(as_of=1), False, id="level"),
+        pytest.param(SnapshotRecord(as_of=0), False, id="older"),
+        pytest.param(SnapshotRecord(as_of=9, format=2), False, id="format"),
+    ],
+)
+def test_snapshots(record: SnapshotRecord, taken: bool) -> None:
+    store = store_with(encode(change("a")))
+    assert store.restore(record) is taken
+    assert store.version == (9 if taken else 1)
+
+
+def test_a_snapshot_that_differs_from_the_own_state_is_counted() -> None:
+    store = store_with(encode(change("a")))
+    right = snapshot_record(store.state)
+    store.apply(1, encode(right))
+    assert store.mismatches == 0
+    wrong = attrs.evolve(right, as_of=2, objects=())
+    store.apply(2, encode(wrong))
+    assert (store.version, store.mismatches) == (3, 1)
+
+
+def test_a_snapshot_is_made_once_a_version() -> None:
+    store = store_with(encode(change("a")))
+    first = store.whole("n", 1)
+    assert store.whole("n", 2) is first
+    store.apply(1, encode(change("b")))
+    assert store.whole("n", 3) != first
+
+
+def test_recent_records_are_bounded() -> None:
+    recent = RecentRecords()
+    for offset in range(MAX_RECENT_RECORDS + 10):
+        recent.add(offset, b"x")
+    assert recent.first_offset == 10
+    assert recent.since(9, 5) == ()
+    assert len(recent.since(10, 5)) == 5
+    recent.add(recent.first_offset + MAX_RECENT_RECORDS, b"y" * 2**22)
+    assert recent.size <= MAX_RECENT_BYTES
+    recent.add(5000, b"z")
+    assert (recent.first_offset, recent.items) == (5000, [b"z"])
+
+
+def test_digest_tells_another_change_with_the_same_id() -> None:
+    first = change("a")
+    again = attrs.evolve(first, at_ms=5, author="somebody else")
+    other = attrs.evolve(first, operations=change("b").operations)
+    assert operations_digest(first) == operations_digest(again)
+    assert operations_digest(first) != operations_digest(other)
+    assert ConfigState().verdicts == {}
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -3,12 +3,14 @@
 import sys
 
 from pomelobank_testing._convergence import main as convergence
+from pomelobank_testing._core_config import main as core_config
 from pomelobank_testing._demo import main as demo
 from pomelobank_testing._latency import main as latency
 from pomelobank_testing._light_target import main as light_target
 
 _TOOLS = {
     "convergence": convergence,
+    "core-config": core_config,
     "demo": demo,
     "latency": latency,
     "light-target": light_target,
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_config_faults.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_config_faults.py
@@ -89,6 +89,10 @@
         await watch.wait_all(reply.version)
         asked = await watch.change("n2", "during-outage")
         assert (asked.status, asked.version) == (reply.status, reply.version)
+        other = await watch.apply(
+            "n0", put_service("other"), change_id="during-outage"
+        )
+        assert other.problems[0].kind == "change_id_in_use"
 
 
 @pytest.mark.parametrize(
