--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -133,6 +133,7 @@
     ConfigState,
     advance,
     evaluate,
+    operations_digest,
     replay_change,
     skip_record,
 )
@@ -279,6 +280,7 @@
     "lost_kind",
     "object_key",
     "operation_object",
+    "operations_digest",
     "pick_upstream",
     "rank_claimants",
     "rank_of",
