--- a/packages/pomelobank-core/src/pomelobank_core/_swim.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -355,9 +355,15 @@
         """
         self.queue.add(self.table.own.node)
         gossip = Gossip(members=(self.table.own,))
+        # Streams to members that do not answer take a second each to fail, so
+        # those that are known to be in doubt must not hold up the others.
+        suspect = MemberState.SUSPECT.value
+        present = sorted(
+            self.table.present(), key=lambda entry: entry.state == suspect
+        )
         return [
             Send(entry.peer_address, gossip)
-            for entry in self.table.present()
+            for entry in present
             if entry.peer_address
         ]
 
--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -36,6 +36,12 @@
 # centre is cut off, streams take a second to fail, and a node that kept every
 # frame for it would run out of memory. Gossip repeats itself, so they may go.
 _MAX_DELIVERIES = 2048
+# Only what operators should see: a starting node learns of everybody at once.
+_LEVELS = {
+    MemberState.SUSPECT.value: logging.INFO,
+    MemberState.DRAINING.value: logging.INFO,
+    MemberState.GONE.value: logging.INFO,
+}
 
 
 @attrs.define(eq=False)
@@ -122,10 +128,17 @@
 
     async def tell_all(self) -> None:
         """Sends the own entry straight to every member."""
-        tasks = self._act(self.swim.tell_all())
+        actions = self.swim.tell_all()
+        # Peers that sent work lately have a stream; they are told before any
+        # handshake is waited for. Sorting keeps suspects behind the others.
+        actions.sort(key=lambda action: not self._has_stream(action))
+        tasks = self._act(actions)
         if tasks:
             await asyncio.wait(tasks, timeout=_TELL_ALL_S)
 
+    def _has_stream(self, action: Action) -> bool:
+        return isinstance(action, Send) and self.links.is_open(action.address)
+
     async def leave(self) -> None:
         """Tells every member that this node has ended its work."""
         self.table.update_own(state=MemberState.GONE.value)
@@ -149,7 +162,8 @@
 
     def _note_changes(self) -> None:
         for entry in self.swim.take_changes():
-            _logger.info(
+            _logger.log(
+                _LEVELS.get(entry.state, logging.DEBUG),
                 "members.changed",
                 extra={
                     "member": entry.node,
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -211,6 +211,11 @@
             stream.bytes_sent for stream in streams if stream is not None
         )
 
+    def is_open(self, address: str) -> bool:
+        """Tells whether there is an open stream to an address."""
+        link = self.links.get(address)
+        return link is not None and link.stream is not None
+
     def drop(self, address: str) -> None:
         """Gives up the stream to a peer that is held to be gone."""
         link = self.links.get(address)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -31,6 +31,11 @@
 
 _logger = logging.getLogger(__name__)
 
+# After most of the fleet has died, everybody who returns may know the same few
+# members. A handshake that finds no room is repeated after a second, and the
+# herd would look dead to those it cannot reach.
+ACCEPT_BACKLOG = 1024
+
 
 @attrs.define(eq=False)
 class PeerConnection:
@@ -157,7 +162,9 @@
     async def start(self) -> None:
         """Starts listening."""
         host, port = parse_address(self.listen)
-        self.server = await asyncio.start_server(self._accept, host, port)
+        self.server = await asyncio.start_server(
+            self._accept, host, port, backlog=ACCEPT_BACKLOG
+        )
         bound = self.server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
