--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -214,6 +214,11 @@
             item.stream.bytes_sent for item in open_streams if item is not None
         )
 
+    def is_open(self, address: str) -> bool:
+        """Tells whether there is an open stream to an address."""
+        link = self.links.get(address)
+        return link is not None and link.stream is not None
+
     def drop(self, address: str) -> None:
         """Gives up the stream to a peer that is held to be gone."""
         link = self.links.get(address)
