--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -16,6 +16,10 @@
     Verdict,
     WorkResult,
 )
+from pomelobank_core._candidates import (
+    CandidateIndex,
+    Candidates,
+)
 from pomelobank_core._claim_answers import (
     AnswerStore,
 )
@@ -104,7 +108,21 @@
     snapshot_object_value,
 )
 from pomelobank_core._placing import (
+    Observation,
+    Placing,
     RoundRobin,
+    TargetResult,
+    TwoChoices,
+    isolation_target,
+    target_result,
+)
+from pomelobank_core._quarantine import (
+    POINTS_NODE_LOST,
+    POINTS_TARGET_LOST,
+    Evidence,
+    QuarantineTable,
+    Standing,
+    fingerprint,
 )
 from pomelobank_core._rendezvous import (
     rank_of,
@@ -113,10 +131,17 @@
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
+    advance,
     evaluate,
     replay_change,
     skip_record,
 )
+from pomelobank_core._retries import (
+    FailedTry,
+    Retries,
+    Retry,
+    RetryBudget,
+)
 from pomelobank_core._routing import (
     RouteTable,
     is_idempotent,
@@ -125,6 +150,7 @@
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
+    adopt_snapshot,
     restore_snapshot,
     snapshot_record,
     usable_snapshot,
@@ -150,6 +176,8 @@
 
 __all__ = [
     "ANSWERS",
+    "POINTS_NODE_LOST",
+    "POINTS_TARGET_LOST",
     "SHARDS",
     "TAIL_RECORDS",
     "Action",
@@ -160,6 +188,8 @@
     "Attempt",
     "AttemptState",
     "AttemptStep",
+    "CandidateIndex",
+    "Candidates",
     "Change",
     "ChangeVerdict",
     "Claim",
@@ -177,8 +207,10 @@
     "Distribution",
     "EntryRank",
     "ErrorKind",
+    "Evidence",
     "ExchangeState",
     "ExchangeTable",
+    "FailedTry",
     "FirstCome",
     "FirstContact",
     "FixedPartition",
@@ -192,15 +224,21 @@
     "Neighbours",
     "ObjectKey",
     "ObjectKind",
+    "Observation",
+    "Placing",
     "Problem",
     "ProblemKind",
     "PullRecords",
     "PushRecords",
+    "QuarantineTable",
     "Queued",
     "ReadPlan",
     "Recovery",
     "Refused",
     "Reply",
+    "Retries",
+    "Retry",
+    "RetryBudget",
     "RoundRobin",
     "RouteTable",
     "RunState",
@@ -208,17 +246,22 @@
     "SendDigest",
     "Snapshot",
     "SnapshotSchedule",
+    "Standing",
     "Started",
     "Swim",
     "TargetChange",
     "TargetLease",
+    "TargetResult",
     "Ticket",
     "TrafficClass",
+    "TwoChoices",
     "Unlimited",
     "Verdict",
     "VersionFloor",
     "VersionedObject",
     "WorkResult",
+    "adopt_snapshot",
+    "advance",
     "check_objects",
     "claim_key",
     "claim_seen",
@@ -228,9 +271,11 @@
     "deadline_kind",
     "evaluate",
     "find_neighbours",
+    "fingerprint",
     "give_up",
     "is_announcer",
     "is_idempotent",
+    "isolation_target",
     "lost_kind",
     "object_key",
     "operation_object",
@@ -249,5 +294,6 @@
     "snapshot_object_value",
     "snapshot_record",
     "take_frame",
+    "target_result",
     "usable_snapshot",
 ]
--- a/packages/pomelobank-node/src/pomelobank_node/_admin.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admin.py
@@ -9,11 +9,14 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._target_watch import TargetWatch
 from pomelobank_schema import SchemaError, SchemaErrorKind, build
 from pomelobank_schema.generated.records import TargetAnnouncement
 
+_OK = 200
 _BAD_REQUEST = 400
+_UNAVAILABLE = 503
 # An announcement is a few short fields.
 _MAX_ANNOUNCEMENT_BYTES = 4096
 
@@ -24,10 +27,12 @@
 
     Attributes:
         target: Follows the target.
+        store: Tells whether the node may serve callers.
         bad_announcements: Announcements that were refused, for the metrics.
     """
 
     target: TargetWatch
+    store: ConfigStore
     bad_announcements: int = 0
 
     def application(self) -> Starlette:
@@ -41,9 +46,15 @@
         )
 
     async def health(self, _: Request) -> Response:
-        """Tells whether the node takes requests."""
+        """Answers 200 while the node takes callers' requests, 503 otherwise."""
         own = self.target.membership.table.own
-        return JSONResponse({"state": own.state, "version": own.version})
+        document = {
+            "state": own.state,
+            "version": self.store.version,
+            "serving": self.store.ready,
+        }
+        status = _OK if self.store.ready else _UNAVAILABLE
+        return JSONResponse(document, status)
 
     async def announce(self, request: Request) -> Response:
         """Takes an announcement of the target."""
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -13,8 +13,10 @@
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
+from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._entry import Entry
+from pomelobank_node._forwarder import Forwarder, new_placing
 from pomelobank_node._http_server import HttpServer
 from pomelobank_node._log_client import LogClient
 from pomelobank_node._membership import Membership
@@ -80,7 +82,8 @@
             self.links,
             self.clock,
         )
-        self.owner = Owner(settings.requests, self.clock)
+        self.crash_reports = CrashReports(self.table, self.links, self.clock)
+        self.owner = Owner(settings.requests, self.clock, self.crash_reports)
         self.membership = Membership(
             self.table,
             settings.membership,
@@ -99,14 +102,19 @@
 
     def _build_servers(self) -> None:
         settings = self.settings
-        dispatcher = Dispatcher(
-            self.store, self.table, self.owner, self.links, self.clock
+        self.forwarder = Forwarder(
+            self.table,
+            self.owner,
+            self.links,
+            self.clock,
+            new_placing(settings.requests),
         )
+        dispatcher = Dispatcher(self.store, self.forwarder, self.clock)
         self._build_claims(dispatcher)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.target)
+        admin = Admin(self.target, self.store)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
@@ -131,12 +139,17 @@
         )
         dispatcher.claims = self.claims
 
+    def peer_bytes(self) -> int:
+        """Returns the bytes sent to peers so far."""
+        return self.links.bytes_sent + self.peers.bytes_sent
+
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
             self.metrics,
             self.log,
             self.links,
+            self.crash_reports,
             self.claims,
             self.peers,
             self.operator,
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,6 +1,5 @@
 """Takes a caller's request to the target that answers it."""
 
-import random
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -8,8 +7,6 @@
 from pomelobank_core import (
     Clock,
     ErrorKind,
-    MemberTable,
-    RoundRobin,
     is_idempotent,
     pick_upstream,
     scoped_key,
@@ -23,8 +20,7 @@
 )
 from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._owner import Owner
-from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -66,27 +62,19 @@
 
 @attrs.define(eq=False)
 class Dispatcher:
-    """Routes, places and forwards requests.
+    """Finds the route and the upstream of requests.
 
     Attributes:
         store: The configuration in force.
-        members: Who can serve.
-        owner: The node's own target.
-        links: Streams to peers.
+        forwarder: Takes requests to the upstream's targets.
         clock: Tells the time.
         claims: Runs requests with an idempotency key.
-        placing: Chooses the target.
-        seeded: Source of randomness.
     """
 
     store: ConfigStore
-    members: MemberTable
-    owner: Owner
-    links: PeerLinks
+    forwarder: Forwarder
     clock: Clock
     claims: ClaimService = attrs.field(init=False)
-    placing: RoundRobin = attrs.field(factory=RoundRobin)
-    seeded: random.Random = attrs.field(factory=random.Random)
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
         """Answers one request.
@@ -139,12 +127,14 @@
     async def _route_on(
         self, route: RouteObject, request: ForwardRequest
     ) -> ForwardReply:
-        upstream = pick_upstream(
-            route, self.members.available_upstreams(), self.seeded
-        )
+        available = self.forwarder.index.available_upstreams()
+        request_key = request.idempotency_key or request.trace_id
+        upstream = pick_upstream(route, available, request_key)
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
-        return await self._place(attrs.evolve(request, upstream=upstream))
+        return await self.forwarder.forward(
+            attrs.evolve(request, upstream=upstream)
+        )
 
     def _request(
         self, route: RouteObject, caller: CallerRequest
@@ -168,12 +158,3 @@
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
         )
-
-    async def _place(self, request: ForwardRequest) -> ForwardReply:
-        candidates = self.members.ready_for(request.upstream)
-        chosen = self.placing.place(request.upstream, candidates)
-        if chosen is None:
-            raise RequestError(ErrorKind.NO_TARGET)
-        if chosen.node == self.members.own.node:
-            return await self.owner.serve(request)
-        return await self.links.to(chosen.peer_address).forward(request)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -104,6 +104,7 @@
         finally:
             table = outgoing.table
             self.ended_late_frames += table.late_frames + table.unknown_frames
+            self.links.closed_bytes += outgoing.stream.bytes_sent
             if self.current is outgoing:
                 self.current = None
 
@@ -185,12 +186,14 @@
         on_frame: Takes frames that answer no request.
         links: The links.
         handshakes: Room for streams that are being opened.
+        closed_bytes: Bytes sent on streams that have ended.
     """
 
     hello: Hello
     connect_limit: int = DEFAULT_CONNECT_LIMIT
     on_frame: FrameTaker | None = None
     links: dict[str, PeerLink] = attrs.field(factory=dict)
+    closed_bytes: int = 0
     handshakes: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -203,6 +206,14 @@
             link = self.links[address] = PeerLink(address, self.hello, self)
         return link
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the frames sent on all streams that this node opened."""
+        open_streams = [link.current for link in self.links.values()]
+        return self.closed_bytes + sum(
+            item.stream.bytes_sent for item in open_streams if item is not None
+        )
+
     def drop(self, address: str) -> None:
         """Gives up the stream to a peer that is held to be gone."""
         link = self.links.get(address)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -30,6 +30,7 @@
     BodyChunk,
     BodyCredit,
     CancelRequest,
+    CrashReport,
     ForwardReply,
     ForwardRequest,
     Gossip,
@@ -278,6 +279,11 @@
     connection.membership.receive(frame, connection.stream.send)
 
 
+@handle_frame.register
+def _(frame: CrashReport, connection: PeerConnection) -> None:
+    connection.owner.reports.receive(frame)
+
+
 @handle_frame.register(RecordsPull)
 @handle_frame.register(RecordsPush)
 @handle_frame.register(SnapshotPush)
@@ -299,6 +305,7 @@
         address: Address that is really used, once it listens.
         connections: Accepted streams and their tasks.
         refused_streams: Streams that were closed because there were too many.
+        closed_bytes: Bytes sent on streams that have ended.
     """
 
     listen: str
@@ -312,6 +319,7 @@
         factory=dict
     )
     refused_streams: int = 0
+    closed_bytes: int = 0
 
     async def start(self) -> None:
         """Starts listening."""
@@ -333,7 +341,17 @@
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
-        task.add_done_callback(lambda _: self.connections.pop(connection))
+        task.add_done_callback(lambda _: self._ended(connection))
+
+    def _ended(self, connection: PeerConnection) -> None:
+        del self.connections[connection]
+        self.closed_bytes += connection.stream.bytes_sent
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the frames sent on all streams that peers opened."""
+        open_bytes = sum(item.stream.bytes_sent for item in self.connections)
+        return self.closed_bytes + open_bytes
 
     async def stop(self) -> None:
         """Stops listening and ends every stream."""
--- a/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
@@ -16,6 +16,12 @@
     Mesh,
     MeshService,
 )
+from pomelobank_testing._relay import (
+    RelayedMesh,
+    TcpRelay,
+    member_states,
+    wait_states,
+)
 from pomelobank_testing._upstream_service import (
     UpstreamService,
 )
@@ -27,7 +33,11 @@
     "Mesh",
     "MeshService",
     "NodeProcess",
+    "RelayedMesh",
+    "TcpRelay",
     "TestMesh",
     "UpstreamService",
+    "member_states",
     "run_chaos",
+    "wait_states",
 ]
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -6,9 +6,14 @@
 # Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
     "chaos": "_chaos",
+    "core-members": "_core_members",
+    "convergence": "_convergence",
     "demo": "_demo",
+    "goodput": "_goodput",
     "latency": "_latency",
     "light-target": "_light_target",
+    "queueing-target": "_queueing_target",
+    "rest": "_rest",
 }
 
 
