--- a/packages/pomelobank-node/src/pomelobank_node/_body_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_body_frames.py
@@ -83,23 +83,29 @@
         rest: The rest; closed at the end.
         credit: What the receiver granted.
     """
-    more = True
     try:
-        while more:
-            await credit.granted.wait()
-            data = await rest.read()
-            more = bool(data)
-            for start in range(0, max(1, len(data)), CHUNK_BYTES):
-                part = data[start : start + CHUNK_BYTES]
-                await credit.granted.wait()
-                if not await stream.turn():
-                    return
-                credit.use(len(part))
-                stream.send(
-                    BodyChunk(request_id=request_id, data=part, more=more)
-                )
-                stream.turn_over()
+        while data := await rest.read():
+            if not await _send_part(stream, request_id, data, credit):
+                return
+        stream.send(BodyChunk(request_id=request_id))
     except RequestError:
         stream.send(BodyChunk(request_id=request_id, aborted=True))
     finally:
         rest.close()
+
+
+async def _send_part(
+    stream: FrameStream, request_id: int, data: bytes, credit: Credit
+) -> bool:
+    sent = 0
+    while sent < len(data):
+        await credit.granted.wait()
+        if not await stream.turn():
+            return False
+        size = min(CHUNK_BYTES, credit.available)
+        part = data[sent : sent + size]
+        credit.use(len(part))
+        sent += len(part)
+        stream.send(BodyChunk(request_id=request_id, data=part, more=True))
+        stream.turn_over()
+    return True
