A body that a target has taken is not sent to a second one

Cause: an idempotent request with a large body was retried after its first target had died with a part of the body; the second target got a body that lacks that part. Found by reading how retries and streamed bodies meet. Change: a request whose body is streamed is not retried after an unknown outcome. The test failed before (the second try was answered). Links that have had no stream for the idle time are forgotten: each restart of a peer brings a new address, and the old links piled up.

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -24,6 +24,7 @@
     isolation_target,
     target_result,
 )
+from pomelobank_node._bodies import rest_of
 from pomelobank_node._crash_reports import request_fingerprint
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
@@ -206,7 +207,9 @@
         now_ms = self.clock.now_ms()
         attempt = FailedTry(
             error=error.kind if error else None,
-            idempotent=request.idempotent,
+            # The part of a large body that a target has taken is gone; a second
+            # target would get a body that lacks it.
+            idempotent=request.idempotent and rest_of(request) is None,
             tries=journey.tries,
             redirects=journey.redirects,
             left_ms=journey.deadline_ms - now_ms,
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -166,6 +166,11 @@
             return False
         return self.used_s < since_s
 
+    def is_forgotten(self, since_s: float) -> bool:
+        """Tells whether there is no stream and none was asked for since."""
+        unused = self.current is None and not self.tasks
+        return unused and self.used_s < since_s and not self.connecting.locked()
+
     async def close(self) -> None:
         """Closes the stream."""
         tasks = list(self.tasks)
@@ -217,7 +222,7 @@
     def is_open(self, address: str) -> bool:
         """Tells whether there is an open stream to an address."""
         link = self.links.get(address)
-        return link is not None and link.stream is not None
+        return link is not None and link.current is not None
 
     def drop(self, address: str) -> None:
         """Gives up the stream to a peer that is held to be gone."""
@@ -229,9 +234,13 @@
         """Closes the streams that carry no request and were long unused."""
         now_s = asyncio.get_running_loop().time()
         since_s = now_s - idle_ms / _MS_PER_S
-        for link in list(self.links.values()):
+        for address, link in list(self.links.items()):
             if link.is_idle(since_s):
                 link.drop()
+            elif link.is_forgotten(since_s):
+                # Each restart of a peer brings a new address; without this
+                # the links to the old ones would pile up.
+                del self.links[address]
 
     @property
     def late_replies(self) -> int:
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pomelobank_core import ErrorKind, ManualClock, MemberTable, TwoChoices
+from pomelobank_node._bodies import with_rest
 from pomelobank_node._crash_reports import CrashReports, request_fingerprint
 from pomelobank_node._forwarder import RETRY_HEADER, Forwarder
 from pomelobank_node._owner import Owner
@@ -111,6 +112,29 @@
     assert not links.replies
 
 
+class SpentBody:
+    """The rest of a body that a first target has taken."""
+
+    async def read(self) -> bytes:
+        return b""
+
+    def close(self) -> None:
+        return
+
+
+async def test_a_body_that_was_taken_is_not_sent_again() -> None:
+    """A target dies in the middle of a large upload that may run twice.
+
+    Sent on, the upload would lack what the first target took, and be stored
+    as if it were whole.
+    """
+    links = ScriptedLinks(LOST, ANSWER)
+    upload = with_rest(_request(True), SpentBody())
+    reply = await _forwarder(links).forward(upload)
+    assert reply.error == "upstream_lost"
+    assert len(links.sent) == 1
+
+
 async def test_no_target_is_tried_twice_and_retries_are_marked() -> None:
     links = ScriptedLinks(DRAINING, LOST, ANSWER)
     await _forwarder(links).forward(_request(True))
