--- a/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -39,6 +39,8 @@
     pb.CHANGE_REJECTED: ExitStatus.REJECTED,
 }
 _POLL_S = 0.1
+_MAX_NAMES = 3
+_ASK_AGAIN_MS = 1000
 _SECONDS_PER_MS = 0.001
 
 
@@ -76,7 +78,7 @@
         operations=[step.operation for step in steps],
         dry_run=options.dry_run,
     )
-    reply = client.stub.Apply(request, timeout=client.timeout_s)
+    reply = _send(client, request)
     if options.output == "json":
         print_json(_apply_document(reply, steps, options.dry_run))
     else:
@@ -85,6 +87,23 @@
     return _STATUS_EXITS[reply.status]
 
 
+def _send(client: Client, request: pb.ApplyRequest) -> pb.ApplyReply:
+    # The node may have published the change before it died or the stream
+    # broke. An operator who is told no more than "no answer" would have no id
+    # to ask by, and might apply it anew over somebody else's change.
+    try:
+        reply: pb.ApplyReply = client.stub.Apply(
+            request, timeout=client.timeout_s
+        )
+    except grpc.RpcError:
+        return pb.ApplyReply(
+            change_id=request.change_id,
+            status=pb.CHANGE_UNKNOWN,
+            retry_after_ms=_ASK_AGAIN_MS,
+        )
+    return reply
+
+
 def _print_unchanged(
     current: pb.GetConfigReply, options: argparse.Namespace
 ) -> ExitStatus:
@@ -193,7 +212,7 @@
             ),
             entry.author,
             _STATUS_NAMES[entry.status],
-            ", ".join(entry.objects),
+            _shorten(list(entry.objects)),
             entry.reason,
             entry.change_id,
         ]
@@ -212,6 +231,12 @@
     return ExitStatus.OK
 
 
+def _shorten(names: list[str]) -> str:
+    shown = ", ".join(names[:_MAX_NAMES])
+    hidden = len(names) - _MAX_NAMES
+    return f"{shown} and {hidden} more" if hidden > 0 else shown
+
+
 def run_status(client: Client, options: argparse.Namespace) -> ExitStatus:
     """Prints the fleet's state, waiting for a version where asked to."""
     deadline = time.monotonic() + options.timeout
@@ -232,19 +257,21 @@
     if wanted is None:
         return {}
     return {
-        member.node: _reason(reply, member)
+        member.node: _reason(reply, member, wanted)
         for member in reply.members
         if member.state != "gone" and member.version < wanted
     }
 
 
-def _reason(reply: pb.StatusReply, member: pb.MemberStatus) -> str:
+def _reason(reply: pb.StatusReply, member: pb.MemberStatus, wanted: int) -> str:
     if member.state == "suspect":
         return "does not answer other members"
     if member.state == "starting":
         return "is still starting"
     if reply.log_state != "up" and member.node == reply.node:
         return "cannot read the log"
+    if reply.version < wanted:
+        return f"{reply.node} itself has not seen version {wanted}"
     return "has not received the records yet"
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -16,6 +16,10 @@
     Verdict,
     WorkResult,
 )
+from pomelobank_core._candidates import (
+    CandidateIndex,
+    Candidates,
+)
 from pomelobank_core._claim_answers import (
     AnswerStore,
 )
@@ -71,6 +75,14 @@
     ErrorKind,
     RunState,
 )
+from pomelobank_core._exchange import (
+    ExchangeState,
+    ExchangeTable,
+    FrameAge,
+    FrameVerdict,
+    deadline_kind,
+    lost_kind,
+)
 from pomelobank_core._first_contact import (
     TAIL_RECORDS,
     FirstContact,
@@ -96,7 +108,21 @@
     snapshot_object_value,
 )
 from pomelobank_core._placing import (
+    Observation,
+    Placing,
     RoundRobin,
+    TargetResult,
+    TwoChoices,
+    isolation_target,
+    target_result,
+)
+from pomelobank_core._quarantine import (
+    POINTS_NODE_LOST,
+    POINTS_TARGET_LOST,
+    Evidence,
+    QuarantineTable,
+    Standing,
+    fingerprint,
 )
 from pomelobank_core._rendezvous import (
     rank_of,
@@ -105,10 +131,18 @@
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
+    advance,
     evaluate,
+    operations_digest,
     replay_change,
     skip_record,
 )
+from pomelobank_core._retries import (
+    FailedTry,
+    Retries,
+    Retry,
+    RetryBudget,
+)
 from pomelobank_core._routing import (
     RouteTable,
     is_idempotent,
@@ -117,6 +151,7 @@
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
+    adopt_snapshot,
     restore_snapshot,
     snapshot_record,
     usable_snapshot,
@@ -142,6 +177,8 @@
 
 __all__ = [
     "ANSWERS",
+    "POINTS_NODE_LOST",
+    "POINTS_TARGET_LOST",
     "SHARDS",
     "TAIL_RECORDS",
     "Action",
@@ -152,6 +189,8 @@
     "Attempt",
     "AttemptState",
     "AttemptStep",
+    "CandidateIndex",
+    "Candidates",
     "Change",
     "ChangeVerdict",
     "Claim",
@@ -169,9 +208,15 @@
     "Distribution",
     "EntryRank",
     "ErrorKind",
+    "Evidence",
+    "ExchangeState",
+    "ExchangeTable",
+    "FailedTry",
     "FirstCome",
     "FirstContact",
     "FixedPartition",
+    "FrameAge",
+    "FrameVerdict",
     "GuaranteedShared",
     "KeptAnswer",
     "ManualClock",
@@ -180,15 +225,21 @@
     "Neighbours",
     "ObjectKey",
     "ObjectKind",
+    "Observation",
+    "Placing",
     "Problem",
     "ProblemKind",
     "PullRecords",
     "PushRecords",
+    "QuarantineTable",
     "Queued",
     "ReadPlan",
     "Recovery",
     "Refused",
     "Reply",
+    "Retries",
+    "Retry",
+    "RetryBudget",
     "RoundRobin",
     "RouteTable",
     "RunState",
@@ -196,30 +247,40 @@
     "SendDigest",
     "Snapshot",
     "SnapshotSchedule",
+    "Standing",
     "Started",
     "Swim",
     "TargetChange",
     "TargetLease",
+    "TargetResult",
     "Ticket",
     "TrafficClass",
+    "TwoChoices",
     "Unlimited",
     "Verdict",
     "VersionFloor",
     "VersionedObject",
     "WorkResult",
+    "adopt_snapshot",
+    "advance",
     "check_objects",
     "claim_key",
     "claim_seen",
     "combine_run_states",
     "completion_record",
     "contacts_record",
+    "deadline_kind",
     "evaluate",
     "find_neighbours",
+    "fingerprint",
     "give_up",
     "is_announcer",
     "is_idempotent",
+    "isolation_target",
+    "lost_kind",
     "object_key",
     "operation_object",
+    "operations_digest",
     "pick_upstream",
     "rank_claimants",
     "rank_of",
@@ -235,5 +296,6 @@
     "snapshot_object_value",
     "snapshot_record",
     "take_frame",
+    "target_result",
     "usable_snapshot",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/_members.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_members.py
@@ -75,6 +75,17 @@
     return newer
 
 
+def _serving(entry: MemberEntry) -> tuple[object, ...]:
+    return (
+        entry.incarnation,
+        entry.state,
+        entry.data_centre,
+        entry.peer_address,
+        entry.upstream,
+        entry.slots,
+    )
+
+
 @attrs.define
 class MemberTable:
     """Members by node id; the own entry is never taken from others.
@@ -85,6 +96,7 @@
         forgotten: Ranks of gone members whose entries were dropped.
         refutations: How often others held this node to be suspect or gone.
         stale_entries: Entries of forgotten members that were passed over.
+        serving_changes: Grows whenever it changes who serves what, and where.
     """
 
     own: MemberEntry
@@ -92,6 +104,7 @@
     forgotten: dict[str, EntryRank] = attrs.field(factory=dict)
     refutations: int = 0
     stale_entries: int = 0
+    serving_changes: int = 0
     candidates: dict[str, list[MemberEntry]] = attrs.field(
         factory=dict, init=False, repr=False
     )
@@ -129,9 +142,14 @@
         )
 
     def _set_own(self, entry: MemberEntry) -> None:
+        self._note(self.own, entry)
         self.own = entry
         self.candidates.clear()
 
+    def _note(self, before: MemberEntry | None, after: MemberEntry) -> None:
+        if before is None or _serving(before) != _serving(after):
+            self.serving_changes += 1
+
     def merge(self, entries: Iterable[MemberEntry]) -> list[MemberEntry]:
         """Takes what a peer knows.
 
@@ -153,6 +171,7 @@
         joined = entry if known is None else join_entries(entry, known)
         if joined == known:
             return False
+        self._note(known, joined)
         self.others[entry.node] = joined
         self.forgotten.pop(entry.node, None)
         self.candidates.clear()
@@ -200,6 +219,7 @@
     def forget(self, node: str) -> None:
         """Drops the entry of a gone member and remembers its rank."""
         entry = self.others.pop(node)
+        self.serving_changes += 1
         self.candidates.clear()
         self.forgotten[node] = EntryRank.of(entry)
         while len(self.forgotten) > FORGOTTEN_LIMIT:
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -11,9 +11,8 @@
     ChangeVerdict,
     ConfigState,
     RouteTable,
-    replay_change,
-    restore_snapshot,
-    skip_record,
+    adopt_snapshot,
+    advance,
     snapshot_record,
 )
 from pomelobank_schema import SchemaError, SchemaErrorKind, decode, encode
@@ -87,6 +86,7 @@
         unreadable: Number of records that were passed over, for the metrics.
         mismatches: Number of snapshot records that differ from the own state,
             for the metrics; anything but 0 is a fault of this program.
+        encoded: A version and its encoded snapshot, once a peer has asked.
     """
 
     state: ConfigState = attrs.field(factory=ConfigState)
@@ -102,6 +102,7 @@
     restored: int = 0
     unreadable: int = 0
     mismatches: int = 0
+    encoded: tuple[int, bytes] | None = None
 
     @property
     def version(self) -> int:
@@ -124,31 +125,26 @@
             record = decode(data, records.KINDS)
         except SchemaError as error:
             return self._apply_unreadable(offset, data, error)
-        if isinstance(record, records.ChangeRecord):
-            self._move(replay_change(self.state, offset, record), data)
-        elif isinstance(record, SnapshotRecord):
+        if isinstance(record, SnapshotRecord):
             self._pass_snapshot(record)
-            self._move(skip_record(self.state, offset), data)
-        else:
-            self._move(skip_record(self.state, offset), data)
+        change = record if isinstance(record, records.ChangeRecord) else None
+        self._move(advance(self.state, offset, change), data)
         return True
 
     def restore(self, record: SnapshotRecord) -> bool:
         """Takes over a snapshot, unless the node has that version already.
 
-        A snapshot may be old when it arrives, from a peer that was paused or
-        from a slow read; taking it would bring back routes that operators
-        have replaced.
-
         Args:
             record: The snapshot.
 
         Returns:
             Whether it was taken.
         """
-        if record.as_of <= self.version:
+        if self.blocked:
+            # The snapshot lies behind a record that this program does not
+            # understand; its effect may be more than the snapshot tells it.
             return False
-        result = restore_snapshot(record)
+        result = adopt_snapshot(self.state, record)
         if isinstance(result, Failure):
             problem = result.failure()[0]
             _logger.error(
@@ -156,16 +152,25 @@
                 extra={"as_of": record.as_of, "problem": problem.message},
             )
             return False
-        self.blocked = False
+        state = result.unwrap()
+        if state is self.state:
+            return False
         self.restored += 1
-        self._swap(result.unwrap())
+        self._swap(state)
         if self.on_snapshot is not None:
             self.on_snapshot(record)
         return True
 
     def whole(self, node: str, at_ms: int) -> bytes:
-        """Returns a snapshot record of the state, encoded."""
-        return encode(snapshot_record(self.state, node, at_ms))
+        """Returns a snapshot record of the state, encoded.
+
+        After a herd restart many peers ask for it within seconds; making it
+        takes long enough to hold up requests, so it is made once a version.
+        """
+        if self.encoded is None or self.encoded[0] != self.version:
+            data = encode(snapshot_record(self.state, node, at_ms))
+            self.encoded = (self.version, data)
+        return self.encoded[1]
 
     def _pass_snapshot(self, record: SnapshotRecord) -> None:
         # Replay is deterministic, so a snapshot of this version must be equal
@@ -196,7 +201,7 @@
         _logger.warning(
             "config.unreadable", extra={"offset": offset, "error": str(error)}
         )
-        self._move(skip_record(self.state, offset), data)
+        self._move(advance(self.state, offset, None), data)
         return True
 
     def _move(self, state: ConfigState, data: bytes) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -41,6 +41,12 @@
     "Members that the node knows, itself included.",
     label="state",
 )
+PEER_BYTES_SENT = Instrument(
+    "pomelobank.peer.sent_size",
+    "By",
+    "Bytes sent to peers: configuration, membership and forwarded requests.",
+    monotonic=True,
+)
 REQUESTS_IN_FLIGHT = Instrument(
     "pomelobank.target.in_flight",
     "1",
--- a/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__init__.py
@@ -1,5 +1,8 @@
 """Stand-ins, load and measurement tools of pomelobank."""
 
+from pomelobank_testing._chaos import (
+    run as run_chaos,
+)
 from pomelobank_testing._harness import (
     NodeProcess,
     TestMesh,
@@ -13,6 +16,12 @@
     Mesh,
     MeshService,
 )
+from pomelobank_testing._relay import (
+    RelayedMesh,
+    TcpRelay,
+    member_states,
+    wait_states,
+)
 from pomelobank_testing._upstream_service import (
     UpstreamService,
 )
@@ -24,6 +33,11 @@
     "Mesh",
     "MeshService",
     "NodeProcess",
+    "RelayedMesh",
+    "TcpRelay",
     "TestMesh",
     "UpstreamService",
+    "member_states",
+    "run_chaos",
+    "wait_states",
 ]
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -1,17 +1,21 @@
 """Tools for trying and measuring: `python -m pomelobank_testing demo`."""
 
+import importlib
 import sys
 
-from pomelobank_testing._claim_cost import main as claim_cost
-from pomelobank_testing._demo import main as demo
-from pomelobank_testing._latency import main as latency
-from pomelobank_testing._light_target import main as light_target
-
+# Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
-    "claim-cost": claim_cost,
-    "demo": demo,
-    "latency": latency,
-    "light-target": light_target,
+    "chaos": "_chaos",
+    "claim-cost": "_claim_cost",
+    "convergence": "_convergence",
+    "core-config": "_core_config",
+    "core-members": "_core_members",
+    "demo": "_demo",
+    "goodput": "_goodput",
+    "latency": "_latency",
+    "light-target": "_light_target",
+    "queueing-target": "_queueing_target",
+    "rest": "_rest",
 }
 
 
@@ -21,7 +25,8 @@
     if name not in _TOOLS:
         print(f"usage: python -m pomelobank_testing {{{','.join(_TOOLS)}}} ...")
         return 2
-    return _TOOLS[name](sys.argv[2:])
+    module = importlib.import_module(f"pomelobank_testing.{_TOOLS[name]}")
+    return int(module.main(sys.argv[2:]))
 
 
 if __name__ == "__main__":
--- a/packages/pomelobank-testing/src/pomelobank_testing/_latency.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_latency.py
@@ -60,6 +60,7 @@
         calls: Calls so far.
         failed: Calls that were not answered with 200.
         processor_us: Processor time of both nodes during its blocks.
+        blocks: Percentiles of each block, in microseconds.
     """
 
     name: str
@@ -70,6 +71,17 @@
     calls: int = 0
     failed: int = 0
     processor_us: int = 0
+    blocks: list[dict[float, int]] = attrs.field(factory=list)
+
+    def add_block(self, latencies_us: list[int]) -> None:
+        """Takes the latencies of one block."""
+        block = HdrHistogram(1, _HIGHEST_US, 3)
+        for value in latencies_us:
+            block.record_value(max(1, value))
+        self.histogram.add(block)
+        self.blocks.append(
+            {point: block.get_value_at_percentile(point) for point in (50, 99)}
+        )
 
     def summary(self) -> dict[str, Any]:
         """Returns the figures of this way."""
@@ -137,7 +149,13 @@
             for name, item in figures.items()
             if name != "direct"
         }
-        return {"rate": rate, "ways": figures, "added_us": added}
+        turns = {way.name: _added_by_turn(ways[0], way) for way in ways[1:]}
+        return {
+            "rate": rate,
+            "ways": figures,
+            "added_us": added,
+            "added_us_by_turn": turns,
+        }
 
     async def _block(self, way: Way, rate: int, seconds: float) -> None:
         client = LightClient(parse_address(way.address), self.request())
@@ -154,12 +172,26 @@
         way.processor_us += sum(processor_us(pid) for pid in self.pids())
         way.processor_us -= before
         client.close()
-        for value in client.latencies_us:
-            way.histogram.record_value(max(1, value))
+        way.add_block(client.latencies_us)
         way.calls += len(client.latencies_us)
         way.failed += client.failed
 
 
+def _added_by_turn(direct: Way, way: Way) -> dict[str, list[int]]:
+    """Returns what each block adds to the direct block of the same turn.
+
+    On a machine that does other work too, the lowest turns are those that
+    were disturbed least.
+    """
+    return {
+        f"p{point}": sorted(
+            block[point] - base[point]
+            for base, block in zip(direct.blocks, way.blocks, strict=True)
+        )
+        for point in (50, 99)
+    }
+
+
 def main(arguments: list[str] | None = None) -> int:
     """Measures and writes the results; returns 0 where no call failed."""
     parser = argparse.ArgumentParser(prog="latency", description=__doc__)
@@ -252,8 +284,19 @@
     }
 
 
+def _lowest_and_median(level: dict[str, Any], name: str) -> str:
+    turns = level["added_us_by_turn"].get(name)
+    if turns is None:
+        return ""
+    values = turns["p99"]
+    return f"{values[0]}, {values[len(values) // 2]}"
+
+
 def _table(result: dict[str, Any]) -> str:
-    lines = ["rate  way     calls  fail   p50    p99  +p50   +p99  cpu/call"]
+    lines = [
+        "rate  way     calls  fail   p50    p99  +p50   +p99  cpu/call"
+        "  +p99 of turns: lowest, median"
+    ]
     for level in result["levels"]:
         for name, way in level["ways"].items():
             added = level["added_us"].get(name, {"p50": 0, "p99": 0})
@@ -262,6 +305,7 @@
                 f"{way['failed']:>5} {way['us']['p50']:>5} "
                 f"{way['us']['p99']:>6} {added['p50']:>5} {added['p99']:>6} "
                 f"{way['node_processor_us_per_call']:>8}"
+                f"  {_lowest_and_median(level, name)}"
             )
     lines.append(f"resident at rest: {result['resident_bytes_at_rest']}")
     return "\n".join(lines)
