--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -16,6 +16,10 @@
     Verdict,
     WorkResult,
 )
+from pomelobank_core._candidates import (
+    CandidateIndex,
+    Candidates,
+)
 from pomelobank_core._claim_answers import (
     AnswerStore,
 )
@@ -49,8 +53,13 @@
     service_of,
     shard_of,
 )
-from pomelobank_core._clock import Clock, ManualClock
-from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._clock import (
+    Clock,
+    ManualClock,
+)
+from pomelobank_core._concurrency import (
+    ConcurrencyLimit,
+)
 from pomelobank_core._distribution import (
     Distribution,
     Neighbours,
@@ -60,14 +69,29 @@
     SendDigest,
     find_neighbours,
 )
-from pomelobank_core._errors import ANSWERS, Answer, ErrorKind, RunState
+from pomelobank_core._errors import (
+    ANSWERS,
+    Answer,
+    ErrorKind,
+    RunState,
+)
+from pomelobank_core._exchange import (
+    ExchangeState,
+    ExchangeTable,
+    FrameAge,
+    FrameVerdict,
+    deadline_kind,
+    lost_kind,
+)
 from pomelobank_core._first_contact import (
     TAIL_RECORDS,
     FirstContact,
     contacts_record,
     is_announcer,
 )
-from pomelobank_core._floor import VersionFloor
+from pomelobank_core._floor import (
+    VersionFloor,
+)
 from pomelobank_core._members import (
     EntryRank,
     MemberState,
@@ -84,7 +108,21 @@
     snapshot_object_value,
 )
 from pomelobank_core._placing import (
+    Observation,
+    Placing,
     RoundRobin,
+    TargetResult,
+    TwoChoices,
+    isolation_target,
+    target_result,
+)
+from pomelobank_core._quarantine import (
+    POINTS_NODE_LOST,
+    POINTS_TARGET_LOST,
+    Evidence,
+    QuarantineTable,
+    Standing,
+    fingerprint,
 )
 from pomelobank_core._rendezvous import (
     rank_of,
@@ -99,6 +137,12 @@
     replay_change,
     skip_record,
 )
+from pomelobank_core._retries import (
+    FailedTry,
+    Retries,
+    Retry,
+    RetryBudget,
+)
 from pomelobank_core._routing import (
     RouteTable,
     is_idempotent,
@@ -133,6 +177,8 @@
 
 __all__ = [
     "ANSWERS",
+    "POINTS_NODE_LOST",
+    "POINTS_TARGET_LOST",
     "SHARDS",
     "TAIL_RECORDS",
     "Action",
@@ -143,6 +189,8 @@
     "Attempt",
     "AttemptState",
     "AttemptStep",
+    "CandidateIndex",
+    "Candidates",
     "Change",
     "ChangeVerdict",
     "Claim",
@@ -160,9 +208,15 @@
     "Distribution",
     "EntryRank",
     "ErrorKind",
+    "Evidence",
+    "ExchangeState",
+    "ExchangeTable",
+    "FailedTry",
     "FirstCome",
     "FirstContact",
     "FixedPartition",
+    "FrameAge",
+    "FrameVerdict",
     "GuaranteedShared",
     "KeptAnswer",
     "ManualClock",
@@ -171,15 +225,21 @@
     "Neighbours",
     "ObjectKey",
     "ObjectKind",
+    "Observation",
+    "Placing",
     "Problem",
     "ProblemKind",
     "PullRecords",
     "PushRecords",
+    "QuarantineTable",
     "Queued",
     "ReadPlan",
     "Recovery",
     "Refused",
     "Reply",
+    "Retries",
+    "Retry",
+    "RetryBudget",
     "RoundRobin",
     "RouteTable",
     "RunState",
@@ -187,12 +247,15 @@
     "SendDigest",
     "Snapshot",
     "SnapshotSchedule",
+    "Standing",
     "Started",
     "Swim",
     "TargetChange",
     "TargetLease",
+    "TargetResult",
     "Ticket",
     "TrafficClass",
+    "TwoChoices",
     "Unlimited",
     "Verdict",
     "VersionFloor",
@@ -206,11 +269,15 @@
     "combine_run_states",
     "completion_record",
     "contacts_record",
+    "deadline_kind",
     "evaluate",
     "find_neighbours",
+    "fingerprint",
     "give_up",
     "is_announcer",
     "is_idempotent",
+    "isolation_target",
+    "lost_kind",
     "object_key",
     "operation_object",
     "operations_digest",
@@ -229,5 +296,6 @@
     "snapshot_object_value",
     "snapshot_record",
     "take_frame",
+    "target_result",
     "usable_snapshot",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -27,16 +27,17 @@
     BATCH = "batch"
 
 
+_URGENCY = tuple(TrafficClass)
 # A class that has not asked for this long lends its guaranteed part, so that a
 # target which serves one class only is used in full. A minute outlasts the
 # pauses of a counter; what it costs is one long request's time, once, when the
 # class comes back.
 RESERVE_MS = 60_000
-# Below four slots a part for each of three classes would leave no shared rest.
-MIN_SLOTS_FOR_PARTS = 4
 # Taken for a class's service time before the first was measured: a burst at a
 # cold target would otherwise queue without any bound.
 UNMEASURED_MS = 100.0
+# Longest planned hold of all other requests for one that has to run alone.
+LONGEST_HOLD_MS = 500.0
 # Sooner than this a caller would meet the same queue again.
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 30_000
@@ -54,8 +55,13 @@
     percent: dict[TrafficClass, int]
 
     def part(self, traffic_class: TrafficClass, limit: int) -> int:
-        """Returns the slots that are guaranteed to a class."""
-        if limit < MIN_SLOTS_FOR_PARTS:
+        """Returns the slots that are guaranteed to a class.
+
+        With few slots the most urgent classes get theirs first, and one slot
+        is always shared. A target that sheds may be down to two slots; look-ups
+        must not wait behind reports just then.
+        """
+        if limit <= _URGENCY.index(traffic_class) + 1:
             return 0
         return max(1, limit * self.percent[traffic_class] // _PERCENT)
 
@@ -320,12 +326,22 @@
         # take it from the requests that are no danger.
         if self.alone is not None:
             return self._refuse(ErrorKind.OVERLOADED, self.max_queue_ms)
+        # Everything else is held until the target is empty. Behind long work
+        # that would idle it for seconds; the suspect comes back later.
+        empty_ms = self._empty_ms()
+        room_ms = min(ticket.deadline_ms - now_ms, LONGEST_HOLD_MS)
+        if empty_ms > room_ms:
+            return self._refuse(ErrorKind.OVERLOADED, empty_ms)
         self.alone = ticket
         if not self.in_flight:
             self._start(ticket, now_ms)
             return Started()
         return Queued()
 
+    def _empty_ms(self) -> float:
+        busy = [item for item, slots in self.running.items() if slots]
+        return max(map(self._usual_ms, busy), default=0.0)
+
     def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
         # Spread over once to twice the wait, because all those refused in one
         # burst would otherwise come back as the next burst.
@@ -530,8 +546,7 @@
     own = {traffic_class: running[traffic_class]}
     if not isinstance(policy, GuaranteedShared):
         return own
-    classes = list(TrafficClass)
-    for other in classes[classes.index(traffic_class) + 1 :]:
+    for other in _URGENCY[_URGENCY.index(traffic_class) + 1 :]:
         # Shared slots under less urgent work pass to this class as they end.
         own[other] = max(0, running[other] - state.reserved(other, now_ms))
     return own
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -12,8 +13,10 @@
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
+from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._entry import Entry
+from pomelobank_node._forwarder import Forwarder, new_placing
 from pomelobank_node._http_server import HttpServer
 from pomelobank_node._log_client import LogClient
 from pomelobank_node._membership import Membership
@@ -79,7 +82,8 @@
             self.links,
             self.clock,
         )
-        self.owner = Owner(settings.requests, self.clock)
+        self.crash_reports = CrashReports(self.table, self.links, self.clock)
+        self.owner = Owner(settings.requests, self.clock, self.crash_reports)
         self.membership = Membership(
             self.table,
             settings.membership,
@@ -98,21 +102,26 @@
 
     def _build_servers(self) -> None:
         settings = self.settings
-        dispatcher = Dispatcher(
-            self.store, self.table, self.owner, self.links, self.clock
+        self.forwarder = Forwarder(
+            self.table,
+            self.owner,
+            self.links,
+            self.clock,
+            new_placing(settings.requests),
         )
+        dispatcher = Dispatcher(self.store, self.forwarder, self.clock)
         self._build_claims(dispatcher)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.target)
+        admin = Admin(self.target, self.store)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
         listen = settings.listen
         pages = admin.application()
         pages.add_route("/metrics", self.metrics.page)
-        self.http = HttpServer(listen.http, self.entry)
+        self.http = HttpServer(listen.http, self.entry, cancels=True)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
             listen.peer, self.owner, self.membership, self.feed, self.claims
@@ -130,12 +139,17 @@
         )
         dispatcher.claims = self.claims
 
+    def peer_bytes(self) -> int:
+        """Returns the bytes sent to peers so far."""
+        return self.links.bytes_sent + self.peers.bytes_sent
+
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
             self.metrics,
             self.log,
             self.links,
+            self.crash_reports,
             self.claims,
             self.peers,
             self.operator,
@@ -173,6 +187,7 @@
         be told, and the streams go last.
         """
         await self.target.close()
+        self.entry.draining = True
         timeout_ms = self.settings.requests.drain_timeout_ms
         await asyncio.gather(
             self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
@@ -186,8 +201,13 @@
         _logger.info("node.stopped")
 
 
-async def run_until(application: NodeApplication, ended: asyncio.Event) -> None:
+async def run_until(
+    application: NodeApplication,
+    ended: asyncio.Event,
+    on_started: Callable[[], None],
+) -> None:
     """Runs a node until an event is set, then stops it cleanly."""
     await application.start()
+    on_started()
     await ended.wait()
     await application.stop()
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,6 +1,5 @@
 """Takes a caller's request to the target that answers it."""
 
-import random
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -8,17 +7,20 @@
 from pomelobank_core import (
     Clock,
     ErrorKind,
-    MemberTable,
-    RoundRobin,
     is_idempotent,
     pick_upstream,
     scoped_key,
     service_of,
 )
+from pomelobank_node._bodies import (
+    KEYED_BYTES,
+    BodySource,
+    whole_reply,
+    with_rest,
+)
 from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._owner import Owner
-from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -43,6 +45,7 @@
         trace_id: Id that follows the request through every log.
         timeout_ms: Caller's own limit; 0 where it gave none.
         idempotency_key: Caller's key; empty where it gave none.
+        rest: The rest of the body, None where `body` is the whole.
     """
 
     service: str
@@ -54,31 +57,24 @@
     trace_id: str
     timeout_ms: int = 0
     idempotency_key: str = ""
+    rest: BodySource | None = None
 
 
 @attrs.define(eq=False)
 class Dispatcher:
-    """Routes, places and forwards requests.
+    """Finds the route and the upstream of requests.
 
     Attributes:
         store: The configuration in force.
-        members: Who can serve.
-        owner: The node's own target.
-        links: Streams to peers.
+        forwarder: Takes requests to the upstream's targets.
         clock: Tells the time.
         claims: Runs requests with an idempotency key.
-        placing: Chooses the target.
-        seeded: Source of randomness.
     """
 
     store: ConfigStore
-    members: MemberTable
-    owner: Owner
-    links: PeerLinks
+    forwarder: Forwarder
     clock: Clock
     claims: ClaimService = attrs.field(init=False)
-    placing: RoundRobin = attrs.field(factory=RoundRobin)
-    seeded: random.Random = attrs.field(factory=random.Random)
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
         """Answers one request.
@@ -97,7 +93,7 @@
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
-        request = self._request(route, caller)
+        request = with_rest(self._request(route, caller), caller.rest)
         # A key is looked up before a target: its request may have run, and
         # its resend must not be told that there is none.
         if caller.idempotency_key and not request.idempotent:
@@ -112,22 +108,33 @@
         Raises:
             RequestError: If the request cannot be placed.
         """
+        if not self.store.ready:
+            raise RequestError(ErrorKind.NOT_READY)
         service = service_of(request.idempotency_key)
         path = unquote_to_bytes(request.target.partition(b"?")[0])
         route = self.store.routes.match(service, path.decode(errors="replace"))
         if route is None:
-            raise RequestError(ErrorKind.NO_ROUTE)
-        return await self._route_on(route, request)
+            # The entry knew a route when it sent the request here. A claiming
+            # node that is behind would else tell the caller that the route
+            # does not exist, as if an operator had deleted it.
+            behind = self.store.version < request.version
+            raise RequestError(
+                ErrorKind.NOT_READY if behind else ErrorKind.NO_ROUTE
+            )
+        reply = await self._route_on(route, request)
+        return await whole_reply(reply, KEYED_BYTES)
 
     async def _route_on(
         self, route: RouteObject, request: ForwardRequest
     ) -> ForwardReply:
-        upstream = pick_upstream(
-            route, self.members.available_upstreams(), self.seeded
-        )
+        available = self.forwarder.index.available_upstreams()
+        request_key = request.idempotency_key or request.trace_id
+        upstream = pick_upstream(route, available, request_key)
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
-        return await self._place(attrs.evolve(request, upstream=upstream))
+        return await self.forwarder.forward(
+            attrs.evolve(request, upstream=upstream)
+        )
 
     def _request(
         self, route: RouteObject, caller: CallerRequest
@@ -151,12 +158,3 @@
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
         )
-
-    async def _place(self, request: ForwardRequest) -> ForwardReply:
-        candidates = self.members.ready_for(request.upstream)
-        chosen = self.placing.place(request.upstream, candidates)
-        if chosen is None:
-            raise RequestError(ErrorKind.NO_TARGET)
-        if chosen.node == self.members.own.node:
-            return await self.owner.serve(request)
-        return await self.links.to(chosen.peer_address).forward(request)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -1,25 +1,22 @@
 """Streams to peers: one connection per peer, opened on need."""
 
 import asyncio
-import logging
 from collections.abc import Callable
 
 import attrs
 
 from pomelobank_core import ErrorKind
 from pomelobank_node._frames import FrameStream
-from pomelobank_node._peer_sockets import notice_dead_peer
+from pomelobank_node._outgoing_stream import OutgoingStream
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
     RequestError,
     error_reply,
 )
-from pomelobank_schema import SchemaError, WireMessage, parse_address
+from pomelobank_schema import WireMessage, parse_address
 from pomelobank_schema.generated.peer import Hello
 
-_logger = logging.getLogger(__name__)
-
 PROTOCOL_VERSION = 1
 CONNECT_TIMEOUT_S = 1.0
 DEFAULT_CONNECT_LIMIT = 32
@@ -36,10 +33,9 @@
     Attributes:
         address: The peer's address.
         hello: What this node says of itself.
-        stream: The open stream, None while there is none.
-        pending: Requests under way, by request id.
-        next_id: Next request id; never used again on this link.
-        late_replies: Replies that nobody waited for any more.
+        current: The open stream, None while there is none.
+        ended_late_frames: Late and unknown frames of streams that are closed.
+        tasks: Tasks of the streams that are not closed yet.
         links: All links of the node, with what they share.
         used_s: Time of the event loop when the link was last used.
     """
@@ -47,41 +43,70 @@
     address: str
     hello: Hello
     links: "PeerLinks"
-    stream: FrameStream | None = None
-    pending: dict[int, asyncio.Future[ForwardReply]] = attrs.field(factory=dict)
-    next_id: int = 1
-    late_replies: int = 0
+    current: OutgoingStream | None = None
+    ended_late_frames: int = 0
     used_s: float = 0.0
-    task: asyncio.Task[None] | None = None
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     connecting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
-    async def connect(self) -> FrameStream:
+    @property
+    def late_replies(self) -> int:
+        """Frames that nobody waited for any more, or ever did."""
+        if self.current is None:
+            return self.ended_late_frames
+        table = self.current.table
+        return self.ended_late_frames + table.late_frames + table.unknown_frames
+
+    async def connect(self) -> OutgoingStream:
         """Returns the open stream, opening it where there is none.
 
         Raises:
             RequestError: PEER_UNREACHABLE.
         """
         self.used_s = asyncio.get_running_loop().time()
+        if self.current is not None and not self.current.closing:
+            return self.current
         async with self.connecting:
-            if self.stream is not None:
-                return self.stream
-            host, port = parse_address(self.address)
-            try:
-                async with (
-                    self.links.handshakes,
-                    asyncio.timeout(CONNECT_TIMEOUT_S),
-                ):
-                    reader, writer = await asyncio.open_connection(host, port)
-            except (OSError, TimeoutError):
-                raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
-            notice_dead_peer(writer)
-            stream = FrameStream(reader, writer)
-            stream.send(self.hello)
-            self.stream = stream
-            self.task = asyncio.create_task(
-                self._read(stream), name=f"peer-link-{self.address}"
-            )
-            return stream
+            if self.current is not None and not self.current.closing:
+                return self.current
+            self.current = await self._open()
+            return self.current
+
+    async def _open(self) -> OutgoingStream:
+        host, port = parse_address(self.address)
+        loop = asyncio.get_running_loop()
+        try:
+            async with (
+                self.links.handshakes,
+                asyncio.timeout(CONNECT_TIMEOUT_S),
+            ):
+                _, stream = await loop.create_connection(
+                    FrameStream, host, port
+                )
+        except (OSError, TimeoutError):
+            raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
+        stream.send(self.hello)
+        outgoing = OutgoingStream(self.address, stream, self._take)
+        task = asyncio.create_task(
+            self._run(outgoing), name=f"peer-link-{self.address}"
+        )
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return outgoing
+
+    def _take(self, frame: WireMessage, stream: FrameStream) -> None:
+        if self.links.on_frame is not None:
+            self.links.on_frame(frame, stream.send)
+
+    async def _run(self, outgoing: OutgoingStream) -> None:
+        try:
+            await outgoing.run()
+        finally:
+            table = outgoing.table
+            self.ended_late_frames += table.late_frames + table.unknown_frames
+            self.links.closed_bytes += outgoing.stream.bytes_sent
+            if self.current is outgoing:
+                self.current = None
 
     async def send(self, message: WireMessage) -> None:
         """Sends a frame that needs no answer.
@@ -89,8 +114,8 @@
         Raises:
             RequestError: PEER_UNREACHABLE.
         """
-        stream = await self.connect()
-        stream.send(message)
+        outgoing = await self.connect()
+        outgoing.stream.send(message)
 
     async def forward(self, request: ForwardRequest) -> ForwardReply:
         """Sends a request and waits for its reply.
@@ -99,75 +124,54 @@
             request: The request; its id is set here.
 
         Returns:
-            The reply; PEER_UNREACHABLE where the request was never sent and
-            PEER_LOST where the stream broke after it was.
+            The reply; PEER_UNREACHABLE where no byte of the request was sent
+            and PEER_LOST where the stream broke after that.
         """
+        self.used_s = asyncio.get_running_loop().time()
+        current = self.current
+        if current is None or current.closing:
+            try:
+                current, request = await self._connect_for(request)
+            except RequestError as error:
+                return error_reply(request.request_id, error)
+        return await current.forward(request)
+
+    async def _connect_for(
+        self, request: ForwardRequest
+    ) -> tuple[OutgoingStream, ForwardRequest]:
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
         try:
-            stream = await self.connect()
-        except RequestError as error:
-            return error_reply(request.request_id, error)
-        request_id = self.next_id
-        self.next_id += 1
-        reply: asyncio.Future[ForwardReply]
-        reply = asyncio.get_running_loop().create_future()
-        self.pending[request_id] = reply
-        stream.send(attrs.evolve(request, request_id=request_id))
-        try:
-            return await reply
-        finally:
-            self.pending.pop(request_id, None)
-
-    async def _read(self, stream: FrameStream) -> None:
-        try:
-            while (frame := await stream.receive()) is not None:
-                if isinstance(frame, ForwardReply):
-                    self._settle(frame)
-                elif self.links.on_frame is not None:
-                    self.links.on_frame(frame, stream.send)
-        except (OSError, SchemaError) as error:
-            _logger.warning(
-                "peer.stream_broken",
-                extra={"peer": self.address, "error": str(error)},
-            )
-        finally:
-            self._lost(stream)
-            await stream.close()
-
-    def _settle(self, reply: ForwardReply) -> None:
-        # An answer whose caller has given up must not reach another caller;
-        # ids are never reused, so an id that is not pending is simply late.
-        future = self.pending.get(reply.request_id)
-        if future is None or future.done():
-            self.late_replies += 1
-            return
-        future.set_result(reply)
-
-    def _lost(self, stream: FrameStream) -> None:
-        if self.stream is not stream:
-            return
-        self.stream = None
-        for request_id, future in self.pending.items():
-            if not future.done():
-                error = RequestError(ErrorKind.PEER_LOST)
-                future.set_result(error_reply(request_id, error))
+            async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
+                current = await self.connect()
+        except TimeoutError:
+            raise RequestError(ErrorKind.DEADLINE_NOT_RUN) from None
+        taken_ms = int((loop.time() - begun_s) * _MS_PER_S)
+        return current, attrs.evolve(
+            request,
+            sent_ms=request.sent_ms + taken_ms,
+            remaining_ms=request.remaining_ms - taken_ms,
+        )
 
     def drop(self) -> None:
         """Gives up the stream; what waits for it ends as lost."""
-        if self.stream is None or self.task is None:
-            return
-        self._lost(self.stream)
-        self.task.cancel()
+        current, self.current = self.current, None
+        if current is not None:
+            current.lost()
+            current.stream.abort()
 
     def is_idle(self, since_s: float) -> bool:
         """Tells whether the open stream was not used since a time."""
-        unused = not self.pending and self.used_s < since_s
-        return self.stream is not None and unused
+        if self.current is None or self.current.calls:
+            return False
+        return self.used_s < since_s
 
     async def close(self) -> None:
         """Closes the stream."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
 
 @attrs.define
@@ -182,12 +186,14 @@
         on_frame: Takes frames that answer no request.
         links: The links.
         handshakes: Room for streams that are being opened.
+        closed_bytes: Bytes sent on streams that have ended.
     """
 
     hello: Hello
     connect_limit: int = DEFAULT_CONNECT_LIMIT
     on_frame: FrameTaker | None = None
     links: dict[str, PeerLink] = attrs.field(factory=dict)
+    closed_bytes: int = 0
     handshakes: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -200,6 +206,14 @@
             link = self.links[address] = PeerLink(address, self.hello, self)
         return link
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the frames sent on all streams that this node opened."""
+        open_streams = [link.current for link in self.links.values()]
+        return self.closed_bytes + sum(
+            item.stream.bytes_sent for item in open_streams if item is not None
+        )
+
     def drop(self, address: str) -> None:
         """Gives up the stream to a peer that is held to be gone."""
         link = self.links.get(address)
@@ -214,6 +228,11 @@
             if link.is_idle(since_s):
                 link.drop()
 
+    @property
+    def late_replies(self) -> int:
+        """Frames that nobody waited for any more, on all links."""
+        return sum(link.late_replies for link in self.links.values())
+
     async def start(self) -> None:
         """Does nothing; links are opened on need."""
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -127,8 +127,13 @@
 
     async def wait(self) -> int:
         """Waits for the process's end and returns its exit status."""
-        async with asyncio.timeout(STOP_TIMEOUT_S):
-            status = await self.process.wait()
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                status = await self.process.wait()
+        except TimeoutError:
+            raise TimeoutError(
+                f"{self.name} did not end; its last lines: {self.lines[-20:]}"
+            ) from None
         if self.reader is not None:
             await self.reader
         return status
@@ -163,7 +168,7 @@
     @classmethod
     async def start(cls, service: UpstreamService) -> "EmbeddedTarget":
         """Starts the stand-in's server."""
-        server = HttpServer(ANY_PORT, service)
+        server = HttpServer(ANY_PORT, service, cancels=True)
         await server.start()
         return cls(service, server)
 
@@ -331,6 +336,22 @@
         )
         if status:
             raise TimeoutError(output)
+        await asyncio.gather(*map(self.wait_serving, self.nodes))
+
+    async def wait_serving(self, node: str) -> None:
+        """Waits until a node takes callers' requests.
+
+        A starting node may have a version from a peer before it knows that
+        there is no higher one, and refuses callers until then.
+        """
+        assert self.session is not None
+        url = f"http://{self.nodes[node].addresses['admin']}/healthz"
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while True:
+                async with self.session.get(url) as response:
+                    if response.ok:
+                        return
+                await asyncio.sleep(_POLL_S)
 
     async def wait_members(self, count: int, state: str = "ready") -> None:
         """Waits until every node knows so many members in a state."""
@@ -351,6 +372,14 @@
                 await asyncio.sleep(_POLL_S)
         raise TimeoutError(f"{name} never saw {count} members {state}")
 
+    async def metric(self, node: str, name: str) -> int:
+        """Returns the sum of the values of a metric, by its shown name."""
+        lines = (await self.metrics(node)).splitlines()
+        values = [
+            line.rsplit(" ", 1)[1] for line in lines if line.startswith(name)
+        ]
+        return int(sum(map(float, values)))
+
     async def metrics(self, node: str) -> str:
         """Returns a node's metrics page."""
         assert self.session is not None
