Ask one peer for what is missing; long polls for nodes that cannot get ready

A node whose peers claimed more than the log holds read the log without a pause; once it has seen the end it always waits. Idle outboxes are dropped, a peer's malformed address ends nothing.

--- a/packages/pomelobank-core/src/pomelobank_core/_distribution.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_distribution.py
@@ -201,6 +201,7 @@
         heard_version: Highest version heard of, of any node.
         log_read_ms: When any node last read the log, as far as is known.
         retry_limit_ms: Limit of the next pause after a failed read.
+        reached_end: Whether the log's end was read once.
         read_due_ms: Earliest time of the next read, None while none is due.
         pull_until_ms: Until when the answer to a pull is waited for.
         live: Nodes and addresses that the neighbours were chosen from.
@@ -213,6 +214,7 @@
     heard_version: int = 0
     log_read_ms: int | None = None
     retry_limit_ms: int = FIRST_RETRY_MS
+    reached_end: bool = False
     read_due_ms: int | None = None
     pull_until_ms: int = 0
     live: list[tuple[str, str]] = attrs.field(factory=list)
@@ -261,7 +263,11 @@
         left_ms = self.read_due_ms - now_ms
         if left_ms > 0:
             return ReadPlan(pause_ms=min(left_ms, self.settings.heartbeat_ms))
-        return ReadPlan(0, self.long_poll_ms if watching else 0)
+        # The first reads must tell where the log ends, at once; after that a
+        # watcher always waits, or a node that cannot get ready would call the
+        # log without a pause.
+        wait = watching and self.reached_end
+        return ReadPlan(0, self.long_poll_ms if wait else 0)
 
     def _is_silent(self, now_ms: int) -> bool:
         age_ms = self.log_age_ms(now_ms)
@@ -274,9 +280,15 @@
         """Returns the time since the newest known read; -1 for none."""
         return -1 if self.log_read_ms is None else now_ms - self.log_read_ms
 
-    def log_answered(self, now_ms: int) -> None:
-        """Notes that the node read the log."""
+    def log_answered(self, now_ms: int, at_end: bool) -> None:
+        """Notes that the node read the log.
+
+        Args:
+            now_ms: Monotonic time.
+            at_end: Whether the node has all that the log holds.
+        """
         self.log_read_ms = now_ms
+        self.reached_end |= at_end
         self.retry_limit_ms = FIRST_RETRY_MS
         self.read_due_ms = None
 
@@ -337,7 +349,7 @@
             now_ms: Monotonic time.
 
         Returns:
-            A pull where the peer is ahead, a push where it is behind.
+            A pull where the peer is ahead, news where it is behind.
         """
         self._hear_log_age(digest.log_age_ms, now_ms)
         known = max(digest.version, digest.heard_version)
@@ -347,7 +359,10 @@
         if digest.version > version:
             return self._pull(digest, now_ms)
         if digest.version < version and digest.heartbeat:
-            return [PushRecords(digest.address, digest.version)]
+            # All its neighbours hear that a node is behind, after a herd
+            # restart of many nodes. If each sent what is missing, it would
+            # arrive many times over; told of it, the node asks one of them.
+            return [SendDigest(digest.address, heartbeat=False)]
         return []
 
     def _hear_log_age(self, age_ms: int, now_ms: int) -> None:
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_distribution.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_distribution.py
@@ -113,9 +113,11 @@
 
 def test_a_reader_always_keeps_a_read_open() -> None:
     machine = distribution(reader=True)
-    assert machine.next_read(0) == ReadPlan(0, 5000)
-    machine.log_answered(10)
-    assert machine.next_read(10) == ReadPlan(0, 5000)
+    assert machine.next_read(0) == ReadPlan(0, 0)
+    machine.log_answered(10, at_end=False)
+    assert machine.next_read(10) == ReadPlan(0, 0)
+    machine.log_answered(20, at_end=True)
+    assert machine.next_read(20) == ReadPlan(0, 5000)
 
 
 def test_others_leave_the_log_alone_while_somebody_reads() -> None:
@@ -133,7 +135,7 @@
     would reach no node at all.
     """
     machine = distribution(reader=False)
-    machine.log_answered(0)
+    machine.log_answered(0, at_end=True)
     latest_ms = SETTINGS.silence_ms + SETTINGS.fallback_ms
     plans = [machine.next_read(now) for now in range(0, latest_ms + 2, 100)]
     plans.append(machine.next_read(latest_ms + 2))
@@ -173,7 +175,7 @@
     [
         pytest.param(9, True, [PullRecords("p:1", 9, 0)], id="ahead"),
         pytest.param(9, False, [PullRecords("p:1", 9, 25)], id="news"),
-        pytest.param(3, True, [PushRecords("p:1", 3)], id="behind"),
+        pytest.param(3, True, [SendDigest("p:1", False)], id="behind"),
         pytest.param(3, False, [], id="old-news"),
         pytest.param(5, True, [], id="level"),
     ],
--- a/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
@@ -67,6 +67,7 @@
         pushes_useful: Pushes received that moved the version on.
         pushes_useless: Pushes received that the node had already.
         snapshots_written: Snapshots appended to the log, for the metrics.
+        sends_failed: Frames that no peer took, for the metrics.
         bytes_sent: Bytes sent to peers by type of frame, for the metrics.
     """
 
@@ -86,6 +87,7 @@
     pushes_useful: int = 0
     pushes_useless: int = 0
     snapshots_written: int = 0
+    sends_failed: int = 0
     bytes_sent: Counter[str] = attrs.field(factory=Counter)
     outboxes: dict[str, Outbox] = attrs.field(factory=dict)
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
@@ -151,9 +153,6 @@
         return self.seeded.randint(1, self.settings.distribution.heartbeat_ms)
 
     async def _read_once(self, wait_ms: int) -> None:
-        if not self.store.ready:
-            # The first answer must tell where the log ends, at once.
-            wait_ms = 0
         try:
             await self.reader.read(wait_ms)
         except LogError as error:
@@ -166,8 +165,9 @@
 
     def _log_answered(self) -> None:
         self.log_up = True
-        self.distribution.log_answered(self.clock.now_ms())
-        self.floor.read_log(self.store.version, self.reader.end_offset)
+        version, end = self.store.version, self.reader.end_offset
+        self.distribution.log_answered(self.clock.now_ms(), version >= end)
+        self.floor.read_log(version, end)
         self._update_ready()
 
     def _update_ready(self) -> None:
@@ -195,6 +195,7 @@
                 self.members.own, self.members.others.values()
             )
             self._update_ready()
+            self._drop_idle_outboxes()
             self._do(self.distribution.heartbeat())
             await self._write_snapshot()
             # Jitter keeps the nodes of a herd from beating in step.
@@ -243,6 +244,13 @@
             found = self.outboxes[address] = Outbox(address, self._send)
         return found
 
+    def _drop_idle_outboxes(self) -> None:
+        # Every restart of a peer brings a new address.
+        for address, outbox in list(self.outboxes.items()):
+            if not outbox.busy:
+                self.sends_failed += outbox.failures
+                del self.outboxes[address]
+
     async def _send(self, address: str, action: object) -> None:
         frame = make_frame(action, self)
         if frame is not None:
--- a/packages/pomelobank-node/src/pomelobank_node/_config_outbox.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_outbox.py
@@ -7,6 +7,7 @@
 
 from pomelobank_core import PullRecords, PushRecords, SendDigest
 from pomelobank_node._requests import RequestError
+from pomelobank_schema import SchemaError
 
 _MS_PER_S = 1000
 # A peer that was paused takes no bytes; its outbox gives up after this time,
@@ -38,6 +39,11 @@
     task: asyncio.Task[None] | None = None
     failures: int = 0
 
+    @property
+    def busy(self) -> bool:
+        """Whether something is being sent or waits."""
+        return self.task is not None and not self.task.done()
+
     def put(self, action: Action) -> None:
         """Adds an action, merged with one of its type that still waits."""
         known = self.waiting.get(type(action))
@@ -45,7 +51,7 @@
             lowest = min(known.from_version, action.from_version)
             action = PushRecords(self.address, lowest)
         self.waiting[type(action)] = action
-        if self.task is None or self.task.done():
+        if not self.busy:
             self.task = asyncio.create_task(self._run())
 
     async def _run(self) -> None:
@@ -58,5 +64,5 @@
             try:
                 async with asyncio.timeout(SEND_TIMEOUT_S):
                     await self.send(self.address, action)
-            except (RequestError, OSError, TimeoutError):
+            except (RequestError, SchemaError, OSError, TimeoutError):
                 self.failures += 1
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_config_outbox.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_config_outbox.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from pomelobank_core import ErrorKind, PullRecords, PushRecords, SendDigest
 from pomelobank_node._config_outbox import Action, Outbox
 from pomelobank_node._requests import RequestError
+from pomelobank_schema import SchemaError, SchemaErrorKind
 
 
 async def test_a_slow_peer_costs_one_action_of_each_type() -> None:
@@ -35,9 +38,21 @@
     assert len(sent) == 4
 
 
-async def test_an_unreachable_peer_ends_nothing() -> None:
+@pytest.mark.parametrize(
+    "error",
+    [
+        pytest.param(
+            RequestError(ErrorKind.PEER_UNREACHABLE), id="unreachable"
+        ),
+        pytest.param(
+            SchemaError(SchemaErrorKind.MALFORMED, "", "x"), id="bad-address"
+        ),
+        pytest.param(ConnectionResetError(), id="reset"),
+    ],
+)
+async def test_an_unreachable_peer_ends_nothing(error: Exception) -> None:
     async def send(_: str, __: Action) -> None:
-        raise RequestError(ErrorKind.PEER_UNREACHABLE)
+        raise error
 
     outbox = Outbox("p:1", send)
     outbox.put(SendDigest("p:1", heartbeat=True))
