--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -105,6 +105,7 @@
 from pomelobank_core._replay import (
     ChangeVerdict,
     ConfigState,
+    advance,
     evaluate,
     replay_change,
     skip_record,
@@ -117,6 +118,7 @@
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
+    adopt_snapshot,
     restore_snapshot,
     snapshot_record,
     usable_snapshot,
@@ -207,6 +209,8 @@
     "VersionFloor",
     "VersionedObject",
     "WorkResult",
+    "adopt_snapshot",
+    "advance",
     "check_objects",
     "claim_key",
     "claim_seen",
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -105,7 +105,7 @@
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.target, self._peer_bytes)
+        admin = Admin(self.target, self.store, self._peer_bytes)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -1,19 +1,17 @@
 """Tools for trying and measuring: `python -m pomelobank_testing demo`."""
 
+import importlib
 import sys
 
-from pomelobank_testing._core_members import main as core_members
-from pomelobank_testing._demo import main as demo
-from pomelobank_testing._latency import main as latency
-from pomelobank_testing._light_target import main as light_target
-from pomelobank_testing._rest import main as rest
-
+# Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
-    "core-members": core_members,
-    "demo": demo,
-    "latency": latency,
-    "light-target": light_target,
-    "rest": rest,
+    "chaos": "_chaos",
+    "convergence": "_convergence",
+    "core-members": "_core_members",
+    "demo": "_demo",
+    "latency": "_latency",
+    "light-target": "_light_target",
+    "rest": "_rest",
 }
 
 
@@ -23,7 +21,8 @@
     if name not in _TOOLS:
         print(f"usage: python -m pomelobank_testing {{{','.join(_TOOLS)}}} ...")
         return 2
-    return _TOOLS[name](sys.argv[2:])
+    module = importlib.import_module(f"pomelobank_testing.{_TOOLS[name]}")
+    return int(module.main(sys.argv[2:]))
 
 
 if __name__ == "__main__":
