--- a/packages/pomelobank-node/src/pomelobank_node/_admin.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admin.py
@@ -1,7 +1,7 @@
 """The node's own pages and its target's announcements."""
 
 import json
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import attrs
 from starlette.applications import Starlette
@@ -28,13 +28,11 @@
     Attributes:
         target: Follows the target.
         store: Tells whether the node may serve callers.
-        peer_bytes: Tells the bytes sent to peers so far.
         bad_announcements: Announcements that were refused, for the metrics.
     """
 
     target: TargetWatch
     store: ConfigStore
-    peer_bytes: Callable[[], int]
     bad_announcements: int = 0
 
     def application(self) -> Starlette:
@@ -54,7 +52,6 @@
             "state": own.state,
             "version": self.store.version,
             "serving": self.store.ready,
-            "peer_bytes_sent": self.peer_bytes(),
         }
         status = _OK if self.store.ready else _UNAVAILABLE
         return JSONResponse(document, status)
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -7,10 +7,13 @@
 _TOOLS = {
     "chaos": "_chaos",
     "convergence": "_convergence",
+    "core-config": "_core_config",
     "core-members": "_core_members",
     "demo": "_demo",
+    "goodput": "_goodput",
     "latency": "_latency",
     "light-target": "_light_target",
+    "queueing-target": "_queueing_target",
     "rest": "_rest",
 }
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/_rest.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_rest.py
@@ -6,7 +6,6 @@
 import statistics
 import time
 from pathlib import Path
-from typing import Any
 
 import attrs
 
@@ -90,13 +89,9 @@
 
 
 async def _sent(mesh: TestMesh) -> int:
-    assert mesh.session is not None
     total = 0
-    for node in mesh.nodes.values():
-        url = f"http://{node.addresses['admin']}/healthz"
-        async with mesh.session.get(url) as response:
-            document: dict[str, Any] = await response.json()
-            total += document["peer_bytes_sent"]
+    for name in mesh.nodes:
+        total += await mesh.metric(name, "pomelobank_peer_sent_size")
     return total
 
 
