--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -113,14 +114,14 @@
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
         observe_node(self.metrics, self)
-        admin = Admin(self.target)
+        admin = Admin(self.target, self.store)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
         listen = settings.listen
         pages = admin.application()
         pages.add_route("/metrics", self.metrics.page)
-        self.http = HttpServer(listen.http, self.entry)
+        self.http = HttpServer(listen.http, self.entry, cancels=True)
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
             listen.peer, self.owner, self.membership, self.feed, self.claims
@@ -138,6 +139,10 @@
         )
         dispatcher.claims = self.claims
 
+    def peer_bytes(self) -> int:
+        """Returns the bytes sent to peers so far."""
+        return self.links.bytes_sent + self.peers.bytes_sent
+
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
@@ -182,6 +187,7 @@
         be told, and the streams go last.
         """
         await self.target.close()
+        self.entry.draining = True
         timeout_ms = self.settings.requests.drain_timeout_ms
         await asyncio.gather(
             self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
@@ -195,8 +201,13 @@
         _logger.info("node.stopped")
 
 
-async def run_until(application: NodeApplication, ended: asyncio.Event) -> None:
+async def run_until(
+    application: NodeApplication,
+    ended: asyncio.Event,
+    on_started: Callable[[], None],
+) -> None:
     """Runs a node until an event is set, then stops it cleanly."""
     await application.start()
+    on_started()
     await ended.wait()
     await application.stop()
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -12,6 +12,12 @@
     scoped_key,
     service_of,
 )
+from pomelobank_node._bodies import (
+    KEYED_BYTES,
+    BodySource,
+    whole_reply,
+    with_rest,
+)
 from pomelobank_node._claims import ClaimService
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._forwarder import Forwarder
@@ -39,6 +45,7 @@
         trace_id: Id that follows the request through every log.
         timeout_ms: Caller's own limit; 0 where it gave none.
         idempotency_key: Caller's key; empty where it gave none.
+        rest: The rest of the body, None where `body` is the whole.
     """
 
     service: str
@@ -50,6 +57,7 @@
     trace_id: str
     timeout_ms: int = 0
     idempotency_key: str = ""
+    rest: BodySource | None = None
 
 
 @attrs.define(eq=False)
@@ -85,7 +93,7 @@
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
-        request = self._request(route, caller)
+        request = with_rest(self._request(route, caller), caller.rest)
         # A key is looked up before a target: its request may have run, and
         # its resend must not be told that there is none.
         if caller.idempotency_key and not request.idempotent:
@@ -100,12 +108,21 @@
         Raises:
             RequestError: If the request cannot be placed.
         """
+        if not self.store.ready:
+            raise RequestError(ErrorKind.NOT_READY)
         service = service_of(request.idempotency_key)
         path = unquote_to_bytes(request.target.partition(b"?")[0])
         route = self.store.routes.match(service, path.decode(errors="replace"))
         if route is None:
-            raise RequestError(ErrorKind.NO_ROUTE)
-        return await self._route_on(route, request)
+            # The entry knew a route when it sent the request here. A claiming
+            # node that is behind would else tell the caller that the route
+            # does not exist, as if an operator had deleted it.
+            behind = self.store.version < request.version
+            raise RequestError(
+                ErrorKind.NOT_READY if behind else ErrorKind.NO_ROUTE
+            )
+        reply = await self._route_on(route, request)
+        return await whole_reply(reply, KEYED_BYTES)
 
     async def _route_on(
         self, route: RouteObject, request: ForwardRequest
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -13,6 +13,7 @@
     TrafficClass,
     WorkResult,
 )
+from pomelobank_node._bodies import when_ended
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._crash_watch import CrashWatch
 from pomelobank_node._gate import Gate, new_admission
@@ -22,13 +23,9 @@
     RequestError,
     error_reply,
 )
-from pomelobank_node._upstream_client import (
-    UpstreamPool,
-    encode_request,
-    end_to_end,
-)
+from pomelobank_node._target_call import call_target
+from pomelobank_node._upstream_client import UpstreamPool
 from pomelobank_schema import parse_address
-from pomelobank_schema.generated.peer import Header
 from pomelobank_schema.generated.settings import RequestSettings
 
 _logger = logging.getLogger(__name__)
@@ -153,26 +150,26 @@
             left_ms = int(ticket.deadline_ms) - self.clock.now_ms()
             if left_ms <= 0:
                 raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-            request = attrs.evolve(request, remaining_ms=left_ms)
+            if left_ms != request.remaining_ms:
+                request = attrs.evolve(request, remaining_ms=left_ms)
             reply = await self._run_watched(pool, request)
             result = WorkResult.ANSWERED
             if self._is_shed(ticket, reply):
                 result = WorkResult.SHED
                 reply = attrs.evolve(reply, retry_after_ms=_SHED_RETRY_AFTER_MS)
-            return reply
-        except RequestError as error:
-            if error.kind in _LOST:
+        except BaseException as error:
+            if isinstance(error, RequestError) and error.kind in _LOST:
                 result = WorkResult.LOST
-            raise
-        finally:
             self.gate.leave(ticket, result)
+            raise
+        return when_ended(reply, lambda: self.gate.leave(ticket, result))
 
     async def _run_watched(
         self, pool: UpstreamPool, request: ForwardRequest
     ) -> ForwardReply:
         with self.watch.watching(request):
             try:
-                reply = await self._run(pool, request)
+                reply = await call_target(pool, request, self.gate.outstanding)
             except RequestError as error:
                 if error.kind in _BROKEN and self.target is not None:
                     await self.watch.connection_broke(self.target.address)
@@ -188,35 +185,6 @@
         usual_ms = self.gate.admission.times.of_route(ticket.route)
         return took_ms <= max(_QUICK_MS, usual_ms / 2)
 
-    async def _run(
-        self, pool: UpstreamPool, request: ForwardRequest
-    ) -> ForwardReply:
-        data = encode_request(
-            request.method,
-            request.target,
-            [
-                *((item.name, item.value) for item in request.headers),
-                (b"x-request-id", request.trace_id.encode()),
-                (b"x-pomelobank-timeout-ms", b"%d" % request.remaining_ms),
-            ],
-            request.body,
-        )
-        try:
-            async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
-                answer = await pool.request(data)
-        except TimeoutError:
-            raise RequestError(ErrorKind.DEADLINE_UNKNOWN) from None
-        return ForwardReply(
-            request_id=request.request_id,
-            status=answer.status,
-            headers=tuple(
-                Header(name=name, value=value)
-                for name, value in end_to_end(answer.headers)
-            ),
-            body=answer.body,
-            outstanding=self.gate.outstanding,
-        )
-
     async def drain(self, timeout_ms: int) -> None:
         """Takes no new request and waits for those in flight.
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -1,19 +1,19 @@
 """Tools for trying and measuring: `python -m pomelobank_testing demo`."""
 
+import importlib
 import sys
 
-from pomelobank_testing._demo import main as demo
-from pomelobank_testing._goodput import main as goodput
-from pomelobank_testing._latency import main as latency
-from pomelobank_testing._light_target import main as light_target
-from pomelobank_testing._queueing_target import main as queueing_target
-
+# Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
-    "demo": demo,
-    "goodput": goodput,
-    "latency": latency,
-    "light-target": light_target,
-    "queueing-target": queueing_target,
+    "chaos": "_chaos",
+    "core-members": "_core_members",
+    "convergence": "_convergence",
+    "demo": "_demo",
+    "goodput": "_goodput",
+    "latency": "_latency",
+    "light-target": "_light_target",
+    "queueing-target": "_queueing_target",
+    "rest": "_rest",
 }
 
 
@@ -23,7 +23,8 @@
     if name not in _TOOLS:
         print(f"usage: python -m pomelobank_testing {{{','.join(_TOOLS)}}} ...")
         return 2
-    return _TOOLS[name](sys.argv[2:])
+    module = importlib.import_module(f"pomelobank_testing.{_TOOLS[name]}")
+    return int(module.main(sys.argv[2:]))
 
 
 if __name__ == "__main__":
