--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -153,11 +153,10 @@
             if left_ms != request.remaining_ms:
                 request = attrs.evolve(request, remaining_ms=left_ms)
             reply = await self._run_watched(pool, request)
+            result = WorkResult.ANSWERED
             if self._is_shed(ticket, reply):
                 result = WorkResult.SHED
                 reply = attrs.evolve(reply, retry_after_ms=_SHED_RETRY_AFTER_MS)
-            else:
-                result = WorkResult.ANSWERED
         except BaseException as error:
             if isinstance(error, RequestError) and error.kind in _LOST:
                 result = WorkResult.LOST
