--- a/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -72,7 +72,7 @@
 _FOREIGN_WAIT_MS = 1000
 # Given-up claims whose append may still show up; past this number the oldest
 # are forgotten, and their keys stay held until they leave the window.
-_MAX_ABANDONED = 10_000
+_MAX_ABANDONED = 1000
 
 
 @attrs.define(eq=False)
@@ -313,7 +313,7 @@
         # The key is free for the next sending, or held by another claim that
         # the waiting callers look up.
         del self.flights[flight.keyed.key]
-        self._trim_abandoned()
+        self._forget_body(flight)
         flight.end(_unrun_reply(step))
 
     async def _run(self, flight: Flight) -> None:
@@ -369,9 +369,18 @@
         self.batcher.offer_lazily(record, self.clock.now_ms())
         self.work.set()
 
-    def _trim_abandoned(self) -> None:
-        while len(self.pending) > _MAX_ABANDONED:
-            del self.pending[next(iter(self.pending))]
+    def _forget_body(self, flight: Flight) -> None:
+        # A claim that was given up is waited for without its request: bodies
+        # of megabytes would pile up while the log is down.
+        request = attrs.evolve(flight.keyed.request, body=b"", headers=())
+        flight.keyed = attrs.evolve(flight.keyed, request=request)
+        abandoned = [
+            number
+            for number, item in self.pending.items()
+            if item.attempt.state is AttemptState.ABANDONED
+        ]
+        for number in abandoned[:-_MAX_ABANDONED]:
+            del self.pending[number]
 
     # Appending.
 
@@ -400,6 +409,7 @@
             writer=self.writer,
             at_ms=max(self.clock.wall_ms(), self.table.stream_ms),
             previous_at_ms=self.table.stream_ms,
+            seen_offset=self.table.next_offset,
             window_ms=self.settings.window_ms,
             releases=tuple(i for i in items if isinstance(i, ClaimRelease)),
             completions=tuple(
@@ -440,7 +450,7 @@
                 retry_ms = _FIRST_RETRY_MS
             except LogError as error:
                 if error.kind is LogErrorKind.TRIMMED:
-                    self.table.restart(error.first_offset)
+                    self._restart(error.first_offset)
                     continue
                 self.read_failing = True
                 # Full jitter, so that the readers of all shards do not meet
@@ -449,6 +459,16 @@
                 await asyncio.sleep(pause_ms / _MS_PER_S)
                 retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
 
+    def _restart(self, first_offset: int) -> None:
+        # The trimmed records may hold an earlier claim of a key that is just
+        # being claimed: read without them, the later claim would seem to win
+        # and its request run a second time. So no pending claim may run.
+        for flight in self.pending.values():
+            self._give_up(flight)
+        self.table.restart(first_offset, self.clock.wall_ms())
+        self.caught_up.clear()
+        self.blocked = False
+
     async def _read_once(self) -> None:
         wait_ms = (
             self.log.settings.long_poll_ms if self.caught_up.is_set() else 0
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -6,6 +6,7 @@
 # Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
     "chaos": "_chaos",
+    "claim-cost": "_claim_cost",
     "convergence": "_convergence",
     "core-config": "_core_config",
     "core-members": "_core_members",
