--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -8,6 +8,7 @@
     "chaos": "_chaos",
     "convergence": "_convergence",
     "core-config": "_core_config",
+    "core-mass": "_core_mass",
     "core-members": "_core_members",
     "demo": "_demo",
     "goodput": "_goodput",
