--- a/packages/pomelobank-core/src/pomelobank_core/_gossip_queue.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_gossip_queue.py
@@ -100,6 +100,11 @@
     )
 
 
+def version_size(item: MemberVersion) -> int:
+    """Returns an upper bound of a version's size in bytes."""
+    return len(item.node) + _VERSION_OVERHEAD
+
+
 def spread_rounds(members: int) -> int:
     """Returns the rounds in which a doubling rumour reaches every member.
 
--- a/packages/pomelobank-core/src/pomelobank_core/_swim.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -37,9 +37,10 @@
 # A tick that is so many periods late means that the process stood still.
 _PAUSE_PERIODS = 3
 # Tables that differ are exchanged with one member at a time, but a node that
-# everybody joins must not spend its core on it: 20 whole tables of 1,000
-# members are about 2 MB and a tenth of a core in a second.
-SYNC_REPLIES_PER_S = 20
+# everybody joins must spend neither its core nor its line on it. Early in a
+# herd's start tables are small and many fit; a whole table of 1,000 members is
+# about 120 KB and is sent once in a second at most.
+SYNC_BYTES_PER_S = 60_000
 _MS_PER_S = 1000
 
 
@@ -85,7 +86,7 @@
         pauses: How often this process stood still.
         suspected: Suspicions that began, for the metrics.
         changes: Entries that were news since they were last taken.
-        sync_replies: Answers to comparisons in the current second.
+        sync_bytes: Bytes of answers to comparisons in the current second.
         sync_refusals: Comparisons answered in short, for the metrics.
     """
 
@@ -102,7 +103,7 @@
     pauses: int = 0
     suspected: int = 0
     sync_second: int = 0
-    sync_replies: int = 0
+    sync_bytes: int = 0
     sync_refusals: int = 0
     changes: list[MemberEntry] = attrs.field(factory=list)
     prober: Prober = attrs.field(init=False)
@@ -392,16 +393,19 @@
             return []
         return [self.compare(self.random.choice(gone))]
 
-    def may_sync(self, now_ms: int) -> bool:
-        """Tells whether one more whole answer is allowed in this second."""
+    def may_sync(self, size: int, now_ms: int) -> bool:
+        """Tells whether one more answer of a size is allowed in this second.
+
+        The first one always is, however large.
+        """
         second = now_ms // _MS_PER_S
         if second != self.sync_second:
             self.sync_second = second
-            self.sync_replies = 0
-        if self.sync_replies >= SYNC_REPLIES_PER_S:
+            self.sync_bytes = 0
+        if self.sync_bytes and self.sync_bytes + size > SYNC_BYTES_PER_S:
             self.sync_refusals += 1
             return False
-        self.sync_replies += 1
+        self.sync_bytes += size
         return True
 
     def versions_in(self, buckets: set[int]) -> tuple[MemberVersion, ...]:
--- a/packages/pomelobank-core/src/pomelobank_core/_swim_frames.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim_frames.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from pomelobank_core._gossip_queue import entry_size, version_size
 from pomelobank_core._member_digest import TableDigest, differing
 from pomelobank_core._swim import Action, Reply, Send, Swim
 from pomelobank_schema import WireMessage
@@ -14,8 +15,10 @@
     SyncRequest,
 )
 
-# Members named to a node that has to compare its table with somebody else.
-_REFERRALS = 16
+# Members named to a node that has to compare its table with somebody else. In
+# the first second of a herd nearly all are sent on, so that their names cost
+# more than the tables that are sent.
+_REFERRALS = 3
 
 
 @functools.singledispatch
@@ -84,15 +87,18 @@
     own = TableDigest.of(swim.table.all())
     entries = differing(own.entries, frame.entries)
     versions = differing(own.versions, frame.versions)
-    if (entries or versions) and not swim.may_sync(now_ms):
-        return [Reply(SyncReply(gossip=_referrals(swim, sender)))]
     others = set(versions) - set(entries)
+    different = swim.entries_in(set(entries))
+    moved = swim.versions_in(others)
+    size = sum(map(entry_size, different)) + sum(map(version_size, moved))
+    if size and not swim.may_sync(size, now_ms):
+        return [Reply(SyncReply(gossip=_referrals(swim, sender)))]
     claim = swim.table.claim_about(sender)
-    members = (swim.table.own, *swim.entries_in(set(entries)))
+    members = (swim.table.own, *different)
     if claim is not None:
         members += (claim,)
     reply = SyncReply(
-        gossip=Gossip(members=members, versions=swim.versions_in(others)),
+        gossip=Gossip(members=members, versions=moved),
         entry_buckets=tuple(entries),
         version_buckets=tuple(sorted(others)),
     )
