--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -9,6 +9,7 @@
     "claim-cost": "_claim_cost",
     "convergence": "_convergence",
     "core-config": "_core_config",
+    "core-mass": "_core_mass",
     "core-members": "_core_members",
     "demo": "_demo",
     "goodput": "_goodput",
