--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -107,6 +107,7 @@
     ConfigState,
     advance,
     evaluate,
+    operations_digest,
     replay_change,
     skip_record,
 )
@@ -230,6 +231,7 @@
     "lost_kind",
     "object_key",
     "operation_object",
+    "operations_digest",
     "pick_upstream",
     "rank_claimants",
     "rank_of",
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -207,7 +207,8 @@
         now_ms = self.clock.now_ms()
         attempt = FailedTry(
             error=error.kind if error else None,
-            # The rest of a body that was sent on cannot be sent again.
+            # The part of a large body that a target has taken is gone; a second
+            # target would get a body that lacks it.
             idempotent=request.idempotent and rest_of(request) is None,
             tries=journey.tries,
             redirects=journey.redirects,
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -56,6 +56,10 @@
 # Streams of peers. Each of 1,000 nodes opens one; the rest is for streams
 # that are being replaced during a storm of reconnects.
 MAX_STREAMS = 2048
+# After most of the fleet has died, everybody who returns may know the same few
+# members. A handshake that finds no room is repeated after a second, and the
+# herd would look dead to those it cannot reach.
+ACCEPT_BACKLOG = 1024
 
 
 @attrs.define(eq=False)
@@ -326,7 +330,10 @@
         host, port = parse_address(self.listen)
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            lambda: FrameStream(self._accept), host, port
+            lambda: FrameStream(self._accept),
+            host,
+            port,
+            backlog=ACCEPT_BACKLOG,
         )
         bound = self.server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
