Placing draws far targets only where the near one is full or slow

Change: far targets are drawn when the near one is full or takes three times as long as answers from afar lately; the list of all targets is made once. Seen to fail first: with the comparison removed the test of a slow data centre fails.

--- a/packages/pomelobank-core/src/pomelobank_core/_candidates.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_candidates.py
@@ -13,14 +13,15 @@
     Attributes:
         local: Those in the node's own data centre.
         remote: All others.
+        targets: Every target.
     """
 
     local: tuple[MemberEntry, ...] = ()
     remote: tuple[MemberEntry, ...] = ()
+    targets: tuple[MemberEntry, ...] = attrs.field(init=False)
 
-    @property
-    def all(self) -> tuple[MemberEntry, ...]:
-        """Every target."""
+    @targets.default
+    def _every_target(self) -> tuple[MemberEntry, ...]:
         return self.local + self.remote
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -163,7 +163,9 @@
         now_ms: float,
     ) -> MemberEntry | None:
         """Returns the next target in turn, None where there is no candidate."""
-        untried = [item for item in candidates.all if item.node not in tried]
+        untried = [
+            item for item in candidates.targets if item.node not in tried
+        ]
         if not untried:
             return None
         upstream = untried[0].upstream
@@ -285,6 +287,7 @@
         ejections: How often a target was ejected.
         spills: Requests that left the data centre though it has a target.
         known: Targets of each upstream at its last placing.
+        far_ms: Recent time to answers from other data centres, by upstream.
     """
 
     seeded: random.Random = attrs.field(factory=random.Random)
@@ -292,6 +295,7 @@
     ejections: int = 0
     spills: int = 0
     known: dict[str, Candidates] = attrs.field(factory=dict)
+    far_ms: dict[str, MovingAverage] = attrs.field(factory=dict)
 
     def place(
         self,
@@ -313,6 +317,10 @@
         """
         self._compare(candidates, now_ms)
         near = self._draw(candidates.local, tried, traffic_class, now_ms)
+        if near is not None and not self._looks_far(
+            near, traffic_class, now_ms
+        ):
+            return near
         far = self._draw(candidates.remote, tried, traffic_class, now_ms)
         if near is None or far is None:
             return near or far or self._any(candidates, tried)
@@ -346,6 +354,7 @@
         load.own = max(0, load.own - 1)
         if seen.result is TargetResult.ANSWERED:
             load.latency.add(seen.took_ms)
+            self._learn_far(target, candidates, seen.took_ms)
             load.others = max(0, seen.outstanding - load.own - 1)
             load.reported_ms = now_ms
             if load.ejection.succeeded():
@@ -380,7 +389,7 @@
             Time in ms; 0 unless every target refused the class just now.
         """
         soonest = 0
-        for target in candidates.all:
+        for target in candidates.targets:
             hint = self._load(target).full.get(traffic_class)
             if hint is None or now_ms - hint.at_ms > JUST_REFUSED_MS:
                 return 0
@@ -391,8 +400,16 @@
         """Returns the nodes whose targets are ejected."""
         return [n for n, load in self.loads.items() if load.ejection.ejected]
 
+    def _learn_far(
+        self, target: MemberEntry, candidates: Candidates, took_ms: float
+    ) -> None:
+        local = candidates.local
+        if local and target.data_centre != local[0].data_centre:
+            average = self.far_ms.setdefault(target.upstream, MovingAverage())
+            average.add(took_ms)
+
     def _compare(self, candidates: Candidates, now_ms: float) -> None:
-        targets = candidates.all
+        targets = candidates.targets
         if not targets:
             return
         before = self.known.get(targets[0].upstream)
@@ -403,7 +420,7 @@
             # A node's own start finds every target at work; only those that
             # come later are cold.
             return
-        old = {item.node: item.incarnation for item in before.all}
+        old = {item.node: item.incarnation for item in before.targets}
         for target in targets:
             if old.pop(target.node, None) != target.incarnation:
                 self._load(target).ramp_from_ms = now_ms
@@ -464,6 +481,17 @@
             return True
         return load.load(now_ms) >= load.room(entry.slots, now_ms)
 
+    def _looks_far(
+        self, near: MemberEntry, traffic_class: str, now_ms: float
+    ) -> bool:
+        if self._is_full(near, traffic_class, now_ms):
+            return True
+        near_ms = self._load(near).latency.value
+        far = self.far_ms.get(near.upstream)
+        if near_ms is None or far is None or far.value is None:
+            return False
+        return near_ms > SLOW_RATIO * far.value
+
     def _is_better(
         self,
         far: MemberEntry,
@@ -487,7 +515,7 @@
     ) -> MemberEntry | None:
         # Every target that is left is ejected. One of them, drawn at random,
         # is a better bet than a certain error.
-        left = [item for item in candidates.all if item.node not in tried]
+        left = [item for item in candidates.targets if item.node not in tried]
         return self.seeded.choice(left) if left else None
 
     def _failed(
@@ -495,9 +523,9 @@
     ) -> None:
         out = sum(
             item.node in self.loads and self.loads[item.node].ejection.ejected
-            for item in candidates.all
+            for item in candidates.targets
         )
-        allowed = may_eject(out, len(candidates.all))
+        allowed = may_eject(out, len(candidates.targets))
         if load.ejection.failed(now_ms, allowed, self.seeded):
             self.ejections += 1
 
@@ -526,7 +554,7 @@
         The first untried target in an order that depends on the request only,
         so that all nodes agree on it; None without any.
     """
-    untried = [item for item in candidates.all if item.node not in tried]
+    untried = [item for item in candidates.targets if item.node not in tried]
     return max(
         untried,
         key=lambda item: xxhash.xxh3_64_intdigest(
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_placing.py
@@ -130,6 +130,23 @@
     assert quiet.targets["near"].runs > 0.98 * len(quiet.calls)
 
 
+def test_slow_data_centre_is_left() -> None:
+    """The near target turns slow without being full; far ones answer fast."""
+    table = MemberTable(member("entry", upstream=""))
+    near, far = member("near"), member("far", "burnie")
+    table.merge([near, far])
+    candidates = CandidateIndex(table).of("stock")
+    placing = TwoChoices(random.Random(1))
+    for target, took_ms in ((near, 30.0), (far, 12.0)):
+        seen = Observation(TargetResult.ANSWERED, CLASS, took_ms)
+        placing.ended(target, candidates, seen, 0)
+    assert placing.place(candidates, set(), CLASS, 1) == near
+    for _ in range(20):
+        seen = Observation(TargetResult.ANSWERED, CLASS, 200.0)
+        placing.ended(near, candidates, seen, 2)
+    assert placing.place(candidates, set(), CLASS, 3) == far
+
+
 def test_full_hint_ages_out() -> None:
     """A target refused once for want of room; soon it has room again."""
     table = MemberTable(member("entry", upstream=""))
@@ -200,7 +217,7 @@
         for number in range(1000)
     )
     index = CandidateIndex(table)
-    assert len(index.of("u0").all) == 32
+    assert len(index.of("u0").targets) == 32
     for version in range(100):
         table.merge(
             [member("n0", upstream="u0", sequence=version + 1, version=version)]
@@ -208,5 +225,5 @@
         index.of("u0")
     assert index.builds == 1
     table.merge([member("n0", upstream="u0", sequence=200, state="draining")])
-    assert len(index.of("u0").all) == 31
+    assert len(index.of("u0").targets) == 31
     assert index.builds == 2
