A body read in part is not sent again; a streamed answer always ends

The retry of an idempotent upload would have sent the rest of the body alone. A caller that went away between the head and the body of an answer left its slot taken; the rest of an answer is closed on every way out.

--- a/packages/pomelobank-node/src/pomelobank_node/_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_bodies.py
@@ -33,7 +33,13 @@
 
 
 class BodySource(Protocol):
-    """The rest of a body, read part by part."""
+    """The rest of a body, read part by part.
+
+    Attributes:
+        started: Whether a part of it was read.
+    """
+
+    started: bool
 
     async def read(self) -> bytes:
         """Returns the next part, empty at the end.
@@ -86,6 +92,16 @@
     return None
 
 
+def can_be_sent_again(request: ForwardRequest) -> bool:
+    """Tells whether the whole body is still there for another try.
+
+    A body that streams through is not kept. Sent again after a part of it was
+    read, it would reach the next target with that part missing.
+    """
+    rest = rest_of(request)
+    return rest is None or not rest.started
+
+
 @attrs.define(eq=False)
 class PartBuffer:
     """Parts of a body between the one who brings and the one who reads them.
@@ -97,6 +113,7 @@
         size: Their bytes.
         ended: Set once the last part was put in.
         error: Why the body broke off, None while it is sound.
+        started: Whether a reader has asked for it.
     """
 
     on_read: Callable[[int], None]
@@ -106,6 +123,7 @@
     ended: bool = False
     error: ErrorKind | None = None
     closed: bool = False
+    started: bool = False
     waiter: asyncio.Future[None] | None = None
 
     def put(self, data: bytes) -> None:
@@ -136,6 +154,7 @@
         Raises:
             RequestError: If the body broke off.
         """
+        self.started = True
         if not self.parts and not self.ended and self.error is None:
             # Reading nothing still tells the sender that a reader is here.
             self.on_read(0)
@@ -171,9 +190,11 @@
     source: BodySource
     on_end: Callable[[], None]
     closed: bool = False
+    started: bool = False
 
     async def read(self) -> bytes:
         """Returns the next part, empty at the end."""
+        self.started = True
         return await self.source.read()
 
     def close(self) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_entry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_entry.py
@@ -62,11 +62,13 @@
     Attributes:
         receive: Brings the next part.
         room: Bytes that the body may still grow by.
+        started: Whether a part of it was read; it cannot be sent again then.
     """
 
     receive: Receive
     room: int
     ended: bool = False
+    started: bool = False
 
     async def read(self) -> bytes:
         """Returns the next part, empty at the end.
@@ -75,6 +77,7 @@
             RequestError: BODY_INCOMPLETE if the caller has gone or the body
                 grows too large; a part of it may have reached a target.
         """
+        self.started = True
         while not self.ended:
             message = await self.receive()
             if message["type"] == "http.disconnect":
@@ -137,7 +140,12 @@
         if reported is not None:
             await self._refuse(send, reported)
             return
-        await self._send_answer(send, reply, scope["method"])
+        try:
+            await self._send_answer(send, reply, scope["method"])
+        finally:
+            rest = rest_of(reply)
+            if rest is not None:
+                rest.close()
 
     async def _refuse(self, send: Send, error: RequestError) -> None:
         self.outcomes[error.kind.value] += 1
@@ -198,6 +206,8 @@
             if source.room < 0:
                 kind = ErrorKind.BODY_TOO_LARGE
             raise RequestError(kind) from None
+        # What was read so far goes with the request itself.
+        source.started = False
         return b"".join(parts), None if source.ended else source
 
     async def _send_answer(
@@ -237,8 +247,6 @@
                 "answer.broken_off", extra={"error": error.kind.value}
             )
             return
-        finally:
-            rest.close()
         self.outcomes[_ANSWERED] += 1
         await send({"type": "http.response.body", "body": b""})
 
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -24,6 +24,7 @@
     isolation_target,
     target_result,
 )
+from pomelobank_node._bodies import can_be_sent_again, rest_of
 from pomelobank_node._crash_reports import request_fingerprint
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
@@ -203,6 +204,8 @@
         if error is None and not is_shed(reply):
             return None
         request = journey.request
+        if rest_of(reply) is not None or not can_be_sent_again(request):
+            return None
         now_ms = self.clock.now_ms()
         attempt = FailedTry(
             error=error.kind if error else None,
