--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -13,6 +13,7 @@
     "goodput": "_goodput",
     "latency": "_latency",
     "light-target": "_light_target",
+    "plots": "_plots",
     "queueing-target": "_queueing_target",
     "rest": "_rest",
 }
