--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -115,6 +115,8 @@
 class SpentBody:
     """The rest of a body that a first target has taken."""
 
+    started = True
+
     async def read(self) -> bytes:
         return b""
 
