--- a/packages/pomelobank-core/src/pomelobank_core/_distribution.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_distribution.py
@@ -201,6 +201,7 @@
         heard_version: Highest version heard of, of any node.
         log_read_ms: When any node last read the log, as far as is known.
         retry_limit_ms: Limit of the next pause after a failed read.
+        failing: Whether the node's own last read failed.
         reached_end: Whether the log's end was read once.
         read_due_ms: Earliest time of the next read, None while none is due.
         pull_until_ms: Until when the answer to a pull is waited for.
@@ -214,6 +215,7 @@
     heard_version: int = 0
     log_read_ms: int | None = None
     retry_limit_ms: int = FIRST_RETRY_MS
+    failing: bool = False
     reached_end: bool = False
     read_due_ms: int | None = None
     pull_until_ms: int = 0
@@ -251,9 +253,7 @@
         Returns:
             The plan.
         """
-        watching = (
-            self.settings.mode == EVERY_NODE_POLLS or self.neighbours.is_reader
-        )
+        watching = self._is_watching()
         if not watching and not self._is_silent(now_ms):
             self.read_due_ms = None
             return ReadPlan(pause_ms=self.settings.heartbeat_ms)
@@ -269,6 +269,17 @@
         wait = watching and self.reached_end
         return ReadPlan(0, self.long_poll_ms if wait else 0)
 
+    def sees_log(self, now_ms: int) -> bool:
+        """Tells whether the log looks up, from here or from what peers told."""
+        if self._is_watching():
+            return not self.failing and self.log_read_ms is not None
+        return not self._is_silent(now_ms)
+
+    def _is_watching(self) -> bool:
+        return (
+            self.settings.mode == EVERY_NODE_POLLS or self.neighbours.is_reader
+        )
+
     def _is_silent(self, now_ms: int) -> bool:
         age_ms = self.log_age_ms(now_ms)
         return age_ms < 0 or age_ms > self.settings.silence_ms
@@ -288,12 +299,14 @@
             at_end: Whether the node has all that the log holds.
         """
         self.log_read_ms = now_ms
+        self.failing = False
         self.reached_end |= at_end
         self.retry_limit_ms = FIRST_RETRY_MS
         self.read_due_ms = None
 
     def log_failed(self, now_ms: int) -> None:
         """Notes that a read of the log failed."""
+        self.failing = True
         limit_ms = self.retry_limit_ms
         self.retry_limit_ms = min(2 * limit_ms, MAX_RETRY_MS)
         if not self.neighbours.is_reader:
--- a/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
@@ -218,13 +218,29 @@
             now_ms: Monotonic time.
             wall_ms: Time since the epoch, compared with the writer's.
         """
-        if record.as_of < self.as_of:
-            return
+        self.hear(record.as_of, wall_ms - record.at_ms, now_ms)
+
+    def hear(self, as_of: int, age_ms: int, now_ms: int) -> None:
+        """Notes how old the newest snapshot in the log is.
+
+        A node that starts from a peer's state has never read a snapshot from
+        the log. If it counted from its own start, a fleet whose nodes are all
+        replaced within a third of the retention would never write one.
+
+        Args:
+            as_of: Version of the snapshot; 0 where the age is that of the
+                oldest record.
+            age_ms: Its age.
+            now_ms: Monotonic time.
+        """
         # A writer whose clock is ahead would otherwise keep everybody from
         # writing the next snapshot in time.
-        age_ms = max(0, wall_ms - record.at_ms)
-        self.as_of = record.as_of
-        self.written_ms = now_ms - age_ms
+        written_ms = now_ms - max(0, age_ms)
+        known = self.written_ms is not None
+        if as_of < self.as_of or (known and as_of == self.as_of):
+            return
+        self.as_of = as_of
+        self.written_ms = written_ms
         self.due_ms = None
 
     def should_write(
@@ -256,8 +272,8 @@
         if version == 0:
             return False
         if self.written_ms is None:
-            # Without any snapshot the first records' age is not known; time
-            # starts to count with this node's first look.
+            # Nothing is known of the log's first records; time starts to
+            # count with this node's first look.
             self.written_ms = now_ms
         limit_ms = self.settings.retention_ms // _RETENTION_PART
         if now_ms - self.written_ms >= limit_ms:
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_distribution.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_distribution.py
@@ -194,3 +194,28 @@
     assert machine.hear(digest, 5, 0)
     assert not machine.hear(digest, 5, 10)
     assert machine.hear(digest, 5, 1000)
+
+
+@pytest.mark.parametrize(
+    ("reader", "own_read", "peer_age_ms", "expected"),
+    [
+        pytest.param(True, "none", -1, False, id="reader-before-its-first"),
+        pytest.param(True, "answered", -1, True, id="reader-reads"),
+        pytest.param(True, "failed", 10, False, id="reader-fails"),
+        pytest.param(False, "none", -1, False, id="nobody-is-known-to-read"),
+        pytest.param(False, "none", 10, True, id="a-peer-has-read"),
+        pytest.param(False, "failed", 10, True, id="failed-long-ago"),
+        pytest.param(False, "none", 60_000, False, id="long-ago"),
+    ],
+)
+def test_whether_the_log_looks_up(
+    reader: bool, own_read: str, peer_age_ms: int, expected: bool
+) -> None:
+    machine = distribution(reader)
+    if own_read == "answered":
+        machine.log_answered(0, at_end=True)
+    if own_read == "failed":
+        machine.log_failed(0)
+    now_ms = 100_000
+    machine.hear(VersionDigest(log_age_ms=peer_age_ms), 0, now_ms)
+    assert machine.sees_log(now_ms) is expected
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_snapshots.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_snapshots.py
@@ -207,3 +207,19 @@
     assert schedule.due_ms is None
     schedule.should_write(6, ["n0"], 31_000)
     assert schedule.due_ms is not None
+
+
+def test_a_fleet_that_is_replaced_all_the_time_still_writes() -> None:
+    """Every node is replaced before a third of the retention has passed.
+
+    If each new one counted from its own start, no snapshot would ever be
+    written, the log would drop records, and nobody could start any more.
+    """
+    age_ms = 0
+    for _ in range(4):
+        schedule = schedules(1)["n0"]
+        schedule.hear(0, age_ms, 0)
+        assert not schedule.should_write(1, ["n0"], 0)
+        age_ms += 9_000
+    schedule.should_write(1, ["n0"], 9_000)
+    assert schedule.due_ms is not None
--- a/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
@@ -1,7 +1,6 @@
 """Brings the configuration to this node and on to its peers."""
 
 import asyncio
-import functools
 import logging
 import random
 from collections import Counter
@@ -11,7 +10,6 @@
 from pomelobank_core import (
     Clock,
     Distribution,
-    MemberState,
     MemberTable,
     PullRecords,
     PushRecords,
@@ -19,11 +17,13 @@
     SnapshotSchedule,
     VersionFloor,
 )
+from pomelobank_node._config_frames import make_frame, take_frame
 from pomelobank_node._config_outbox import Outbox
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log_client import CONFIG_STREAM, LogClient, LogError
+from pomelobank_node._log_client import LogClient, LogError
 from pomelobank_node._log_reader import LogReader
 from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._snapshot_writer import SnapshotWriter
 from pomelobank_schema import SchemaError, WireMessage, decode, encode
 from pomelobank_schema.generated import records
 from pomelobank_schema.generated.peer import (
@@ -39,11 +39,8 @@
 
 BLOCKED_PAUSE_MS = 5000
 _MS_PER_S = 1000
-# Most records of one push, and their bytes: a peer that is far behind gets
-# them in parts, between which its requests go on.
-PUSH_LIMIT = 50
-PUSH_BYTES = 256 * 1024
 _FLOOR_HEARTBEATS = 3
+_CANCEL_AGAIN_S = 0.5
 
 
 @attrs.define(eq=False, slots=False)
@@ -58,7 +55,6 @@
         links: Streams to peers.
         clock: Tells the time.
         seeded: Source of randomness.
-        log_up: Whether the last call to the log succeeded.
         passed_on: Version up to which peers were told.
         digests_sent: Digests sent, for the metrics.
         pushes_sent: Pushes of records sent, for the metrics.
@@ -66,7 +62,6 @@
         snapshots_sent: Snapshots sent to peers, for the metrics.
         pushes_useful: Pushes received that moved the version on.
         pushes_useless: Pushes received that the node had already.
-        snapshots_written: Snapshots appended to the log, for the metrics.
         sends_failed: Frames that no peer took, for the metrics.
         bytes_sent: Bytes sent to peers by type of frame, for the metrics.
     """
@@ -78,7 +73,6 @@
     links: PeerLinks
     clock: Clock
     seeded: random.Random = attrs.field(factory=random.Random)
-    log_up: bool = False
     passed_on: int = 0
     digests_sent: int = 0
     pushes_sent: int = 0
@@ -86,7 +80,6 @@
     snapshots_sent: int = 0
     pushes_useful: int = 0
     pushes_useless: int = 0
-    snapshots_written: int = 0
     sends_failed: int = 0
     bytes_sent: Counter[str] = attrs.field(factory=Counter)
     outboxes: dict[str, Outbox] = attrs.field(factory=dict)
@@ -99,10 +92,18 @@
             distribution, self.settings.log.long_poll_ms, self.seeded
         )
         self.floor = VersionFloor(_FLOOR_HEARTBEATS * distribution.heartbeat_ms)
-        self.schedule = SnapshotSchedule(
+        schedule = SnapshotSchedule(
             self.settings.snapshots, self.settings.node, self.seeded
         )
-        self.store.on_snapshot = self._saw_snapshot
+        self.writer = SnapshotWriter(
+            schedule, self.store, self.log, self.members, self.clock
+        )
+        self.store.on_snapshot = self.writer.saw
+
+    @property
+    def log_up(self) -> bool:
+        """Whether the log looks up, from here or from what peers told."""
+        return self.distribution.sees_log(self.clock.now_ms())
 
     @property
     def log_state(self) -> str:
@@ -113,16 +114,24 @@
 
     async def start(self) -> None:
         """Starts reading and telling peers."""
-        for work in (self._read_log(), self._beat()):
+        for work in (
+            self._read_log(),
+            self._beat(),
+            self._write_snapshots(),
+        ):
             self.tasks.append(asyncio.create_task(work))
 
     async def stop(self) -> None:
         """Ends every task."""
-        outboxes = list(self.outboxes.values())
-        tasks = self.tasks + [item.task for item in outboxes if item.task]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        outboxes = [item.task for item in self.outboxes.values()]
+        waiting = {task for task in (*self.tasks, *outboxes) if task}
+        # A time-out of a call to the log that fires in the same instant as a
+        # cancellation takes its place, and the task goes on. The node would
+        # wait for it without end, so whatever still runs is cancelled again.
+        while waiting:
+            for task in waiting:
+                task.cancel()
+            _, waiting = await asyncio.wait(waiting, timeout=_CANCEL_AGAIN_S)
 
     async def catch_up(self) -> None:
         """Reads the log to its end.
@@ -156,7 +165,6 @@
         try:
             await self.reader.read(wait_ms)
         except LogError as error:
-            self.log_up = False
             self.distribution.log_failed(self.clock.now_ms())
             _logger.warning("config.read_failed", extra={"error": str(error)})
         else:
@@ -164,7 +172,6 @@
         self._advanced()
 
     def _log_answered(self) -> None:
-        self.log_up = True
         version, end = self.store.version, self.reader.end_offset
         self.distribution.log_answered(self.clock.now_ms(), version >= end)
         self.floor.read_log(version, end)
@@ -197,35 +204,15 @@
             self._update_ready()
             self._drop_idle_outboxes()
             self._do(self.distribution.heartbeat())
-            await self._write_snapshot()
             # Jitter keeps the nodes of a herd from beating in step.
             await self._sleep(int(heartbeat_ms * self.seeded.uniform(0.8, 1.2)))
 
-    async def _write_snapshot(self) -> None:
-        live = [
-            item.node
-            for item in self.members.all()
-            if item.state != MemberState.GONE.value
-        ]
-        now_ms = self.clock.now_ms()
-        if not self.store.ready or not self.schedule.should_write(
-            self.store.version, live, now_ms
-        ):
-            return
-        data = self.store.whole(self.settings.node, self.clock.wall_ms())
-        # Until it was read back the schedule stays due: an append whose
-        # answer was lost may not have happened. A second one is harmless.
-        self.schedule.failed(now_ms)
-        try:
-            await self.log.append(CONFIG_STREAM, data)
-            self.snapshots_written += 1
-        except LogError as error:
-            _logger.warning(
-                "config.snapshot_failed", extra={"error": str(error)}
-            )
-
-    def _saw_snapshot(self, record: SnapshotRecord) -> None:
-        self.schedule.seen(record, self.clock.now_ms(), self.clock.wall_ms())
+    async def _write_snapshots(self) -> None:
+        # In a task of its own: a log that does not answer would hold up the
+        # heartbeats by which peers repair what they have missed.
+        while True:
+            await self.writer.write_if_due()
+            await self._sleep(self.settings.distribution.heartbeat_ms)
 
     def receive(self, frame: WireMessage) -> None:
         """Takes a peer's frame about the configuration."""
@@ -290,6 +277,9 @@
             _logger.warning("config.bad_push", extra={"error": str(error)})
             return
         if isinstance(record, SnapshotRecord) and self.store.restore(record):
+            self.writer.schedule.hear(
+                push.logged_as_of, push.logged_age_ms, self.clock.now_ms()
+            )
             self._advanced(push.address)
 
     def take_digest(self, digest: VersionDigest) -> None:
@@ -304,90 +294,3 @@
         """Answers a peer that is behind."""
         if pull.address and pull.from_offset < self.store.version:
             self._do([PushRecords(pull.address, pull.from_offset)])
-
-
-@functools.singledispatch
-def take_frame(frame: WireMessage, feed: ConfigFeed) -> None:
-    """Hands a frame to the feed; others are ignored."""
-
-
-@take_frame.register
-def _(frame: RecordsPush, feed: ConfigFeed) -> None:
-    feed.take_records(frame)
-
-
-@take_frame.register
-def _(frame: SnapshotPush, feed: ConfigFeed) -> None:
-    feed.take_snapshot(frame)
-
-
-@take_frame.register
-def _(frame: VersionDigest, feed: ConfigFeed) -> None:
-    feed.take_digest(frame)
-
-
-@take_frame.register
-def _(frame: RecordsPull, feed: ConfigFeed) -> None:
-    feed.take_pull(frame)
-
-
-@functools.singledispatch
-def make_frame(action: object, feed: ConfigFeed) -> WireMessage | None:
-    """Builds the frame of an action from the node's present state."""
-    raise TypeError(f"no frame for {type(action).__name__}")
-
-
-@make_frame.register
-def _(action: SendDigest, feed: ConfigFeed) -> WireMessage | None:
-    feed.digests_sent += 1
-    version = feed.store.version
-    return VersionDigest(
-        version=version,
-        next_offset=version,
-        address=feed.members.own.peer_address,
-        heard_version=max(version, feed.distribution.heard_version),
-        log_age_ms=feed.distribution.log_age_ms(feed.clock.now_ms()),
-        heartbeat=action.heartbeat,
-        ready=feed.store.ready,
-    )
-
-
-@make_frame.register
-def _(action: PullRecords, feed: ConfigFeed) -> WireMessage | None:
-    if feed.store.version >= action.version:
-        return None
-    feed.pulls_sent += 1
-    return RecordsPull(
-        from_offset=feed.store.version,
-        limit=PUSH_LIMIT,
-        address=feed.members.own.peer_address,
-    )
-
-
-@make_frame.register
-def _(action: PushRecords, feed: ConfigFeed) -> WireMessage | None:
-    store = feed.store
-    if action.from_version >= store.version:
-        return None
-    address = feed.members.own.peer_address
-    found = store.recent.since(action.from_version, PUSH_LIMIT)
-    if not found:
-        feed.snapshots_sent += 1
-        data = store.whole(feed.settings.node, feed.clock.wall_ms())
-        return SnapshotPush(data=data, address=address)
-    feed.pushes_sent += 1
-    return RecordsPush(
-        first_offset=action.from_version,
-        records=_within_bytes(found),
-        address=address,
-        version=store.version,
-    )
-
-
-def _within_bytes(items: tuple[bytes, ...]) -> tuple[bytes, ...]:
-    size = 0
-    for index, data in enumerate(items):
-        size += len(data)
-        if index and size > PUSH_BYTES:
-            return items[:index]
-    return items
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -157,8 +157,6 @@
             return False
         self.restored += 1
         self._swap(state)
-        if self.on_snapshot is not None:
-            self.on_snapshot(record)
         return True
 
     def whole(self, node: str, at_ms: int) -> bytes:
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_config_faults.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_config_faults.py
@@ -83,18 +83,31 @@
         asked = await watch.change("n2", "during-outage")
         assert asked.problems[0].kind == "log_silent"
         assert (await watch.config("n2")).version == first.version
+        for node in mesh.nodes:
+            await wait_log_state(watch, node, "down")
         mesh.log.faults = LogFaults()
         reply = await watch.apply("n1", change, change_id="during-outage")
         assert reply.status == pb.CHANGE_ACCEPTED
         await watch.wait_all(reply.version)
         asked = await watch.change("n2", "during-outage")
         assert (asked.status, asked.version) == (reply.status, reply.version)
+        for node in mesh.nodes:
+            await wait_log_state(watch, node, "up")
         other = await watch.apply(
             "n0", put_service("other"), change_id="during-outage"
         )
         assert other.problems[0].kind == "change_id_in_use"
 
 
+async def wait_log_state(watch: ConfigWatch, node: str, state: str) -> None:
+    async with asyncio.timeout(15):
+        while True:
+            reply = await watch.stub(node).GetStatus(pb.StatusRequest())
+            if reply.log_state == state:
+                return
+            await asyncio.sleep(0.05)
+
+
 @pytest.mark.parametrize(
     "faults",
     [
