--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -31,6 +31,7 @@
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
+_MS_PER_S = 1000
 
 
 class Component(Protocol):
@@ -121,7 +122,13 @@
         listen = settings.listen
         pages = admin.application()
         pages.add_route("/metrics", self.metrics.page)
-        self.http = HttpServer(listen.http, self.entry, cancels=True)
+        # A caller that never reads its answer must not hold up a stop.
+        self.http = HttpServer(
+            listen.http,
+            self.entry,
+            cancels=True,
+            stop_timeout_s=settings.requests.drain_timeout_ms // _MS_PER_S,
+        )
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
             listen.peer, self.owner, self.membership, self.feed, self.claims
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -209,7 +209,9 @@
         now_ms = self.clock.now_ms()
         attempt = FailedTry(
             error=error.kind if error else None,
-            idempotent=request.idempotent,
+            # The part of a large body that a target has taken is gone; a second
+            # target would get a body that lacks it.
+            idempotent=request.idempotent and rest_of(request) is None,
             tries=journey.tries,
             redirects=journey.redirects,
             left_ms=journey.deadline_ms - now_ms,
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -6,8 +6,9 @@
 # Each tool's module, which has a `main` that takes the arguments.
 _TOOLS = {
     "chaos": "_chaos",
-    "core-members": "_core_members",
     "convergence": "_convergence",
+    "core-config": "_core_config",
+    "core-members": "_core_members",
     "demo": "_demo",
     "goodput": "_goodput",
     "latency": "_latency",
