--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -114,13 +114,12 @@
         self._build_claims(dispatcher)
         self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
         self.metrics = Metrics(settings.node, settings.data_centre)
-        observe_node(self.metrics, self)
-        admin = Admin(self.target, self.store)
+        self.pages = Admin(self.target, self.store)
         operator = OperatorService(
             self.store, self.log, self.feed, self.membership, self.clock
         )
         listen = settings.listen
-        pages = admin.application()
+        pages = self.pages.application()
         pages.add_route("/metrics", self.metrics.page)
         # A caller that never reads its answer must not hold up a stop.
         self.http = HttpServer(
@@ -134,6 +133,7 @@
             listen.peer, self.owner, self.membership, self.feed, self.claims
         )
         self.operator = OperatorServer(listen.operator, operator)
+        observe_node(self.metrics, self)
 
     def _build_claims(self, dispatcher: Dispatcher) -> None:
         self.claims = ClaimService(
@@ -193,14 +193,17 @@
         need the streams to peers; membership goes on until nothing is left to
         be told, and the streams go last.
         """
+        _logger.info("node.draining")
         await self.target.close()
         self.entry.draining = True
         timeout_ms = self.settings.requests.drain_timeout_ms
         await asyncio.gather(
             self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
         )
+        _logger.info("node.drained")
         for server in (self.http, self.admin):
             await server.stop()
+        _logger.info("node.servers_stopped")
         await self.membership.leave()
         for part in reversed(self.started):
             if part not in (self.http, self.admin):
--- a/packages/pomelobank-node/src/pomelobank_node/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -62,12 +62,16 @@
         admission: Decides.
         clock: Tells the time.
         waiting: Requests that wait, each with what wakes it.
+        waits: Requests that had to wait, for the metrics.
+        waited_ms: Time that they waited, in all.
         idle: Set while no request waits or runs.
     """
 
     admission: Admission
     clock: Clock
     waiting: dict[Ticket, asyncio.Future[None]] = attrs.field(factory=dict)
+    waits: int = 0
+    waited_ms: int = 0
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def __attrs_post_init__(self) -> None:
@@ -109,6 +113,8 @@
         woken = asyncio.get_running_loop().create_future()
         self.waiting[ticket] = woken
         room_ms = ticket.deadline_ms - self.clock.now_ms()
+        self.waits += 1
+        begun_ms = self.clock.now_ms()
         try:
             async with asyncio.timeout(room_ms / _MS_PER_S):
                 await woken
@@ -120,6 +126,7 @@
             raise
         finally:
             self.waiting.pop(ticket, None)
+            self.waited_ms += self.clock.now_ms() - begun_ms
 
     def _give_up(self, ticket: Ticket) -> None:
         # The slot may have been given in the same moment; it would stay taken
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -66,6 +66,214 @@
     monotonic=True,
 )
 
+CONFIG_READY = Instrument(
+    "pomelobank.config.ready",
+    "1",
+    "1 while the node may serve callers.",
+)
+CONFIG_APPLIED = Instrument(
+    "pomelobank.config.applied",
+    "1",
+    "Records applied.",
+    monotonic=True,
+)
+CONFIG_UNREADABLE = Instrument(
+    "pomelobank.config.unreadable",
+    "1",
+    "Records passed over because no node can read them.",
+    monotonic=True,
+)
+CONFIG_LOG_AGE = Instrument(
+    "pomelobank.config.log_age",
+    "ms",
+    "Time since the newest read of the log by any node that this one"
+    " knows of; -1 for none.",
+)
+CONFIG_READER = Instrument(
+    "pomelobank.config.reader",
+    "1",
+    "1 while the node reads the log for its data centre.",
+)
+CONFIG_BYTES_SENT = Instrument(
+    "pomelobank.config.sent_size",
+    "By",
+    "Bytes of configuration frames sent to peers.",
+    label="frame",
+    monotonic=True,
+)
+CONFIG_SENDS_FAILED = Instrument(
+    "pomelobank.config.sends_failed",
+    "1",
+    "Configuration frames that no peer took.",
+    monotonic=True,
+)
+CONFIG_USEFUL = Instrument(
+    "pomelobank.config.pushes_useful",
+    "1",
+    "Pushes received that moved the version on.",
+    monotonic=True,
+)
+CONFIG_USELESS = Instrument(
+    "pomelobank.config.pushes_useless",
+    "1",
+    "Pushes received that brought nothing new.",
+    monotonic=True,
+)
+CONFIG_SNAPSHOTS = Instrument(
+    "pomelobank.config.snapshots",
+    "1",
+    "Snapshots that this node appended to the log.",
+    monotonic=True,
+)
+MEMBERS_SUSPECTED = Instrument(
+    "pomelobank.members.suspected",
+    "1",
+    "Suspicions that this node began.",
+    monotonic=True,
+)
+MEMBERS_REFUTED = Instrument(
+    "pomelobank.members.refutations",
+    "1",
+    "How often others held this node to be suspect or gone.",
+    monotonic=True,
+)
+MEMBERS_PAUSES = Instrument(
+    "pomelobank.members.pauses",
+    "1",
+    "How often this process stood still.",
+    monotonic=True,
+)
+PEER_LATE_FRAMES = Instrument(
+    "pomelobank.peer.late_frames",
+    "1",
+    "Frames that came after their request had ended.",
+    monotonic=True,
+)
+PEER_REFUSED_STREAMS = Instrument(
+    "pomelobank.peer.refused_streams",
+    "1",
+    "Streams of peers refused because there were too many.",
+    monotonic=True,
+)
+TARGET_WAITING = Instrument(
+    "pomelobank.target.waiting",
+    "1",
+    "Requests that wait for a slot of the node's own target.",
+)
+TARGET_WAITS = Instrument(
+    "pomelobank.target.waits",
+    "1",
+    "Requests that had to wait for a slot.",
+    monotonic=True,
+)
+TARGET_WAITED = Instrument(
+    "pomelobank.target.waited",
+    "ms",
+    "Time that requests have waited for a slot, in all.",
+    monotonic=True,
+)
+TARGET_LIMIT = Instrument(
+    "pomelobank.target.limit",
+    "1",
+    "Requests that are tried at once; below the slots while the target"
+    " sheds or is slow.",
+)
+TARGET_REFUSED = Instrument(
+    "pomelobank.target.refused",
+    "1",
+    "Requests refused for want of a slot in time.",
+    monotonic=True,
+)
+TARGET_EXPIRED = Instrument(
+    "pomelobank.target.expired",
+    "1",
+    "Requests whose deadline passed while they waited.",
+    monotonic=True,
+)
+TARGET_CRASHES = Instrument(
+    "pomelobank.target.crashes",
+    "1",
+    "Crashes of the node's own target.",
+    monotonic=True,
+)
+TARGET_LAPSES = Instrument(
+    "pomelobank.target.lapses",
+    "1",
+    "How often the target fell silent.",
+    monotonic=True,
+)
+BAD_ANNOUNCEMENTS = Instrument(
+    "pomelobank.target.bad_announcements",
+    "1",
+    "Announcements that were refused.",
+    monotonic=True,
+)
+RETRIES = Instrument(
+    "pomelobank.retries",
+    "1",
+    "Retries that were sent.",
+    label="upstream",
+    monotonic=True,
+)
+RETRIES_DENIED = Instrument(
+    "pomelobank.retries.denied",
+    "1",
+    "Retries that the budget did not allow.",
+    label="upstream",
+    monotonic=True,
+)
+TURNED_AWAY = Instrument(
+    "pomelobank.requests.turned_away",
+    "1",
+    "Requests refused at the entry because every target had just refused.",
+    monotonic=True,
+)
+EJECTIONS = Instrument(
+    "pomelobank.placing.ejections",
+    "1",
+    "How often this node stopped sending to a failing target.",
+    monotonic=True,
+)
+SPILLS = Instrument(
+    "pomelobank.placing.spills",
+    "1",
+    "Requests sent to another data centre though the own one has a target.",
+    monotonic=True,
+)
+SUSPECT_REQUESTS = Instrument(
+    "pomelobank.quarantine.entries",
+    "1",
+    "Fingerprints that are suspected of crashing targets or quarantined.",
+)
+QUARANTINE_REFUSED = Instrument(
+    "pomelobank.quarantine.refused",
+    "1",
+    "Requests refused as quarantined.",
+    monotonic=True,
+)
+CLAIM_KEYS = Instrument(
+    "pomelobank.claims.keys",
+    "1",
+    "Idempotency keys that this node remembers.",
+)
+CLAIMS_FORWARDED = Instrument(
+    "pomelobank.claims.forwarded",
+    "1",
+    "Keyed requests sent to another claiming node.",
+    monotonic=True,
+)
+CLAIMS_REFUSED = Instrument(
+    "pomelobank.claims.refused",
+    "1",
+    "Claims refused for want of budget or log.",
+    monotonic=True,
+)
+CLAIM_ANSWER_SIZE = Instrument(
+    "pomelobank.claims.answer_size",
+    "By",
+    "Bytes of answers kept for resends.",
+)
+
 ALL = tuple(
     value
     for name, value in sorted(globals().items())
