A connection that comes during a stop no longer holds it up

Cause: a node that was told to stop did not end. Ruled out: draining of the target and of the claims (both had ended), requests under way (none). Change: while a server stops, its connections are told to end again and again, so that one whose accept was under way at the first telling is told too.

--- a/packages/pomelobank-node/src/pomelobank_node/_http_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_server.py
@@ -11,6 +11,7 @@
 from pomelobank_node._http_protocol import CancellingHttpProtocol, HttpProtocol
 from pomelobank_schema import parse_address
 
+_STOP_POLL_S = 0.05
 _BACKLOG = 512
 
 
@@ -76,4 +77,14 @@
         """Finishes the requests under way and stops listening."""
         if self.server is not None and self.task is not None:
             self.server.should_exit = True
-            await asyncio.gather(self.task, return_exceptions=True)
+            while not self.task.done():
+                self._end_connections()
+                await asyncio.wait({self.task}, timeout=_STOP_POLL_S)
+
+    def _end_connections(self) -> None:
+        # Uvicorn tells its connections to end once. One whose accept was under
+        # way at that moment is never told, stays open for as long as its
+        # caller likes, and the node does not end; so they are told again.
+        assert self.server is not None
+        for connection in list(self.server.server_state.connections):
+            connection.shutdown()
--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -121,6 +121,14 @@
         async with asyncio.timeout(START_TIMEOUT_S):
             await self.ready.wait()
 
+    def own_lines(self) -> list[dict[str, Any]]:
+        """Returns the log lines without those that every change brings."""
+        return [
+            line
+            for line in self.lines
+            if line.get("message") != "config.in_force"
+        ]
+
     def signal(self, number: signal.Signals) -> None:
         """Sends the process a signal."""
         self.process.send_signal(number)
@@ -132,7 +140,7 @@
                 status = await self.process.wait()
         except TimeoutError:
             raise TimeoutError(
-                f"{self.name} did not end; its last lines: {self.lines[-20:]}"
+                f"{self.name} did not end; its last lines: {self.own_lines()[-40:]}"
             ) from None
         if self.reader is not None:
             await self.reader
