--- a/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_harness.py
@@ -139,8 +139,9 @@
             async with asyncio.timeout(STOP_TIMEOUT_S):
                 status = await self.process.wait()
         except TimeoutError:
+            last = self.own_lines()[-40:]
             raise TimeoutError(
-                f"{self.name} did not end; its last lines: {self.own_lines()[-40:]}"
+                f"{self.name} did not end; its last lines: {last}"
             ) from None
         if self.reader is not None:
             await self.reader
