Smaller modules for admission and placing; one rendezvous hash

Change: policies of sharing slots, tickets, observations of targets and the round-robin baseline are modules of their own; claims use rendezvous_order. Behaviour stays as it is, except that other nodes may claim a shard, which is not kept anywhere.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -2,19 +2,6 @@
 
 from pomelobank_core._admission import (
     Admission,
-    AdmissionPolicy,
-    Change,
-    FirstCome,
-    FixedPartition,
-    GuaranteedShared,
-    Queued,
-    Refused,
-    Started,
-    Ticket,
-    TrafficClass,
-    Unlimited,
-    Verdict,
-    WorkResult,
 )
 from pomelobank_core._candidates import (
     CandidateIndex,
@@ -107,14 +94,15 @@
     operation_object,
     snapshot_object_value,
 )
-from pomelobank_core._placing import (
+from pomelobank_core._observation import (
     Observation,
     Placing,
-    RoundRobin,
     TargetResult,
+    target_result,
+)
+from pomelobank_core._placing import (
     TwoChoices,
     isolation_target,
-    target_result,
 )
 from pomelobank_core._quarantine import (
     POINTS_NODE_LOST,
@@ -143,11 +131,21 @@
     Retry,
     RetryBudget,
 )
+from pomelobank_core._round_robin import (
+    RoundRobin,
+)
 from pomelobank_core._routing import (
     RouteTable,
     is_idempotent,
     pick_upstream,
 )
+from pomelobank_core._slot_sharing import (
+    AdmissionPolicy,
+    FirstCome,
+    FixedPartition,
+    GuaranteedShared,
+    Unlimited,
+)
 from pomelobank_core._snapshots import (
     Recovery,
     SnapshotSchedule,
@@ -169,6 +167,16 @@
     TargetChange,
     TargetLease,
 )
+from pomelobank_core._tickets import (
+    Change,
+    Queued,
+    Refused,
+    Started,
+    Ticket,
+    TrafficClass,
+    Verdict,
+    WorkResult,
+)
 from pomelobank_core._validation import (
     Problem,
     ProblemKind,
--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -1,7 +1,5 @@
 """Decides which requests a target runs, which wait and which are refused."""
 
-import enum
-import functools
 import random
 from collections import deque
 from collections.abc import Iterator
@@ -11,23 +9,25 @@
 from pomelobank_core._concurrency import ConcurrencyLimit
 from pomelobank_core._errors import ErrorKind
 from pomelobank_core._latency import ServiceTimes
+from pomelobank_core._slot_sharing import (
+    AdmissionPolicy,
+    GuaranteedShared,
+    may_start,
+    next_class,
+    queues_ahead,
+    turnover,
+)
+from pomelobank_core._tickets import (
+    Change,
+    Queued,
+    Refused,
+    Started,
+    Ticket,
+    TrafficClass,
+    Verdict,
+    WorkResult,
+)
 
-
-class TrafficClass(enum.Enum):
-    """Classes of requests, the most urgent first.
-
-    Attributes:
-        INTERACTIVE: Somebody waits for the answer.
-        INTERNAL: A service asks on behalf of a request that is under way.
-        BATCH: Reports and lists that are due hours later.
-    """
-
-    INTERACTIVE = "interactive"
-    INTERNAL = "internal"
-    BATCH = "batch"
-
-
-_URGENCY = tuple(TrafficClass)
 # A class that has not asked for this long lends its guaranteed part, so that a
 # target which serves one class only is used in full. A minute outlasts the
 # pauses of a counter; what it costs is one long request's time, once, when the
@@ -41,134 +41,6 @@
 # Sooner than this a caller would meet the same queue again.
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 30_000
-_PERCENT = 100
-
-
-@attrs.frozen
-class GuaranteedShared:
-    """Each class has a part of its own; the rest is for all.
-
-    Attributes:
-        percent: Guaranteed part of each class, of the slots.
-    """
-
-    percent: dict[TrafficClass, int]
-
-    def part(self, traffic_class: TrafficClass, limit: int) -> int:
-        """Returns the slots that are guaranteed to a class.
-
-        With few slots the most urgent classes get theirs first, and one slot
-        is always shared. A target that sheds may be down to two slots; look-ups
-        must not wait behind reports just then.
-        """
-        if limit <= _URGENCY.index(traffic_class) + 1:
-            return 0
-        return max(1, limit * self.percent[traffic_class] // _PERCENT)
-
-
-@attrs.frozen
-class FixedPartition:
-    """Each class has its part and never more; a baseline.
-
-    Attributes:
-        percent: Relative parts of the classes.
-    """
-
-    percent: dict[TrafficClass, int]
-
-    def part(self, traffic_class: TrafficClass, limit: int) -> int:
-        """Returns the slots of a class."""
-        share = limit * self.percent[traffic_class]
-        return max(1, share // sum(self.percent.values()))
-
-
-@attrs.frozen
-class FirstCome:
-    """All requests wait in one queue, whatever their class; a baseline."""
-
-
-@attrs.frozen
-class Unlimited:
-    """Every request goes to the target at once; a baseline."""
-
-
-AdmissionPolicy = GuaranteedShared | FixedPartition | FirstCome | Unlimited
-
-
-@attrs.define(eq=False)
-class Ticket:
-    """A request at the door of a target.
-
-    Attributes:
-        traffic_class: Its class.
-        route: Its route.
-        deadline_ms: When its caller stops waiting.
-        alone: Whether nothing else may run beside it.
-        offered_ms: When it came.
-        started_ms: When it went to the target; None before.
-    """
-
-    traffic_class: TrafficClass
-    route: str
-    deadline_ms: float
-    alone: bool = False
-    offered_ms: float = 0.0
-    started_ms: float | None = None
-
-
-@attrs.frozen
-class Started:
-    """The request goes to the target now."""
-
-
-@attrs.frozen
-class Queued:
-    """The request waits; a later change starts or expires it."""
-
-
-@attrs.frozen
-class Refused:
-    """The request will not run.
-
-    Attributes:
-        kind: Why.
-        retry_after_ms: When there is likely to be room.
-    """
-
-    kind: ErrorKind
-    retry_after_ms: int
-
-
-Verdict = Started | Queued | Refused
-
-
-@attrs.frozen
-class Change:
-    """What an event did to requests that were waiting.
-
-    Attributes:
-        started: Those that go to the target now.
-        expired: Those whose deadline passed; they have not run.
-    """
-
-    started: tuple[Ticket, ...] = ()
-    expired: tuple[Ticket, ...] = ()
-
-
-class WorkResult(enum.Enum):
-    """How a request's time at the target ended.
-
-    Attributes:
-        ANSWERED: With an answer.
-        SHED: The target turned it away without working on it.
-        LOST: The target broke the connection or took none.
-        ABANDONED: The caller went away or its deadline passed.
-    """
-
-    ANSWERED = "answered"
-    SHED = "shed"
-    LOST = "lost"
-    ABANDONED = "abandoned"
 
 
 def _per_class() -> dict[TrafficClass, int]:
@@ -427,126 +299,3 @@
         # One slot stays for the first interactive request after a pause, which
         # would else wait for the end of a long report.
         return min(part, int(traffic_class is TrafficClass.INTERACTIVE))
-
-
-@functools.singledispatch
-def may_start(
-    policy: AdmissionPolicy,
-    state: Admission,
-    traffic_class: TrafficClass,
-    now_ms: float,
-) -> bool:
-    """Tells whether a class may take one more slot."""
-    raise NotImplementedError(type(policy).__name__)
-
-
-@may_start.register
-def _(
-    policy: GuaranteedShared,
-    state: Admission,
-    traffic_class: TrafficClass,
-    now_ms: float,
-) -> bool:
-    limit = state.limit.current
-    if state.in_flight >= limit:
-        return False
-    if state.running[traffic_class] < state.reserved(traffic_class, now_ms):
-        return True
-    shared = limit
-    for other in TrafficClass:
-        kept = state.reserved(other, now_ms)
-        shared -= max(kept, state.running[other])
-    return shared > 0
-
-
-@may_start.register
-def _(
-    policy: FixedPartition,
-    state: Admission,
-    traffic_class: TrafficClass,
-    now_ms: float,
-) -> bool:
-    part = policy.part(traffic_class, state.limit.current)
-    if state.in_flight >= state.limit.current:
-        return False
-    return state.running[traffic_class] < part
-
-
-@may_start.register
-def _(
-    policy: FirstCome,
-    state: Admission,
-    traffic_class: TrafficClass,
-    now_ms: float,
-) -> bool:
-    return state.in_flight < state.limit.current
-
-
-@may_start.register
-def _(
-    policy: Unlimited,
-    state: Admission,
-    traffic_class: TrafficClass,
-    now_ms: float,
-) -> bool:
-    return True
-
-
-def queues_ahead(
-    policy: AdmissionPolicy, state: Admission, traffic_class: TrafficClass
-) -> int:
-    """Returns how many requests wait in front of a new one of a class."""
-    if isinstance(policy, FirstCome):
-        return sum(len(queue) for queue in state.queues.values())
-    return len(state.queues[traffic_class])
-
-
-def next_class(
-    policy: AdmissionPolicy, state: Admission, now_ms: float
-) -> TrafficClass | None:
-    """Returns the class whose first waiting request starts next, if any."""
-    ready = [
-        traffic_class
-        for traffic_class, queue in state.queues.items()
-        if queue and may_start(policy, state, traffic_class, now_ms)
-    ]
-    if not ready:
-        return None
-    if isinstance(policy, FirstCome):
-        return min(ready, key=lambda item: state.queues[item][0].offered_ms)
-    # A class below its guaranteed part goes first; the shared rest then goes
-    # to the most urgent class. Batch work is not starved: it has its part.
-    return min(
-        ready,
-        key=lambda item: state.running[item] >= state.reserved(item, now_ms),
-    )
-
-
-def turnover(
-    policy: AdmissionPolicy,
-    state: Admission,
-    traffic_class: TrafficClass,
-    now_ms: float,
-) -> dict[TrafficClass, int]:
-    """Returns the busy slots whose end lets a class's next request start.
-
-    Args:
-        policy: How classes share the slots.
-        state: The slots.
-        traffic_class: The class that waits.
-        now_ms: Current time.
-
-    Returns:
-        Slots by the class that runs in them. Their number divided by that
-        class's service time is the rate at which the queue moves on.
-    """
-    running = dict(state.running)
-    if isinstance(policy, FirstCome) or not running[traffic_class]:
-        return running
-    own = {traffic_class: running[traffic_class]}
-    if not isinstance(policy, GuaranteedShared):
-        return own
-    for other in _URGENCY[_URGENCY.index(traffic_class) + 1 :]:
-        # Shared slots under less urgent work pass to this class as they end.
-        own[other] = max(0, running[other] - state.reserved(other, now_ms))
-    return own
--- a/packages/pomelobank-core/src/pomelobank_core/_claims.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_claims.py
@@ -16,6 +16,7 @@
 import attrs
 import xxhash
 
+from pomelobank_core._rendezvous import rendezvous_order
 from pomelobank_schema.generated.records import (
     AnswerHeader,
     ClaimBatch,
@@ -75,11 +76,7 @@
     Rendezvous hashing: when a node goes, only its shards move. Views that
     differ for a while cost a second reader of the stream, never a second run.
     """
-    return sorted(
-        nodes,
-        key=lambda node: xxhash.xxh3_64_intdigest(f"{shard}/{node}".encode()),
-        reverse=True,
-    )
+    return rendezvous_order(nodes, f"claims/{shard}")
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_observation.py
@@ -0,0 +1,115 @@
+"""What placing is told about targets, and what it must be able to do."""
+
+import enum
+from collections.abc import Set as AbstractSet
+from typing import Protocol
+
+import attrs
+
+from pomelobank_core._candidates import Candidates
+from pomelobank_core._errors import ErrorKind
+from pomelobank_schema.generated.peer import MemberEntry
+
+
+class TargetResult(enum.Enum):
+    """What a request's end says about the target.
+
+    Attributes:
+        ANSWERED: It works.
+        FULL: It has no room just now.
+        LEAVING: It takes no more requests.
+        FAILED: It could not be reached, or it was lost on the way.
+        NEUTRAL: Nothing; the caller went away or the request was wrong.
+    """
+
+    ANSWERED = "answered"
+    FULL = "full"
+    LEAVING = "leaving"
+    FAILED = "failed"
+    NEUTRAL = "neutral"
+
+
+TARGET_RESULTS: dict[ErrorKind, TargetResult] = {
+    ErrorKind.OVERLOADED: TargetResult.FULL,
+    ErrorKind.DRAINING: TargetResult.LEAVING,
+    ErrorKind.NO_TARGET: TargetResult.LEAVING,
+    ErrorKind.NOT_READY: TargetResult.LEAVING,
+    ErrorKind.PEER_UNREACHABLE: TargetResult.FAILED,
+    ErrorKind.PEER_LOST: TargetResult.FAILED,
+    ErrorKind.UPSTREAM_UNREACHABLE: TargetResult.FAILED,
+    ErrorKind.UPSTREAM_LOST: TargetResult.FAILED,
+    ErrorKind.ANSWER_TRUNCATED: TargetResult.FAILED,
+}
+# A deadline that passes at the target counts against it only where it had this
+# long; a caller in a hurry would else get healthy targets ejected.
+MIN_DEADLINE_FAILURE_MS = 1000
+
+
+def target_result(error: ErrorKind, allowed_ms: float) -> TargetResult:
+    """Returns what an error says about the target.
+
+    Args:
+        error: How the request ended.
+        allowed_ms: Time that the target had for it.
+
+    Returns:
+        The result.
+    """
+    if error is ErrorKind.DEADLINE_UNKNOWN:
+        long_enough = allowed_ms >= MIN_DEADLINE_FAILURE_MS
+        return TargetResult.FAILED if long_enough else TargetResult.NEUTRAL
+    return TARGET_RESULTS.get(error, TargetResult.NEUTRAL)
+
+
+@attrs.frozen
+class Observation:
+    """The end of a request, as placing sees it.
+
+    Attributes:
+        result: What it says about the target.
+        traffic_class: The request's class.
+        took_ms: Time from sending to the end.
+        outstanding: Requests at the target as its node reported them.
+        retry_after_ms: When a full target expects to have room.
+    """
+
+    result: TargetResult
+    traffic_class: str = ""
+    took_ms: float = 0.0
+    outstanding: int = 0
+    retry_after_ms: int = 0
+
+
+class Placing(Protocol):
+    """Chooses targets and learns from what becomes of the requests."""
+
+    def place(
+        self,
+        candidates: Candidates,
+        tried: AbstractSet[str],
+        traffic_class: str,
+        now_ms: float,
+    ) -> MemberEntry | None:
+        """Returns a target that was not tried yet, None without any."""
+
+    def sent(self, target: MemberEntry, now_ms: float) -> None:
+        """Notes that a request is sent to a target."""
+
+    def ended(
+        self,
+        target: MemberEntry,
+        candidates: Candidates,
+        seen: Observation,
+        now_ms: float,
+    ) -> None:
+        """Takes the end of a request that was sent."""
+
+    def has_room(
+        self, target: MemberEntry, traffic_class: str, now_ms: float
+    ) -> bool:
+        """Tells whether a target plausibly has room for one more request."""
+
+    def turned_away(
+        self, candidates: Candidates, traffic_class: str, now_ms: float
+    ) -> int:
+        """Returns when to come back if all are full; 0 if they are not."""
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_tickets.py
@@ -0,0 +1,97 @@
+"""Requests at the door of a target and what is decided about them."""
+
+import enum
+
+import attrs
+
+from pomelobank_core._errors import ErrorKind
+
+
+class TrafficClass(enum.Enum):
+    """Classes of requests, the most urgent first.
+
+    Attributes:
+        INTERACTIVE: Somebody waits for the answer.
+        INTERNAL: A service asks on behalf of a request that is under way.
+        BATCH: Reports and lists that are due hours later.
+    """
+
+    INTERACTIVE = "interactive"
+    INTERNAL = "internal"
+    BATCH = "batch"
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """A request at the door of a target.
+
+    Attributes:
+        traffic_class: Its class.
+        route: Its route.
+        deadline_ms: When its caller stops waiting.
+        alone: Whether nothing else may run beside it.
+        offered_ms: When it came.
+        started_ms: When it went to the target; None before.
+    """
+
+    traffic_class: TrafficClass
+    route: str
+    deadline_ms: float
+    alone: bool = False
+    offered_ms: float = 0.0
+    started_ms: float | None = None
+
+
+@attrs.frozen
+class Started:
+    """The request goes to the target now."""
+
+
+@attrs.frozen
+class Queued:
+    """The request waits; a later change starts or expires it."""
+
+
+@attrs.frozen
+class Refused:
+    """The request will not run.
+
+    Attributes:
+        kind: Why.
+        retry_after_ms: When there is likely to be room.
+    """
+
+    kind: ErrorKind
+    retry_after_ms: int
+
+
+Verdict = Started | Queued | Refused
+
+
+@attrs.frozen
+class Change:
+    """What an event did to requests that were waiting.
+
+    Attributes:
+        started: Those that go to the target now.
+        expired: Those whose deadline passed; they have not run.
+    """
+
+    started: tuple[Ticket, ...] = ()
+    expired: tuple[Ticket, ...] = ()
+
+
+class WorkResult(enum.Enum):
+    """How a request's time at the target ended.
+
+    Attributes:
+        ANSWERED: With an answer.
+        SHED: The target turned it away without working on it.
+        LOST: The target broke the connection or took none.
+        ABANDONED: The caller went away or its deadline passed.
+    """
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    LOST = "lost"
+    ABANDONED = "abandoned"
