Command line: numbers in JSON, quiet when its reader goes away

Change: a reader that has gone ends the command quietly with status 0; 64-bit numbers are numbers in JSON.

--- a/packages/pomelobank-cli/src/pomelobank_cli/_main.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_main.py
@@ -39,7 +39,13 @@
         )
     client = _commands.Client.connect(options.node, options.call_timeout)
     try:
-        return int(options.run(client, options))
+        status = int(options.run(client, options))
+        # A reader such as `head` may have gone; that shows only on flushing.
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Python flushes once more when it ends and would complain again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return int(ExitStatus.OK)
     except SchemaError as error:
         return _fail(ExitStatus.BAD_INPUT, f"{options.file}: {error}")
     except grpc.RpcError as error:
@@ -48,6 +54,7 @@
             f"node {options.node} did not answer ({error.code().name.lower()});"
             " try another node of the mesh",
         )
+    return status
 
 
 def _fail(status: ExitStatus, message: str) -> int:
--- a/packages/pomelobank-cli/src/pomelobank_cli/_output.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_output.py
@@ -2,8 +2,10 @@
 
 import json
 from collections.abc import Sequence
+from typing import Any
 
 import yaml
+from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.json_format import MessageToDict
 from google.protobuf.message import Message
 
@@ -18,15 +20,31 @@
     print(yaml.safe_dump(document, sort_keys=False), end="")
 
 
-def as_document(message: Message) -> dict[str, object]:
-    """Returns a message as a JSON document that names every field."""
-    return dict(
-        MessageToDict(
-            message,
-            preserving_proto_field_name=True,
-            always_print_fields_with_no_presence=True,
-        )
+def as_document(message: Message) -> dict[str, Any]:
+    """Returns a message as a JSON document that names every field.
+
+    Protocol buffers write 64-bit numbers as text, for readers that know
+    floating-point numbers only; a script that compares versions wants numbers.
+    """
+    document = MessageToDict(
+        message,
+        preserving_proto_field_name=True,
+        always_print_fields_with_no_presence=True,
     )
+    _restore_numbers(message.DESCRIPTOR, document)
+    return dict(document)
+
+
+def _restore_numbers(descriptor: Any, document: dict[str, Any]) -> None:
+    for field in descriptor.fields:
+        value = document.get(field.name)
+        if value is None:
+            continue
+        if field.cpp_type == FieldDescriptor.CPPTYPE_INT64:
+            document[field.name] = int(value)
+        elif field.cpp_type == FieldDescriptor.CPPTYPE_MESSAGE:
+            for item in value if isinstance(value, list) else [value]:
+                _restore_numbers(field.message_type, item)
 
 
 def print_table(header: Sequence[str], rows: Sequence[Sequence[str]]) -> None:
--- a/packages/pomelobank-cli/src/pomelobank_cli/tests/test_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/tests/test_commands.py
@@ -1,6 +1,9 @@
 """The command line against a node that answers as the test says."""
 
 import json
+import os
+import subprocess
+import sys
 from collections.abc import Iterator
 from concurrent import futures
 from pathlib import Path
@@ -223,6 +226,35 @@
     assert "pomelobank change c7" in capsys.readouterr().out
 
 
+def test_json_has_numbers_for_versions(
+    node: FakeNode, capsys: pytest.CaptureFixture[str]
+) -> None:
+    node.config = objects()
+    assert run(node, "get", "--output", "json") == ExitStatus.OK
+    shown = json.loads(capsys.readouterr().out)
+    assert shown["version"] == 3
+    assert [item["revision"] for item in shown["objects"]] == [1, 1, 3]
+
+
+def test_a_reader_that_goes_away_ends_the_command_quietly(
+    node: FakeNode,
+) -> None:
+    """The output is piped into a command that reads a few lines and ends."""
+    node.config = objects()
+    command = [sys.executable, "-m", "pomelobank_cli", "--node", node.address]
+    process = subprocess.Popen(
+        [*command, "get"],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    assert process.stdout is not None
+    process.stdout.close()
+    assert process.stderr is not None
+    assert process.stderr.read() == b""
+    assert process.wait() == ExitStatus.OK
+
+
 def test_status_names_the_nodes_behind(
     node: FakeNode, capsys: pytest.CaptureFixture[str]
 ) -> None:
