Metric of how long the newest change took

Cause: an operator could see versions, but not how long changes take. Change: pomelobank.config.lag, from the author's call until in force here, by the clocks of two nodes; what a starting node catches up with does not count.

--- a/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
@@ -62,6 +62,8 @@
         snapshots_sent: Snapshots sent to peers, for the metrics.
         pushes_useful: Pushes received that moved the version on.
         pushes_useless: Pushes received that the node had already.
+        lag_ms: Time from its author's call until the newest change was in
+            force here, by the clocks of two nodes.
         sends_failed: Frames that no peer took, for the metrics.
         bytes_sent: Bytes sent to peers by type of frame, for the metrics.
     """
@@ -80,6 +82,7 @@
     snapshots_sent: int = 0
     pushes_useful: int = 0
     pushes_useless: int = 0
+    lag_ms: int = 0
     sends_failed: int = 0
     bytes_sent: Counter[str] = attrs.field(factory=Counter)
     outboxes: dict[str, Outbox] = attrs.field(factory=dict)
@@ -188,6 +191,7 @@
         before, version = self.passed_on, self.store.version
         if version > before:
             self.passed_on = version
+            self._note_lag()
             _logger.info(
                 "config.in_force",
                 extra={"version": version, "at_ms": self.clock.wall_ms()},
@@ -195,6 +199,13 @@
             self._do(self.distribution.advanced(before, version, source))
             self._update_ready()
 
+    def _note_lag(self) -> None:
+        # Only a change that has just come tells how long changes take; what a
+        # starting node catches up with is old.
+        if self.store.ready and self.store.newest_at_ms:
+            passed_ms = self.clock.wall_ms() - self.store.newest_at_ms
+            self.lag_ms = max(0, passed_ms)
+
     async def _beat(self) -> None:
         heartbeat_ms = self.settings.distribution.heartbeat_ms
         while True:
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -81,6 +81,8 @@
         moved: Replaced and set at every move of the version.
         recent: Raw records, kept for peers.
         on_snapshot: Called with each snapshot record that replay passes.
+        newest_at_ms: When the newest change applied was asked for, in ms since
+            the epoch.
         applied: Number of records that were applied, for the metrics.
         restored: Number of snapshots that were taken over, for the metrics.
         unreadable: Number of records that were passed over, for the metrics.
@@ -98,6 +100,7 @@
     moved: asyncio.Event = attrs.field(factory=asyncio.Event)
     recent: RecentRecords = attrs.field(factory=RecentRecords)
     on_snapshot: Callable[[SnapshotRecord], None] | None = None
+    newest_at_ms: int = 0
     applied: int = 0
     restored: int = 0
     unreadable: int = 0
@@ -128,6 +131,8 @@
         if isinstance(record, SnapshotRecord):
             self._pass_snapshot(record)
         change = record if isinstance(record, records.ChangeRecord) else None
+        if change is not None:
+            self.newest_at_ms = change.at_ms
         self._move(advance(self.state, offset, change), data)
         return True
 
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -89,6 +89,11 @@
     "Time since the newest read of the log by any node that this one"
     " knows of; -1 for none.",
 )
+CONFIG_LAG = Instrument(
+    "pomelobank.config.lag",
+    "ms",
+    "Time from its author's call until the newest change was in force here.",
+)
 CONFIG_READER = Instrument(
     "pomelobank.config.reader",
     "1",
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -51,6 +51,7 @@
     feed, clock = node.feed, node.clock
     plan = feed.distribution
     yield listed.CONFIG_LOG_AGE, lambda: plan.log_age_ms(clock.now_ms())
+    yield listed.CONFIG_LAG, lambda: feed.lag_ms
     yield listed.CONFIG_READER, lambda: int(plan.neighbours.is_reader)
     yield listed.CONFIG_BYTES_SENT, lambda: feed.bytes_sent
     yield listed.CONFIG_SENDS_FAILED, lambda: feed.sends_failed
