--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pomelobank_node import INSTRUMENTS
 from pomelobank_node import _reference as node_reference
 from pomelobank_schema import build, read_yaml
 from pomelobank_schema import reference as settings_reference
@@ -28,6 +29,29 @@
     assert missing == []
 
 
+def named_tests() -> set[str]:
+    """Returns the names of all test files and test functions."""
+    files = list((ROOT / "packages").rglob("test_*.py"))
+    names = {path.stem for path in files}
+    for path in files:
+        names.update(re.findall(r"def (test_\w+)", path.read_text()))
+    return names
+
+
+def named_metrics() -> set[str]:
+    """Returns the names of all metrics."""
+    return {item.name for item in INSTRUMENTS}
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda page: page.name)
+def test_named_tests_and_metrics_exist(page: Path) -> None:
+    text = page.read_text()
+    tests = set(re.findall(r"`[\w/-]*?(test_\w+)(?:\.py)?`", text))
+    metrics = set(re.findall(r"`(pomelobank\.[a-z_.]+)`", text))
+    assert tests - named_tests() == set()
+    assert metrics - named_metrics() == set()
+
+
 def test_reference_pages_are_current(tmp_path: Path) -> None:
     node_reference.write_all(tmp_path)
     settings_reference.write_all(tmp_path)
