One conversion from objects to operators' messages; unused methods removed

Cause: the command line and the node each turned services, upstreams and routes into the same messages, field by field; a new field of a route could have been added to one of them only. Two methods (the highest version of all members, the next deadline of those that wait) were called by nobody. Change: pomelobank_schema.operator_messages serves both; the methods are gone. Behaviour and tests are as they were.

--- a/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
@@ -5,7 +5,8 @@
 from pomelobank_cli._output import as_document
 from pomelobank_schema import SchemaError, SchemaErrorKind
 from pomelobank_schema.generated import operator_pb2 as pb
-from pomelobank_schema.generated.records import ConfigDocument, RouteObject
+from pomelobank_schema.generated.records import ConfigDocument
+from pomelobank_schema.operator_messages import object_message
 
 _KINDS = ("service", "upstream", "route")
 
@@ -80,36 +81,9 @@
 
 
 def _wanted(document: ConfigDocument) -> list[pb.ConfigObject]:
-    wanted = [
-        pb.ConfigObject(
-            service=pb.Service(name=item.name, description=item.description)
-        )
-        for item in document.services
-    ]
-    wanted += [
-        pb.ConfigObject(
-            upstream=pb.Upstream(name=item.name, service=item.service)
-        )
-        for item in document.upstreams
-    ]
-    return wanted + [
-        pb.ConfigObject(route=_route(item)) for item in document.routes
-    ]
-
-
-def _route(item: RouteObject) -> pb.Route:
-    return pb.Route(
-        name=item.name,
-        service=item.service,
-        path_prefix=item.path_prefix,
-        destinations=[
-            pb.Destination(upstream=share.upstream, weight=share.weight)
-            for share in item.destinations
-        ],
-        timeout_ms=item.timeout_ms,
-        traffic_class=item.traffic_class,
-        idempotent_methods=item.idempotent_methods,
-    )
+    wanted = [object_message(item) for item in document.services]
+    wanted += [object_message(item) for item in document.upstreams]
+    return wanted + [object_message(item) for item in document.routes]
 
 
 def _put_step(
--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -173,11 +173,6 @@
         """Returns the waiting requests, class by class."""
         return [ticket for queue in self.queues.values() for ticket in queue]
 
-    def next_deadline_ms(self) -> float | None:
-        """Returns the first deadline of those that wait, None without any."""
-        deadlines = [ticket.deadline_ms for ticket in self.waiting_tickets()]
-        return min(deadlines, default=None)
-
     def _offer_wait(self, ticket: Ticket, now_ms: float) -> Verdict:
         # Refusing at once leaves the caller time to go elsewhere; a request
         # that waits and then misses its deadline has cost a place for nothing.
--- a/packages/pomelobank-core/src/pomelobank_core/_members.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_members.py
@@ -247,10 +247,6 @@
         gone = MemberState.GONE.value
         return [entry for entry in self.others.values() if entry.state != gone]
 
-    def highest_version(self) -> int:
-        """Returns the highest version that any member has in force."""
-        return max(entry.version for entry in self.all())
-
     def ready_for(self, upstream: str) -> list[MemberEntry]:
         """Returns the members whose target serves an upstream.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
@@ -1,9 +1,8 @@
 """Converts between operators' messages and the log's records."""
 
-import functools
 from collections.abc import Iterable
 
-from pomelobank_core import ConfigObject, Problem, VersionedObject
+from pomelobank_core import Problem, VersionedObject
 from pomelobank_schema.generated import operator_pb2 as pb
 from pomelobank_schema.generated.records import (
     ChangeRecord,
@@ -13,6 +12,7 @@
     UpstreamObject,
     WeightedDestination,
 )
+from pomelobank_schema.operator_messages import object_message
 
 _DEFAULT_TIMEOUT_MS = 5000
 _KIND_NAMES = {pb.Operation.PUT: "put", pb.Operation.DELETE: "delete"}
@@ -83,45 +83,11 @@
 
 def config_object(item: VersionedObject) -> pb.ConfigObject:
     """Returns the operators' message of an object."""
-    message = _message(item.value)
+    message = object_message(item.value)
     message.revision = item.revision
     return message
 
 
-@functools.singledispatch
-def _message(value: ConfigObject) -> pb.ConfigObject:
-    raise TypeError(f"no message for {type(value).__name__}")
-
-
-@_message.register
-def _(value: ServiceObject) -> pb.ConfigObject:
-    service = pb.Service(name=value.name, description=value.description)
-    return pb.ConfigObject(service=service)
-
-
-@_message.register
-def _(value: UpstreamObject) -> pb.ConfigObject:
-    upstream = pb.Upstream(name=value.name, service=value.service)
-    return pb.ConfigObject(upstream=upstream)
-
-
-@_message.register
-def _(value: RouteObject) -> pb.ConfigObject:
-    route = pb.Route(
-        name=value.name,
-        service=value.service,
-        path_prefix=value.path_prefix,
-        destinations=[
-            pb.Destination(upstream=item.upstream, weight=item.weight)
-            for item in value.destinations
-        ],
-        timeout_ms=value.timeout_ms,
-        traffic_class=value.traffic_class,
-        idempotent_methods=value.idempotent_methods,
-    )
-    return pb.ConfigObject(route=route)
-
-
 def problem_messages(problems: Iterable[Problem]) -> list[pb.ChangeProblem]:
     """Returns the operators' messages of problems."""
     return [
--- /dev/null
+++ b/packages/pomelobank-schema/src/pomelobank_schema/operator_messages.py
@@ -0,0 +1,47 @@
+"""Operators' messages of the objects that records and documents hold."""
+
+import functools
+
+from pomelobank_schema.generated import operator_pb2 as pb
+from pomelobank_schema.generated.records import (
+    RouteObject,
+    ServiceObject,
+    UpstreamObject,
+)
+
+
+@functools.singledispatch
+def object_message(
+    value: ServiceObject | UpstreamObject | RouteObject,
+) -> pb.ConfigObject:
+    """Returns the operators' message of an object, without a revision."""
+    raise TypeError(f"no message for {type(value).__name__}")
+
+
+@object_message.register
+def _(value: ServiceObject) -> pb.ConfigObject:
+    service = pb.Service(name=value.name, description=value.description)
+    return pb.ConfigObject(service=service)
+
+
+@object_message.register
+def _(value: UpstreamObject) -> pb.ConfigObject:
+    upstream = pb.Upstream(name=value.name, service=value.service)
+    return pb.ConfigObject(upstream=upstream)
+
+
+@object_message.register
+def _(value: RouteObject) -> pb.ConfigObject:
+    route = pb.Route(
+        name=value.name,
+        service=value.service,
+        path_prefix=value.path_prefix,
+        destinations=[
+            pb.Destination(upstream=item.upstream, weight=item.weight)
+            for item in value.destinations
+        ],
+        timeout_ms=value.timeout_ms,
+        traffic_class=value.traffic_class,
+        idempotent_methods=value.idempotent_methods,
+    )
+    return pb.ConfigObject(route=route)
