--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -126,10 +126,15 @@
     skip_record,
 )
 from pomelobank_core._retries import (
+    MAX_TRIES,
     FailedTry,
     Retries,
     Retry,
+)
+from pomelobank_core._retry_budget import (
+    Budget,
     RetryBudget,
+    SharedBudget,
 )
 from pomelobank_core._round_robin import (
     RoundRobin,
@@ -185,6 +190,7 @@
 
 __all__ = [
     "ANSWERS",
+    "MAX_TRIES",
     "POINTS_NODE_LOST",
     "POINTS_TARGET_LOST",
     "SHARDS",
@@ -197,6 +203,7 @@
     "Attempt",
     "AttemptState",
     "AttemptStep",
+    "Budget",
     "CandidateIndex",
     "Candidates",
     "Change",
@@ -253,6 +260,7 @@
     "RunState",
     "Send",
     "SendDigest",
+    "SharedBudget",
     "Snapshot",
     "SnapshotSchedule",
     "Standing",
--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -23,6 +23,8 @@
     """Every way in which the system itself ends a request."""
 
     BAD_REQUEST = "bad_request"
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMEOUT = "head_timeout"
     BODY_TOO_LARGE = "body_too_large"
     BODY_INCOMPLETE = "body_incomplete"
     NO_ROUTE = "no_route"
@@ -36,6 +38,8 @@
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    TARGET_REFUSED = "target_refused"
+    TARGET_REPLACED = "target_replaced"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_TOO_LARGE = "answer_too_large"
     ANSWER_TRUNCATED = "answer_truncated"
@@ -73,6 +77,12 @@
     ErrorKind.BAD_REQUEST: Answer(
         400, _NOT_RUN, 0, "The request is malformed."
     ),
+    ErrorKind.HEAD_TOO_LARGE: Answer(
+        431, _NOT_RUN, 0, "The request's head is larger than this mesh allows."
+    ),
+    ErrorKind.HEAD_TIMEOUT: Answer(
+        408, _NOT_RUN, 0, "The request's head did not arrive in time."
+    ),
     ErrorKind.BODY_TOO_LARGE: Answer(
         413, _NOT_RUN, 0, "The request's body is larger than this mesh allows."
     ),
@@ -107,7 +117,7 @@
         "Requests like this one crashed several targets.",
     ),
     ErrorKind.DEADLINE_NOT_RUN: Answer(
-        504, _NOT_RUN, 500, "The deadline passed before the request could run."
+        503, _NOT_RUN, 500, "The deadline passed before the request could run."
     ),
     ErrorKind.DEADLINE_UNKNOWN: Answer(
         504,
@@ -127,6 +137,12 @@
     ErrorKind.UPSTREAM_UNREACHABLE: Answer(
         503, _NOT_RUN, 500, "The target did not accept a connection."
     ),
+    ErrorKind.TARGET_REFUSED: Answer(
+        503, _NOT_RUN, 200, "The target turned the request away unrun."
+    ),
+    ErrorKind.TARGET_REPLACED: Answer(
+        503, _NOT_RUN, 200, "Another instance has taken the target's address."
+    ),
     ErrorKind.UPSTREAM_LOST: Answer(
         502,
         _UNKNOWN,
--- a/packages/pomelobank-core/src/pomelobank_core/_observation.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_observation.py
@@ -37,6 +37,8 @@
     ErrorKind.PEER_UNREACHABLE: TargetResult.FAILED,
     ErrorKind.PEER_LOST: TargetResult.FAILED,
     ErrorKind.UPSTREAM_UNREACHABLE: TargetResult.FAILED,
+    ErrorKind.TARGET_REFUSED: TargetResult.FULL,
+    ErrorKind.TARGET_REPLACED: TargetResult.LEAVING,
     ErrorKind.UPSTREAM_LOST: TargetResult.FAILED,
     ErrorKind.ANSWER_TRUNCATED: TargetResult.FAILED,
 }
--- a/packages/pomelobank-core/src/pomelobank_core/_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retries.py
@@ -2,10 +2,12 @@
 
 import enum
 import random
+from collections.abc import Callable
 
 import attrs
 
 from pomelobank_core._errors import ErrorKind
+from pomelobank_core._retry_budget import Budget, RetryBudget
 
 # Tries of one request, the first included. Three reach past one dead target
 # and one that dies meanwhile; more only add load when most are dead.
@@ -14,19 +16,10 @@
 MAX_LOAD_TRIES = 2
 # Tries that were turned away before they cost a target anything.
 MAX_REDIRECTS = 4
-# One try in ten more than the first tries: a failing upstream gets 10% more
-# load, not a multiple. Over 13 hops that is at most 1.1^13 = 3.5 times, where
-# three tries at each hop would be 3^13 = 1.6 million times.
-BUDGET_RATIO = 0.1
-# Kept for bursts of failures, as when a target with ten requests dies.
-BUDGET_MOST = 20.0
-# So that an upstream with one request a minute may still retry it.
-BUDGET_FLOOR_PER_S = 0.5
 # The shortest pause lets the news of a crash arrive before the next try.
 MIN_DELAY_MS = 10.0
 FIRST_DELAY_MS = 40.0
 MAX_DELAY_MS = 500.0
-_MS_PER_S = 1000.0
 
 
 class RetryCost(enum.Enum):
@@ -52,53 +45,16 @@
     ErrorKind.NOT_READY: RetryCost.REDIRECT,
     ErrorKind.UPSTREAM_UNREACHABLE: RetryCost.NOT_RUN,
     ErrorKind.OVERLOADED: RetryCost.NOT_RUN,
+    ErrorKind.TARGET_REFUSED: RetryCost.NOT_RUN,
+    ErrorKind.TARGET_REPLACED: RetryCost.NOT_RUN,
     ErrorKind.PEER_LOST: RetryCost.IDEMPOTENT,
     ErrorKind.UPSTREAM_LOST: RetryCost.IDEMPOTENT,
     ErrorKind.ANSWER_TRUNCATED: RetryCost.IDEMPOTENT,
 }
 
 
-@attrs.define
-class RetryBudget:
-    """Tries that one upstream may be given beyond the first ones.
-
-    Made for an upstream that fails or is overloaded as a whole. Without it
-    each failed request comes back up to three times, and the upstream stays
-    down under the tries. One notices by load that grows while answers fall.
-
-    Attributes:
-        tokens: Tries that are left.
-        refilled_ms: When the floor was last added.
-        spent: Tries that were allowed.
-        denied: Tries that were not.
-    """
-
-    tokens: float = BUDGET_MOST
-    refilled_ms: float | None = None
-    spent: int = 0
-    denied: int = 0
-
-    def first_try(self, now_ms: float) -> None:
-        """Takes a request's first try."""
-        self._refill(now_ms)
-        self.tokens = min(BUDGET_MOST, self.tokens + BUDGET_RATIO)
-
-    def take(self, now_ms: float) -> bool:
-        """Takes one try out; returns whether there was one."""
-        self._refill(now_ms)
-        if self.tokens < 1.0:
-            self.denied += 1
-            return False
-        self.tokens -= 1.0
-        self.spent += 1
-        return True
-
-    def _refill(self, now_ms: float) -> None:
-        if self.refilled_ms is not None:
-            passed_ms = max(0.0, now_ms - self.refilled_ms)
-            floor = BUDGET_FLOOR_PER_S * passed_ms / _MS_PER_S
-            self.tokens = min(BUDGET_MOST, self.tokens + floor)
-        self.refilled_ms = now_ms
+# Failures that tell of too much work, where waiting would not help.
+_LOAD_ERRORS = (None, ErrorKind.OVERLOADED, ErrorKind.TARGET_REFUSED)
 
 
 @attrs.frozen
@@ -114,6 +70,7 @@
         usual_ms: Time that an answer usually takes.
         is_retry: Whether the request came in as part of another's retry.
         other_room: Whether a target that was not tried plausibly has room.
+        max_tries: Most tries, the first included.
     """
 
     error: ErrorKind | None
@@ -124,6 +81,7 @@
     usual_ms: float = 0.0
     is_retry: bool = False
     other_room: bool = True
+    max_tries: int = MAX_TRIES
 
 
 @attrs.frozen
@@ -161,11 +119,16 @@
 
     Attributes:
         seeded: Source of randomness.
+        new_budget: Makes the budget of an upstream.
+        free_refusals: Whether a try that the target's node refused costs
+            nothing, because the budget bounds what targets themselves see.
         budgets: Budgets by upstream.
     """
 
     seeded: random.Random = attrs.field(factory=random.Random)
-    budgets: dict[str, RetryBudget] = attrs.field(factory=dict)
+    new_budget: Callable[[], Budget] = RetryBudget
+    free_refusals: bool = False
+    budgets: dict[str, Budget] = attrs.field(factory=dict)
 
     def first_try(self, upstream: str, now_ms: float) -> None:
         """Takes a request's first try."""
@@ -184,7 +147,7 @@
         Returns:
             When to try again, None where the caller gets the error now.
         """
-        cost = retry_cost(attempt.error)
+        cost = self._cost(attempt.error)
         if not self._may(cost, attempt):
             return None
         after_ms = self._delay_ms(cost, attempt)
@@ -196,18 +159,26 @@
             return None
         return Retry(after_ms, redirect=False)
 
+    def _cost(self, error: ErrorKind | None) -> RetryCost:
+        if error is ErrorKind.OVERLOADED and self.free_refusals:
+            return RetryCost.REDIRECT
+        return retry_cost(error)
+
     def _may(self, cost: RetryCost, attempt: FailedTry) -> bool:
         if cost is RetryCost.NEVER:
             return False
         if cost is RetryCost.REDIRECT:
+            if attempt.error is ErrorKind.OVERLOADED:
+                return attempt.other_room and attempt.redirects < MAX_LOAD_TRIES
             return attempt.redirects < MAX_REDIRECTS
-        if attempt.is_retry or attempt.tries - attempt.redirects >= MAX_TRIES:
+        sent = attempt.tries - attempt.redirects
+        if attempt.is_retry or sent >= attempt.max_tries:
             return False
         if cost is RetryCost.IDEMPOTENT and not attempt.idempotent:
             return False
         # A full upstream as a whole is not helped by asking it again.
-        is_load = attempt.error in (None, ErrorKind.OVERLOADED)
-        if is_load and attempt.tries - attempt.redirects >= MAX_LOAD_TRIES:
+        is_load = attempt.error in _LOAD_ERRORS
+        if is_load and sent >= MAX_LOAD_TRIES:
             return False
         return attempt.other_room or not is_load
 
@@ -217,7 +188,7 @@
         # them (full jitter).
         if cost is RetryCost.REDIRECT and attempt.redirects <= 1:
             return 0.0
-        if attempt.error is ErrorKind.OVERLOADED:
+        if attempt.error in (ErrorKind.OVERLOADED, ErrorKind.TARGET_REFUSED):
             # Another target has room now or not; waiting would only make a
             # refusal late.
             return 0.0
@@ -225,5 +196,8 @@
         bound_ms = min(MAX_DELAY_MS, bound_ms)
         return MIN_DELAY_MS + self.seeded.uniform(0.0, bound_ms)
 
-    def _budget(self, upstream: str) -> RetryBudget:
-        return self.budgets.setdefault(upstream, RetryBudget())
+    def _budget(self, upstream: str) -> Budget:
+        budget = self.budgets.get(upstream)
+        if budget is None:
+            budget = self.budgets[upstream] = self.new_budget()
+        return budget
--- a/packages/pomelobank-core/src/pomelobank_core/_routing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_routing.py
@@ -1,6 +1,7 @@
 """Matches requests to routes and picks the upstream by weight."""
 
 import math
+from collections.abc import Iterable
 
 import attrs
 import xxhash
@@ -8,6 +9,8 @@
 from pomelobank_core._objects import Snapshot
 from pomelobank_schema.generated.records import RouteObject
 
+BY_METHOD = "by_method"
+ALWAYS = "always"
 STANDARD_IDEMPOTENT = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 
 
@@ -26,11 +29,18 @@
     @classmethod
     def of(cls, snapshot: Snapshot) -> "RouteTable":
         """Prepares the routes of a snapshot."""
+        return cls.of_routes(snapshot.version, snapshot.routes())
+
+    @classmethod
+    def of_routes(
+        cls, version: int, routes: Iterable[RouteObject]
+    ) -> "RouteTable":
+        """Prepares the routes of one version."""
         by_service: dict[str, list[RouteObject]] = {}
-        for route in snapshot.routes():
+        for route in routes:
             by_service.setdefault(route.service, []).append(route)
         return cls(
-            snapshot.version,
+            version,
             {
                 service: tuple(
                     sorted(routes, key=lambda route: -len(route.path_prefix))
@@ -70,13 +80,15 @@
 
 def is_idempotent(route: RouteObject, method: str) -> bool:
     """Tells whether a method of the route may run more than once."""
+    if route.repeatable != BY_METHOD:
+        return route.repeatable == ALWAYS
     if route.idempotent_methods:
         return method in route.idempotent_methods
     return method in STANDARD_IDEMPOTENT
 
 
 def pick_upstream(
-    route: RouteObject, available: frozenset[str], request_key: str
+    route: RouteObject, available: frozenset[str] | None, request_key: str
 ) -> str | None:
     """Picks one of the route's upstreams by weight.
 
@@ -90,7 +102,8 @@
 
     Args:
         route: The route.
-        available: Upstreams with at least one target that can serve.
+        available: Upstreams with at least one target that can serve; None
+            where each keeps its part whether it can serve or not.
         request_key: What identifies the request: its key or its trace id.
 
     Returns:
@@ -99,7 +112,7 @@
     choices = [
         item
         for item in route.destinations
-        if item.weight and item.upstream in available
+        if item.weight and (available is None or item.upstream in available)
     ]
     if len(choices) < 2:
         return choices[0].upstream if choices else None
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_retries.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from pomelobank_core import ErrorKind, FailedTry, Retries, RetryBudget
-from pomelobank_core._retries import BUDGET_MOST, MAX_REDIRECTS, MAX_TRIES
+from pomelobank_core._retries import MAX_REDIRECTS, MAX_TRIES
+from pomelobank_core._retry_budget import BUDGET_MOST
 from pomelobank_core.tests.fleet_support import Fleet, member
 
 FAILED = FailedTry(
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -15,7 +15,6 @@
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._dispatcher import Dispatcher
-from pomelobank_node._entry import Entry
 from pomelobank_node._forwarder import Forwarder, new_placing
 from pomelobank_node._http_server import HttpServer
 from pomelobank_node._log_client import LogClient
@@ -27,11 +26,11 @@
 from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._target_watch import TargetWatch
+from pomelobank_node.callers import CallerServer, HttpLimits, Ingress
 from pomelobank_schema.generated.peer import Hello, MemberEntry
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
-_MS_PER_S = 1000
 
 
 class Component(Protocol):
@@ -112,7 +111,7 @@
         )
         dispatcher = Dispatcher(self.store, self.forwarder, self.clock)
         self._build_claims(dispatcher)
-        self.entry = Entry(dispatcher, settings.requests.max_body_bytes)
+        self.ingress = Ingress(dispatcher, self.clock)
         self.metrics = Metrics(settings.node, settings.data_centre)
         self.pages = Admin(self.target, self.store)
         operator = OperatorService(
@@ -122,11 +121,11 @@
         pages = self.pages.application()
         pages.add_route("/metrics", self.metrics.page)
         # A caller that never reads its answer must not hold up a stop.
-        self.http = HttpServer(
+        self.http = CallerServer(
             listen.http,
-            self.entry,
-            cancels=True,
-            stop_timeout_s=settings.requests.drain_timeout_ms // _MS_PER_S,
+            self.ingress,
+            limits=HttpLimits(body_bytes=settings.requests.max_body_bytes),
+            stop_timeout_ms=settings.requests.drain_timeout_ms,
         )
         self.admin = HttpServer(listen.admin, pages)
         self.peers = PeerServer(
@@ -195,7 +194,7 @@
         """
         _logger.info("node.draining")
         await self.target.close()
-        self.entry.draining = True
+        self.ingress.draining = True
         timeout_ms = self.settings.requests.drain_timeout_ms
         await asyncio.gather(
             self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/_claims.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims.py
@@ -25,7 +25,7 @@
 )
 from pomelobank_node._claims_flight import KeyedRequest
 from pomelobank_node._claims_shard import Place, ShardWorker
-from pomelobank_node._log_client import LogClient
+from pomelobank_node._log import Log
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import (
     ForwardReply,
@@ -77,7 +77,7 @@
 
     members: MemberTable
     links: PeerLinks
-    log: LogClient
+    log: Log
     clock: Clock
     settings: ClaimSettings
     place: Place
--- a/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -35,7 +35,7 @@
     kept_answer,
     replayed_reply,
 )
-from pomelobank_node._log_client import LogClient, LogError, LogErrorKind
+from pomelobank_node._log import Log, LogError, LogErrorKind
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -100,7 +100,7 @@
 
     shard: int
     writer: str
-    log: LogClient
+    log: Log
     clock: Clock
     settings: ClaimSettings
     answers: AnswerStore
@@ -470,9 +470,7 @@
         self.blocked = False
 
     async def _read_once(self) -> None:
-        wait_ms = (
-            self.log.settings.long_poll_ms if self.caught_up.is_set() else 0
-        )
+        wait_ms = self.log.long_poll_ms if self.caught_up.is_set() else 0
         page = await self.log.read(
             self.stream, self.table.next_offset, _PAGE_LIMIT, wait_ms
         )
--- a/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
@@ -20,7 +20,7 @@
 from pomelobank_node._config_frames import make_frame, take_frame
 from pomelobank_node._config_outbox import Outbox
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log_client import LogClient, LogError
+from pomelobank_node._log import Log, LogError
 from pomelobank_node._log_reader import LogReader
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._snapshot_writer import SnapshotWriter
@@ -69,7 +69,7 @@
     """
 
     settings: NodeSettings
-    log: LogClient
+    log: Log
     store: ConfigStore
     members: MemberTable
     links: PeerLinks
--- a/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -14,9 +14,9 @@
     contacts_record,
     is_announcer,
 )
-from pomelobank_node._log_client import (
+from pomelobank_node._log import (
     MEMBERS_STREAM,
-    LogClient,
+    Log,
     LogError,
     LogErrorKind,
     LogPage,
@@ -55,7 +55,7 @@
 
     contact: FirstContact
     swim: Swim
-    log: LogClient
+    log: Log
     links: PeerLinks
     clock: Clock
     joined: asyncio.Event = attrs.field(factory=asyncio.Event)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_dialect.py
@@ -0,0 +1,57 @@
+"""The headers by which callers, nodes and targets understand each other."""
+
+import attrs
+
+from pomelobank_node._http_messages import CONTENT_LENGTH
+
+
+@attrs.frozen
+class Dialect:
+    """Names of headers, all in lower case; an empty name is not used.
+
+    The defaults are the product's own. A platform whose callers and targets
+    were there before the mesh has names of its own for the same things.
+
+    Attributes:
+        service: Names the service where the host does not.
+        timeout: How many ms the caller waits; the target is told what is left.
+        request_id: Id that follows a request through every log.
+        retry: Marks a request that is part of another's retry.
+        idempotency_key: The caller's key.
+        origin: Upstream of the instance that the request began on, as targets
+            are told it.
+        expected_instance: Start of the target that may run the request.
+        not_run: Marks a target's answer that says it has not run the request.
+        proof: Stands in every answer that a target's own work has made; an
+            answer of success without it is not the target's.
+        echoes_id: Whether targets repeat the request's id in their answers.
+        open_ends: Whether a target's answer may end with its connection.
+        fractional_retry_after: Whether callers read fractions of a second.
+    """
+
+    service: bytes = b"x-pomelobank-service"
+    timeout: bytes = b"x-pomelobank-timeout-ms"
+    request_id: bytes = b"x-request-id"
+    retry: bytes = b"x-pomelobank-retry"
+    idempotency_key: bytes = b"idempotency-key"
+    origin: bytes = b""
+    expected_instance: bytes = b""
+    not_run: bytes = b""
+    proof: bytes = b""
+    echoes_id: bool = False
+    open_ends: bool = False
+    fractional_retry_after: bool = False
+    dropped: frozenset[bytes] = attrs.field(init=False)
+
+    @dropped.default
+    def _not_passed_on(self) -> frozenset[bytes]:
+        # A caller that could set these would speak in the system's name.
+        own = {
+            self.service,
+            self.timeout,
+            self.request_id,
+            self.origin,
+            self.expected_instance,
+            CONTENT_LENGTH,
+        }
+        return frozenset(own - {b""})
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,5 +1,6 @@
 """Takes a caller's request to the target that answers it."""
 
+from typing import TYPE_CHECKING, Protocol
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -7,6 +8,7 @@
 from pomelobank_core import (
     Clock,
     ErrorKind,
+    RouteTable,
     is_idempotent,
     pick_upstream,
     scoped_key,
@@ -18,8 +20,6 @@
     whole_reply,
     with_rest,
 )
-from pomelobank_node._claims import ClaimService
-from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._requests import (
     ForwardReply,
@@ -27,9 +27,13 @@
     Headers,
     RequestError,
 )
+from pomelobank_node._tracing import current_trace
 from pomelobank_schema.generated.peer import Header
 from pomelobank_schema.generated.records import RouteObject
 
+if TYPE_CHECKING:
+    from pomelobank_node._claims import ClaimService
+
 
 @attrs.frozen
 class CallerRequest:
@@ -60,6 +64,22 @@
     rest: BodySource | None = None
 
 
+class RoutesInForce(Protocol):
+    """The routes by which a node sends requests on."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be served."""
+
+    @property
+    def routes(self) -> RouteTable:
+        """The routes."""
+
+    @property
+    def version(self) -> int:
+        """Version of the routes."""
+
+
 @attrs.define(eq=False)
 class Dispatcher:
     """Finds the route and the upstream of requests.
@@ -68,13 +88,17 @@
         store: The configuration in force.
         forwarder: Takes requests to the upstream's targets.
         clock: Tells the time.
-        claims: Runs requests with an idempotency key.
+        exact_weights: Whether an upstream keeps its part of the requests also
+            while none of its targets can serve; the others get it where not.
+        claims: Runs requests with an idempotency key, None where keys are left
+            to the targets.
     """
 
-    store: ConfigStore
+    store: RoutesInForce
     forwarder: Forwarder
     clock: Clock
-    claims: ClaimService = attrs.field(init=False)
+    exact_weights: bool = False
+    claims: "ClaimService | None" = None
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
         """Answers one request.
@@ -94,9 +118,14 @@
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
         request = with_rest(self._request(route, caller), caller.rest)
+        trace = current_trace()
+        trace.route = route.name
+        trace.version = request.version
+        trace.deadline_ms = request.remaining_ms
         # A key is looked up before a target: its request may have run, and
         # its resend must not be told that there is none.
-        if caller.idempotency_key and not request.idempotent:
+        has_key = bool(caller.idempotency_key)
+        if has_key and self.claims is not None and not request.idempotent:
             key = scoped_key(caller.service, caller.idempotency_key)
             keyed = attrs.evolve(request, idempotency_key=key)
             return await self.claims.run_once(keyed)
@@ -127,11 +156,14 @@
     async def _route_on(
         self, route: RouteObject, request: ForwardRequest
     ) -> ForwardReply:
-        available = self.forwarder.index.available_upstreams()
+        available = None
+        if not self.exact_weights:
+            available = self.forwarder.index.available_upstreams()
         request_key = request.idempotency_key or request.trace_id
         upstream = pick_upstream(route, available, request_key)
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
+        current_trace().upstream = upstream
         return await self.forwarder.forward(
             attrs.evolve(request, upstream=upstream)
         )
@@ -157,4 +189,7 @@
             idempotent=is_idempotent(route, caller.method),
             version=self.store.version,
             idempotency_key=caller.idempotency_key,
+            max_attempts=route.max_attempts,
+            aim_ms=route.aim_ms,
+            priority=route.priority,
         )
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -7,6 +7,7 @@
 
 from pomelobank_core import (
     ANSWERS,
+    MAX_TRIES,
     CandidateIndex,
     Clock,
     ErrorKind,
@@ -35,6 +36,7 @@
     error_reply,
     reply_error,
 )
+from pomelobank_node._tracing import TryTrace, current_trace
 from pomelobank_schema.generated.peer import Header, MemberEntry
 from pomelobank_schema.generated.settings import RequestSettings
 
@@ -85,6 +87,7 @@
         links: Streams to peers.
         clock: Tells the time.
         placing: Chooses the target.
+        retry_header: Marks a request that is part of a retry; empty for none.
         index: The targets of each upstream.
         retries: Decides about further tries.
         turned_away: Requests refused here because all targets just refused.
@@ -95,6 +98,7 @@
     links: PeerLinks
     clock: Clock
     placing: Placing
+    retry_header: bytes = RETRY_HEADER
     index: CandidateIndex = attrs.field()
     retries: Retries = attrs.field(factory=Retries)
     turned_away: int = 0
@@ -118,7 +122,9 @@
         now_ms = self.clock.now_ms()
         names = {header.name for header in request.headers}
         journey = Journey(
-            request, now_ms + request.remaining_ms, RETRY_HEADER in names
+            request,
+            now_ms + request.remaining_ms,
+            bool(self.retry_header) and self.retry_header in names,
         )
         self.retries.first_try(request.upstream, now_ms)
         target = self._place(journey)
@@ -172,7 +178,7 @@
             journey.request, sent_ms=begun_ms, remaining_ms=left_ms
         )
         if journey.tries > journey.redirects:
-            request = _mark_retry(request)
+            request = self._mark_retry(request)
         journey.tries += 1
         journey.tried.add(target.node)
         self.placing.sent(target, begun_ms)
@@ -181,6 +187,7 @@
             reply = await self._send(target, request)
             took_ms = self.clock.now_ms() - begun_ms
             seen = observation(request, reply, took_ms)
+            _trace_try(target, reply, took_ms)
             if reply.error == ErrorKind.PEER_LOST.value:
                 self.owner.reports.node_lost(request)
             return reply
@@ -199,6 +206,13 @@
             return await self.owner.serve(request)
         return await self.links.to(target.peer_address).forward(request)
 
+    def _mark_retry(self, request: ForwardRequest) -> ForwardRequest:
+        name = self.retry_header
+        if not name or any(item.name == name for item in request.headers):
+            return request
+        marked = (*request.headers, Header(name=name, value=b"1"))
+        return attrs.evolve(request, headers=marked)
+
     def _decide(self, journey: Journey, reply: ForwardReply) -> Retry | None:
         error = reply_error(reply)
         if error is None and not is_shed(reply):
@@ -215,6 +229,7 @@
             left_ms=journey.deadline_ms - now_ms,
             is_retry=journey.is_retry,
             other_room=self._other_room(journey, now_ms),
+            max_tries=request.max_attempts or MAX_TRIES,
         )
         retry = self.retries.decide(request.upstream, attempt, now_ms)
         if retry is not None and retry.redirect:
@@ -284,8 +299,8 @@
     )
 
 
-def _mark_retry(request: ForwardRequest) -> ForwardRequest:
-    if any(header.name == RETRY_HEADER for header in request.headers):
-        return request
-    marked = (*request.headers, Header(name=RETRY_HEADER, value=b"1"))
-    return attrs.evolve(request, headers=marked)
+def _trace_try(target: MemberEntry, reply: ForwardReply, took_ms: int) -> None:
+    outcome = reply.error or str(reply.status)
+    current_trace().tries.append(
+        TryTrace(target.node, target.incarnation, outcome, took_ms)
+    )
--- a/packages/pomelobank-node/src/pomelobank_node/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -104,6 +104,12 @@
         now_ms = self.clock.now_ms()
         self._carry_out(self.admission.finish(ticket, result, now_ms))
 
+    def expel(self) -> None:
+        """Sends away what waits, because the target takes nothing more."""
+        for ticket in list(self.waiting):
+            if ticket.started_ms is None:
+                self._wake(ticket, RequestError(ErrorKind.DRAINING))
+
     def set_slots(self, slots: int) -> None:
         """Takes a new number of slots."""
         now_ms = self.clock.now_ms()
@@ -121,7 +127,7 @@
         except TimeoutError:
             self._give_up(ticket)
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN) from None
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, RequestError):
             self._give_up(ticket)
             raise
         finally:
--- a/packages/pomelobank-node/src/pomelobank_node/_http_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_messages.py
@@ -17,15 +17,26 @@
         b"expect",
     }
 )
+# Options of a connection that name no header.
+_USUAL_OPTIONS = frozenset({b"keep-alive", b"close"})
 
 
 def end_to_end(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Returns the headers that travel on, without those of one connection.
 
+    A connection header may name further ones that concern only its own
+    connection.
+
     >>> end_to_end([(b"te", b"trailers"), (b"accept", b"*/*")])
     [(b'accept', b'*/*')]
+    >>> end_to_end([(b"connection", b"X-Hop"), (b"x-hop", b"1")])
+    []
     """
-    return [item for item in headers if item[0] not in _HOP_BY_HOP]
+    dropped = _HOP_BY_HOP
+    named = find_header(headers, b"connection")
+    if named is not None and named.lower() not in _USUAL_OPTIONS:
+        dropped = dropped | {item.strip() for item in named.lower().split(b",")}
+    return [item for item in headers if item[0] not in dropped]
 
 
 def find_header(headers: Headers, name: bytes) -> bytes | None:
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_log_budget.py
@@ -0,0 +1,59 @@
+"""Bounds how many lines about requests a node writes."""
+
+import attrs
+
+# Lines a second. At 20 us a line both together cost less than half a per cent
+# of a core, whatever the load.
+SUCCESS_PER_S = 10
+FAILURES_PER_S = 200
+_MS_PER_S = 1000
+
+
+@attrs.define
+class LogBudget:
+    """Decides which requests get a line.
+
+    Made for an overload: with a line for each of thousands of refusals a
+    second, writing them would take the core that requests need. Failures are
+    told up to a bound that a calm day never meets, successes are sampled, and
+    what was left out is counted in the next line.
+
+    Attributes:
+        second: The second that is being counted.
+        successes: Lines about successes in it.
+        failures: Lines about failures in it.
+        dropped: Failures without a line since the last one that was told.
+        dropped_total: Failures without a line, for the metrics.
+    """
+
+    second: int = 0
+    successes: int = 0
+    failures: int = 0
+    dropped: int = 0
+    dropped_total: int = 0
+
+    def may_tell_success(self, now_ms: int) -> bool:
+        """Tells whether a success gets a line."""
+        self._turn(now_ms)
+        self.successes += 1
+        return self.successes <= SUCCESS_PER_S
+
+    def may_tell_failure(self, now_ms: int) -> bool:
+        """Tells whether a failure gets a line; counts it where not."""
+        self._turn(now_ms)
+        self.failures += 1
+        if self.failures <= FAILURES_PER_S:
+            return True
+        self.dropped += 1
+        self.dropped_total += 1
+        return False
+
+    def take_dropped(self) -> int:
+        """Returns the failures left out since the last call."""
+        dropped, self.dropped = self.dropped, 0
+        return dropped
+
+    def _turn(self, now_ms: int) -> None:
+        second = now_ms // _MS_PER_S
+        if second != self.second:
+            self.second, self.successes, self.failures = second, 0, 0
--- a/packages/pomelobank-node/src/pomelobank_node/_log_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log_client.py
@@ -1,71 +1,18 @@
 """Client of the platform's append-only log."""
 
-import enum
-
 import aiohttp
 import attrs
 import msgpack
 
+from pomelobank_node._log import LogError, LogErrorKind, LogPage
 from pomelobank_schema.generated.settings import LogSettings
 
-CONFIG_STREAM = "config"
-MEMBERS_STREAM = "members"
-
 _MS_PER_S = 1000
 _HTTP_OK = 200
 _HTTP_GONE = 410
 _HTTP_UNAVAILABLE = 503
 
 
-class LogErrorKind(enum.Enum):
-    """How a call to the log failed.
-
-    Attributes:
-        REFUSED: The log said that it did nothing.
-        UNKNOWN: No answer came; an append may have taken effect.
-        TRIMMED: The records asked for are no longer kept.
-    """
-
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-    TRIMMED = "trimmed"
-
-
-@attrs.frozen
-class LogError(Exception):
-    """A failed call to the log.
-
-    Attributes:
-        kind: How it failed.
-        message: What happened.
-        first_offset: First offset that is still kept, where `kind` is TRIMMED.
-    """
-
-    kind: LogErrorKind
-    message: str
-    first_offset: int = 0
-
-
-@attrs.frozen
-class LogPage:
-    """Records that follow each other in a stream.
-
-    Attributes:
-        first_offset: Offset of the first record.
-        records: The records' bytes.
-        end_offset: Offset that the next append will get.
-    """
-
-    first_offset: int
-    records: tuple[bytes, ...]
-    end_offset: int
-
-    @property
-    def next_offset(self) -> int:
-        """Offset that follows the last record of the page."""
-        return self.first_offset + len(self.records)
-
-
 @attrs.define
 class LogClient:
     """Appends to and reads from streams of the log.
@@ -82,6 +29,11 @@
     appends: int = 0
     bytes_read: int = 0
     session: aiohttp.ClientSession | None = None
+    long_poll_ms: int = attrs.field(init=False)
+
+    @long_poll_ms.default
+    def _of_settings(self) -> int:
+        return self.settings.long_poll_ms
 
     async def start(self) -> None:
         """Opens the client's session."""
--- a/packages/pomelobank-node/src/pomelobank_node/_log_reader.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log_reader.py
@@ -7,9 +7,9 @@
 
 from pomelobank_core import usable_snapshot
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log_client import (
+from pomelobank_node._log import (
     CONFIG_STREAM,
-    LogClient,
+    Log,
     LogError,
     LogErrorKind,
     LogPage,
@@ -41,7 +41,7 @@
             for the metrics.
     """
 
-    log: LogClient
+    log: Log
     store: ConfigStore
     end_offset: int = 0
     behind: bool = False
--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -4,6 +4,7 @@
 import logging
 import random
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import attrs
 
@@ -18,9 +19,8 @@
     Swim,
     take_frame,
 )
-from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._contact_finder import ContactFinder
-from pomelobank_node._log_client import LogClient
+from pomelobank_node._log import Log
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_schema import WireMessage
@@ -44,6 +44,14 @@
 }
 
 
+class Versioned(Protocol):
+    """Tells the configuration version in force."""
+
+    @property
+    def version(self) -> int:
+        """Version in force."""
+
+
 @attrs.define(eq=False)
 class Membership:
     """Watches the members and keeps the table of them up to date.
@@ -64,9 +72,9 @@
 
     table: MemberTable
     settings: MembershipSettings
-    log: LogClient
+    log: Log
     links: PeerLinks
-    store: ConfigStore
+    store: Versioned
     clock: Clock
     on_tick: Callable[[int], None] | None = None
     dropped_frames: int = 0
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -103,7 +103,7 @@
 
 def _requests(node: NodeApplication) -> Readings:
     budgets = node.forwarder.retries.budgets
-    yield listed.REQUESTS, lambda: node.entry.outcomes
+    yield listed.REQUESTS, lambda: node.ingress.outcomes
     yield listed.TURNED_AWAY, lambda: node.forwarder.turned_away
     yield (
         listed.RETRIES,
--- a/packages/pomelobank-node/src/pomelobank_node/_operator.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator.py
@@ -19,9 +19,9 @@
 )
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log_client import (
+from pomelobank_node._log import (
     CONFIG_STREAM,
-    LogClient,
+    Log,
     LogError,
     LogErrorKind,
 )
@@ -70,7 +70,7 @@
     """
 
     store: ConfigStore
-    log: LogClient
+    log: Log
     feed: ConfigFeed
     membership: Membership
     clock: Clock
--- a/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
@@ -78,6 +78,10 @@
         timeout_ms=route.timeout_ms or _DEFAULT_TIMEOUT_MS,
         traffic_class=route.traffic_class or "interactive",
         idempotent_methods=tuple(route.idempotent_methods),
+        repeatable=route.repeatable or "by_method",
+        max_attempts=route.max_attempts,
+        aim_ms=route.aim_ms,
+        priority=route.priority,
     )
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -16,6 +16,7 @@
 from pomelobank_node._bodies import when_ended
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._crash_watch import CrashWatch
+from pomelobank_node._dialect import Dialect
 from pomelobank_node._gate import Gate, new_admission
 from pomelobank_node._requests import (
     ForwardReply,
@@ -38,7 +39,12 @@
 # How soon another try at a target that sheds may fare better.
 _SHED_RETRY_AFTER_MS = 200
 _BROKEN = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_TRUNCATED})
-_LOST = _BROKEN | {ErrorKind.UPSTREAM_UNREACHABLE}
+_RESULTS = {
+    ErrorKind.UPSTREAM_LOST: WorkResult.LOST,
+    ErrorKind.ANSWER_TRUNCATED: WorkResult.LOST,
+    ErrorKind.UPSTREAM_UNREACHABLE: WorkResult.LOST,
+    ErrorKind.TARGET_REFUSED: WorkResult.SHED,
+}
 
 
 @attrs.frozen
@@ -49,11 +55,15 @@
         upstream: Name of the upstream that it belongs to.
         address: Its address, IP:PORT.
         slots: Requests that it runs at once.
+        instance: Its name, which requests to it bear.
+        started_at_ms: When it started, in ms since the epoch; 0 where unknown.
     """
 
     upstream: str
     address: str
     slots: int
+    instance: str = ""
+    started_at_ms: int = 0
 
 
 @attrs.define
@@ -64,6 +74,7 @@
         settings: Limits of requests.
         clock: Tells the time.
         reports: Knows the requests that crash targets.
+        dialect: Names of the headers that the target understands.
         target: The target, None before it announced itself.
         pool: Connections to it.
         gate: Where requests wait for a slot.
@@ -74,6 +85,7 @@
     settings: RequestSettings
     clock: Clock
     reports: CrashReports
+    dialect: Dialect = attrs.field(factory=Dialect)
     target: Target | None = None
     pool: UpstreamPool | None = None
     gate: Gate = attrs.field()
@@ -99,14 +111,16 @@
             return
         known, self.target = self.target, target
         self.gate.set_slots(target.slots)
-        if known is None or known.address != target.address:
+        if known is None or _start_of(known) != _start_of(target):
             self._connect(target)
 
     def _connect(self, target: Target) -> None:
         if self.pool is not None:
             self.pool.close()
         host, port = parse_address(target.address)
-        self.pool = UpstreamPool(host, port, self.settings.max_body_bytes)
+        self.pool = UpstreamPool(
+            host, port, self.settings.max_body_bytes, self.dialect.open_ends
+        )
         self.gate.admission.limit.restart()
 
     async def serve(self, request: ForwardRequest) -> ForwardReply:
@@ -159,8 +173,8 @@
             else:
                 result = WorkResult.ANSWERED
         except BaseException as error:
-            if isinstance(error, RequestError) and error.kind in _LOST:
-                result = WorkResult.LOST
+            if isinstance(error, RequestError):
+                result = _RESULTS.get(error.kind, result)
             self.gate.leave(ticket, result)
             raise
         return when_ended(reply, lambda: self.gate.leave(ticket, result))
@@ -170,7 +184,13 @@
     ) -> ForwardReply:
         with self.watch.watching(request):
             try:
-                reply = await call_target(pool, request, self.gate.outstanding)
+                reply = await call_target(
+                    pool,
+                    request,
+                    self.gate.outstanding,
+                    self.dialect,
+                    self.target.instance if self.target else "",
+                )
             except RequestError as error:
                 if error.kind in _BROKEN and self.target is not None:
                     await self.watch.connection_broke(self.target.address)
@@ -179,13 +199,18 @@
         return reply
 
     def _is_shed(self, ticket: Ticket, reply: ForwardReply) -> bool:
-        if reply.status not in _SHED_STATUSES:
+        if self.dialect.not_run or reply.status not in _SHED_STATUSES:
             return False
         assert ticket.started_ms is not None
         took_ms = self.clock.now_ms() - ticket.started_ms
         usual_ms = self.gate.admission.times.of_route(ticket.route)
         return took_ms <= max(_QUICK_MS, usual_ms / 2)
 
+    def refuse(self) -> None:
+        """Takes no new request; what still waits for a slot goes elsewhere."""
+        self.draining = True
+        self.gate.expel()
+
     async def drain(self, timeout_ms: int) -> None:
         """Takes no new request and waits for those in flight.
 
@@ -202,6 +227,10 @@
             self.pool.close()
 
 
+def _start_of(target: Target) -> tuple[str, str, int]:
+    return target.address, target.instance, target.started_at_ms
+
+
 def _traffic_class(request: ForwardRequest) -> TrafficClass:
     try:
         return TrafficClass(request.traffic_class)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+from typing import TYPE_CHECKING, Protocol
 
 import attrs
 
@@ -14,8 +15,6 @@
     with_rest,
 )
 from pomelobank_node._body_frames import Credit, Grants, send_rest
-from pomelobank_node._claims import ClaimService
-from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
@@ -47,6 +46,9 @@
     VersionDigest,
 )
 
+if TYPE_CHECKING:
+    from pomelobank_node._claims import ClaimService
+
 _logger = logging.getLogger(__name__)
 
 # Requests of one peer that are handled at once. A target has 10 to 20 slots
@@ -62,6 +64,13 @@
 ACCEPT_BACKLOG = 1024
 
 
+class ConfigFrames(Protocol):
+    """Takes peers' frames about the configuration."""
+
+    def receive(self, frame: WireMessage) -> None:
+        """Takes one frame."""
+
+
 @attrs.define(eq=False)
 class Upload:
     """The rest of a request's body on its way in.
@@ -84,7 +93,8 @@
         owner: Runs the peer's requests.
         membership: Takes the peer's gossip.
         feed: Takes the peer's frames about the configuration.
-        claims: Runs the peer's requests with an idempotency key.
+        claims: Runs the peer's requests with an idempotency key, None where
+            keys are left to the targets.
         running: Tasks of the peer's requests, by request id.
         uploads: Bodies on their way in, by request id.
         credits: What the peer granted for answers, by request id.
@@ -98,8 +108,8 @@
     stream: FrameStream
     owner: Owner
     membership: Membership
-    feed: ConfigFeed
-    claims: ClaimService
+    feed: ConfigFrames
+    claims: "ClaimService | None"
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -165,9 +175,7 @@
 
     async def _answer(self, request: ForwardRequest) -> None:
         try:
-            # Without an upstream: the key is to be claimed here first.
-            serve = self.owner.serve if request.upstream else self.claims.serve
-            reply = await serve(request)
+            reply = await self._serve(request)
         except Exception:
             _logger.exception("request.failed")
             self._refuse(request, ErrorKind.INTERNAL)
@@ -184,6 +192,12 @@
             rest.close()
             del self.credits[request.request_id]
 
+    async def _serve(self, request: ForwardRequest) -> ForwardReply:
+        # Without an upstream: the key is to be claimed here first.
+        if not request.upstream and self.claims is not None:
+            return await self.claims.serve(request)
+        return await self.owner.serve(request)
+
     def _with_rest(self, request: ForwardRequest) -> ForwardRequest:
         request_id = request.request_id
 
@@ -305,7 +319,8 @@
         owner: Runs peers' requests.
         membership: Takes peers' gossip.
         feed: Takes peers' frames about the configuration.
-        claims: Runs peers' requests with an idempotency key.
+        claims: Runs peers' requests with an idempotency key, None where keys
+            are left to the targets.
         address: Address that is really used, once it listens.
         connections: Accepted streams and their tasks.
         refused_streams: Streams that were closed because there were too many.
@@ -315,8 +330,8 @@
     listen: str
     owner: Owner
     membership: Membership
-    feed: ConfigFeed
-    claims: ClaimService
+    feed: ConfigFrames
+    claims: "ClaimService | None"
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[PeerConnection, asyncio.Task[None]] = attrs.field(
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -0,0 +1,293 @@
+"""The node as it runs on a platform that was there before the mesh.
+
+The platform publishes the configuration as one document, asks each node
+whether it is ready, and its targets announce themselves in their own words. So
+operators' calls, changes in the log, snapshots and idempotency keys are left
+out here; what differs from platform to platform comes in as ports.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+
+from pomelobank_core import (
+    MemberTable,
+    Retries,
+    SharedBudget,
+    TargetLease,
+)
+from pomelobank_node._clock import SystemClock
+from pomelobank_node._crash_reports import CrashReports
+from pomelobank_node._dialect import Dialect
+from pomelobank_node._dispatcher import Dispatcher
+from pomelobank_node._forwarder import Forwarder, new_placing
+from pomelobank_node._log import Log
+from pomelobank_node._membership import Membership
+from pomelobank_node._owner import Owner
+from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
+from pomelobank_node._peer_server import PeerServer
+from pomelobank_node._target_watch import TargetWatch
+from pomelobank_node.callers import CallerServer, Handler, Ingress
+from pomelobank_node.published import (
+    Decoder,
+    PublishedFeed,
+    PublishedSource,
+    PublishedStore,
+)
+from pomelobank_schema.generated.peer import Hello, MemberEntry
+from pomelobank_schema.generated.settings import NodeSettings
+
+_logger = logging.getLogger(__name__)
+_MS_PER_S = 1000
+# The platform asks once a second whether callers may be sent here and stops
+# after two answers that they may not; the rest of a second is for calls that
+# are on their way.
+ROUTED_AWAY_MS = 2600
+# Kept from the platform's grace to end what is left in order.
+END_RESERVE_MS = 700
+
+
+class Component(Protocol):
+    """A part of the node with life-cycle hooks."""
+
+    async def start(self) -> None:
+        """Begins its work; called once, in order."""
+
+    async def stop(self) -> None:
+        """Ends its work; called once, in reverse order."""
+
+
+@attrs.define(eq=False)
+class SidecarPorts:
+    """What differs from platform to platform.
+
+    Attributes:
+        dialect: Names of headers.
+        log: Where first contacts are announced.
+        source: Where configurations are published.
+        decode: Reads a published configuration.
+        ready_page: Makes the handler of the platform's question whether
+            callers may be sent to a node.
+        control_page: Makes the handler of the target's announcements.
+        parts: Further parts to start first and stop last.
+    """
+
+    dialect: Dialect
+    log: Log
+    source: PublishedSource
+    decode: Decoder
+    ready_page: Callable[["SidecarNode"], Handler]
+    control_page: Callable[["SidecarNode"], Handler]
+    parts: tuple[Component, ...] = ()
+
+
+@attrs.define(eq=False, slots=False)
+class SidecarNode:
+    """One node beside one target.
+
+    Attributes:
+        settings: Its settings.
+        ports: What differs from platform to platform.
+        stopping: Whether it was told to stop.
+        started: Parts to stop, in the order of their start.
+    """
+
+    settings: NodeSettings
+    ports: SidecarPorts
+    stopping: bool = False
+    started: list[Component] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        settings, ports = self.settings, self.ports
+        self.clock = SystemClock()
+        own = MemberEntry(
+            node=settings.node,
+            incarnation=self.clock.wall_ms(),
+            data_centre=settings.data_centre,
+        )
+        hello = Hello(
+            protocol=PROTOCOL_VERSION,
+            node=own.node,
+            incarnation=own.incarnation,
+            data_centre=own.data_centre,
+        )
+        self.store = PublishedStore(ports.decode)
+        self.links = PeerLinks(hello, settings.membership.connect_limit)
+        self.table = MemberTable(own)
+        self.feed = PublishedFeed(
+            ports.source, self.store, self.table, self.links, self.clock
+        )
+        self.crash_reports = CrashReports(self.table, self.links, self.clock)
+        self.owner = Owner(
+            settings.requests, self.clock, self.crash_reports, ports.dialect
+        )
+        self.membership = Membership(
+            self.table,
+            settings.membership,
+            ports.log,
+            self.links,
+            self.store,
+            self.clock,
+        )
+        self.target = TargetWatch(
+            self.owner,
+            self.membership,
+            self.clock,
+            TargetLease(settings.membership.target_lease_ms),
+        )
+        self._build_request_path()
+        self._build_servers()
+
+    def _build_request_path(self) -> None:
+        settings, dialect = self.settings, self.ports.dialect
+        self.forwarder = Forwarder(
+            self.table,
+            self.owner,
+            self.links,
+            self.clock,
+            new_placing(settings.requests),
+            retry_header=dialect.retry,
+            retries=Retries(new_budget=self._new_budget, free_refusals=True),
+        )
+        dispatcher = Dispatcher(
+            self.store, self.forwarder, self.clock, exact_weights=True
+        )
+        self.ingress = Ingress(
+            dispatcher, self.clock, dialect, settings.target.upstream
+        )
+
+    def _new_budget(self) -> SharedBudget:
+        retries = self.settings.retries
+        return SharedBudget(
+            retries.ratio,
+            retries.slack,
+            retries.window_s * _MS_PER_S,
+            lambda: len(self.table.others) + 1,
+        )
+
+    def _build_servers(self) -> None:
+        listen, ports = self.settings.listen, self.ports
+        self.http = CallerServer(listen.http, self.ingress, ports.dialect)
+        self.ready = CallerServer(listen.ready, ports.ready_page(self))
+        self.control = CallerServer(listen.control, ports.control_page(self))
+        self.peers = PeerServer(
+            listen.peer, self.owner, self.membership, self.feed, None
+        )
+        self.limits = LimitsWatch(self.store, self.http)
+
+    @property
+    def serves(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.store.ready and not self.stopping
+
+    async def start(self) -> None:
+        """Starts every part; the first requests are taken at the end."""
+        for part in (
+            *self.ports.parts,
+            self.links,
+            self.crash_reports,
+            self.peers,
+        ):
+            await self._start(part)
+        advertised = self.settings.listen.peer_advertised
+        self.table.update_own(peer_address=advertised or self.peers.address)
+        for part in (
+            self.target,
+            self.control,
+            self.feed,
+            self.membership,
+            self.limits,
+            self.ready,
+            self.http,
+        ):
+            await self._start(part)
+        _logger.info(
+            "node.started",
+            extra={
+                "callers": self.http.address,
+                "peers": self.peers.address,
+                "control": self.control.address,
+                "incarnation": self.table.own.incarnation,
+            },
+        )
+
+    async def _start(self, part: Component) -> None:
+        await part.start()
+        self.started.append(part)
+
+    def apply(self, settings: NodeSettings) -> None:
+        """Takes over what may change while the node runs."""
+        self.settings = settings
+        self.ingress.origin = settings.target.upstream
+
+    async def stop(self) -> None:
+        """Drains, then stops every part without cutting a request off.
+
+        First nobody sends new work here any more: peers are told, and the
+        platform hears that callers should go elsewhere. Only once that has
+        taken effect do connections end, each after the answers under way.
+        """
+        begun_ms = self.clock.now_ms()
+        end_ms = begun_ms + self.settings.stop.grace_s * _MS_PER_S
+        end_ms -= END_RESERVE_MS
+        self.stopping = True
+        _logger.info("node.draining", extra=self._under_way())
+        await self.target.close()
+        await self._sleep_until(begun_ms + ROUTED_AWAY_MS)
+        self.http.drain()
+        await self._wait_for_requests(end_ms)
+        _logger.info("node.drained", extra=self._under_way())
+        await self.membership.leave()
+        for part in reversed(self.started):
+            await part.stop()
+        _logger.info("node.stopped")
+
+    def _under_way(self) -> dict[str, int]:
+        return {
+            "connections": len(self.http.connections),
+            "requests": self.http.under_way,
+            "at_target": self.owner.in_flight,
+        }
+
+    async def _sleep_until(self, at_ms: int) -> None:
+        left_ms = at_ms - self.clock.now_ms()
+        await asyncio.sleep(max(0, left_ms) / _MS_PER_S)
+
+    async def _wait_for_requests(self, until_ms: int) -> None:
+        while self.clock.now_ms() < until_ms:
+            if not self.http.under_way and not self.owner.gate.outstanding:
+                return
+            await asyncio.sleep(0.02)
+
+
+@attrs.define(eq=False)
+class LimitsWatch:
+    """Keeps what callers may send in step with the configuration.
+
+    Attributes:
+        store: The configuration.
+        server: Whose limits they are.
+    """
+
+    store: PublishedStore
+    server: CallerServer
+    task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begins to follow the configuration."""
+        self.task = asyncio.create_task(self._follow())
+
+    async def stop(self) -> None:
+        """Ends that."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    async def _follow(self) -> None:
+        while True:
+            if self.store.ready:
+                self.server.limits = self.store.config.limits
+            await self.store.moved.wait()
--- a/packages/pomelobank-node/src/pomelobank_node/_snapshot_writer.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_snapshot_writer.py
@@ -12,7 +12,7 @@
     snapshot_record,
 )
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log_client import CONFIG_STREAM, LogClient, LogError
+from pomelobank_node._log import CONFIG_STREAM, Log, LogError
 from pomelobank_schema import encode
 from pomelobank_schema.generated.records import SnapshotRecord
 
@@ -34,7 +34,7 @@
 
     schedule: SnapshotSchedule
     store: ConfigStore
-    log: LogClient
+    log: Log
     members: MemberTable
     clock: Clock
     written: int = 0
--- a/packages/pomelobank-node/src/pomelobank_node/_target_call.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_call.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from pomelobank_core import ErrorKind
 from pomelobank_node._bodies import StreamedReply, rest_of
+from pomelobank_node._dialect import Dialect
 from pomelobank_node._http_messages import (
     CONTENT_LENGTH,
     content_length,
@@ -10,16 +12,30 @@
     end_to_end,
     find_header,
 )
-from pomelobank_node._requests import ForwardReply, ForwardRequest
-from pomelobank_node._upstream_client import UpstreamAnswer, UpstreamPool
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+)
+from pomelobank_node._upstream_client import (
+    ExpectedId,
+    UpstreamAnswer,
+    UpstreamPool,
+)
 from pomelobank_schema.generated.peer import Header
 
 _MS_PER_S = 1000
 _HEAD = "HEAD"
+_MISDIRECTED = 421
+_SUCCESSES = range(200, 300)
 
 
 async def call_target(
-    pool: UpstreamPool, request: ForwardRequest, outstanding: int
+    pool: UpstreamPool,
+    request: ForwardRequest,
+    outstanding: int,
+    dialect: Dialect,
+    instance: str = "",
 ) -> ForwardReply:
     """Runs a request on the target.
 
@@ -27,20 +43,24 @@
         pool: Connections to the target.
         request: The request; its remaining time counts from now.
         outstanding: Requests at the target, for the reply.
+        dialect: Names of the headers.
+        instance: The start of the target that may run the request.
 
     Returns:
         The target's answer.
 
     Raises:
-        RequestError: If there is none.
+        RequestError: If there is none, or the target says that it has not run
+            the request.
     """
     deadline_s = asyncio.get_running_loop().time()
     deadline_s += request.remaining_ms / _MS_PER_S
-    headers = [(item.name, item.value) for item in request.headers]
-    headers.append((b"x-request-id", request.trace_id.encode()))
-    headers.append((b"x-pomelobank-timeout-ms", b"%d" % request.remaining_ms))
+    headers = _request_headers(request, dialect, instance)
     rest = rest_of(request)
     more = rest is not None
+    expected = None
+    if dialect.echoes_id:
+        expected = ExpectedId(dialect.request_id, request.trace_id.encode())
     answer = await pool.request(
         encode_request(
             request.method, request.target, headers, request.body, more
@@ -48,10 +68,46 @@
         deadline_s,
         rest,
         chunked=more and content_length(headers) is None,
+        expected_id=expected,
     )
+    _check(answer, dialect)
     return _reply(request, answer, outstanding)
 
 
+def _request_headers(
+    request: ForwardRequest, dialect: Dialect, instance: str
+) -> list[tuple[bytes, bytes]]:
+    headers = [(item.name, item.value) for item in request.headers]
+    headers.append((dialect.request_id, request.trace_id.encode()))
+    headers.append((dialect.timeout, b"%d" % request.remaining_ms))
+    if dialect.expected_instance and instance:
+        headers.append((dialect.expected_instance, instance.encode()))
+    return headers
+
+
+def _check(answer: UpstreamAnswer, dialect: Dialect) -> None:
+    kind = None
+    if dialect.expected_instance and answer.status == _MISDIRECTED:
+        kind = ErrorKind.TARGET_REPLACED
+    elif dialect.not_run and find_header(answer.headers, dialect.not_run):
+        kind = ErrorKind.TARGET_REFUSED
+    elif dialect.proof and answer.status in _SUCCESSES:
+        # Something else than the target's work wrote this; a caller must not
+        # take it for the answer.
+        proven = find_header(answer.headers, dialect.proof) is not None
+        named = not dialect.echoes_id or _has_id(answer, dialect)
+        if not (proven and named):
+            kind = ErrorKind.ANSWER_TRUNCATED
+    if kind is not None:
+        if answer.rest is not None:
+            answer.rest.close()
+        raise RequestError(kind)
+
+
+def _has_id(answer: UpstreamAnswer, dialect: Dialect) -> bool:
+    return find_header(answer.headers, dialect.request_id) is not None
+
+
 def _reply(
     request: ForwardRequest, answer: UpstreamAnswer, outstanding: int
 ) -> ForwardReply:
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -59,7 +59,15 @@
             self._set_target(announcement, restarted=False)
 
     def _set_target(self, new: TargetAnnouncement, restarted: bool) -> None:
-        self.owner.set_target(Target(new.upstream, new.address, new.slots))
+        self.owner.set_target(
+            Target(
+                new.upstream,
+                new.address,
+                new.slots,
+                new.instance,
+                new.started_at_ms,
+            )
+        )
         table = self.membership.table
         state = MemberState.READY.value
         if restarted:
@@ -95,7 +103,7 @@
 
     async def _refuse_later(self) -> None:
         await asyncio.sleep(_REFUSE_AFTER_S)
-        self.owner.draining = True
+        self.owner.refuse()
 
     def _check(self, now_ms: int) -> None:
         if self.lease.check(now_ms) is TargetChange.LAPSED:
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
@@ -18,6 +18,7 @@
 )
 from pomelobank_node._requests import RequestError
 from pomelobank_node._upstream_connection import (
+    ExpectedId,
     UpstreamAnswer,
     UpstreamConnection,
 )
@@ -36,6 +37,9 @@
         host: The target's IP number.
         port: The target's port.
         max_body_bytes: Largest answer that is taken, in bytes.
+        open_ends: Whether the end of the connection may be the end of an
+            answer that states no length. It cannot be told from a target that
+            stopped in the middle, so it is only for targets known to do so.
         idle: Connections without a request, the one used last at the end.
         closed: Set once connections are not kept any more.
         stale_connections: Pooled connections that were found unusable.
@@ -45,6 +49,7 @@
     host: str
     port: int
     max_body_bytes: int
+    open_ends: bool = False
     idle: deque[UpstreamConnection] = attrs.field(factory=deque)
     closed: bool = False
     stale_connections: int = 0
@@ -56,6 +61,7 @@
         deadline_s: float | None = None,
         rest: BodySource | None = None,
         chunked: bool = False,
+        expected_id: ExpectedId | None = None,
     ) -> UpstreamAnswer:
         """Sends one request and waits for its answer.
 
@@ -65,6 +71,7 @@
                 for the whole answer.
             rest: The rest of the body.
             chunked: Whether the rest is sent in HTTP's chunks.
+            expected_id: Id that the answer must bear where it bears one.
 
         Returns:
             The answer, once its head and first part are there.
@@ -79,7 +86,7 @@
         if deadline_s is not None and loop.time() >= deadline_s:
             self.give_back(connection)
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-        future = connection.send(data, deadline_s)
+        future = connection.send(data, deadline_s, expected_id)
         if rest is not None:
             connection.start_upload(rest, chunked)
         try:
@@ -140,4 +147,10 @@
         self.idle.clear()
 
 
-__all__ = ["UpstreamAnswer", "UpstreamPool", "encode_request", "end_to_end"]
+__all__ = [
+    "ExpectedId",
+    "UpstreamAnswer",
+    "UpstreamPool",
+    "encode_request",
+    "end_to_end",
+]
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -20,6 +20,7 @@
     LAST_CHUNK,
     content_length,
     encode_chunk,
+    find_header,
 )
 from pomelobank_node._requests import Headers, RequestError
 
@@ -27,9 +28,23 @@
     from pomelobank_node._upstream_client import UpstreamPool
 
 _FIRST_FINAL_STATUS = 200
+_NO_BODY_STATUSES = frozenset({204, 304})
 _HEAD = b"HEAD "
 
 
+@attrs.frozen
+class ExpectedId:
+    """The header by which a target repeats the id of a request.
+
+    Attributes:
+        header: The header's name, in lower case.
+        value: The id.
+    """
+
+    header: bytes
+    value: bytes
+
+
 @attrs.frozen
 class UpstreamAnswer:
     """An answer of the target.
@@ -58,6 +73,10 @@
         timer: Ends the request under way at its deadline.
         upload: Sends the rest of the request's body.
         uploading: Whether that has not come to its end.
+        expected_id: Id that the answer must bear where it bears one.
+        foreign: Whether the answer being read belongs to another request.
+        met_foreign: Whether one was read since the request was sent.
+        until_closed: Whether the answer's body ends with the connection.
     """
 
     def __init__(self, pool: UpstreamPool) -> None:
@@ -71,6 +90,8 @@
         self.timer: asyncio.TimerHandle | None = None
         self.uploading = False
         self.head_only = False
+        self.expected_id: ExpectedId | None = None
+        self.met_foreign = False
         self.write_ready = asyncio.Event()
         self.write_ready.set()
         self.poll = select.poll()
@@ -82,6 +103,8 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.started = False
+        self.foreign = False
+        self.until_closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport."""
@@ -104,7 +127,10 @@
         return not self.poll.poll(0)
 
     def send(
-        self, data: bytes, deadline_s: float | None
+        self,
+        data: bytes,
+        deadline_s: float | None,
+        expected_id: ExpectedId | None = None,
     ) -> asyncio.Future[UpstreamAnswer]:
         """Sends a request, or the first part of it.
 
@@ -112,11 +138,14 @@
             data: Head and body.
             deadline_s: Loop time at which it is given up, its answer's body
                 included.
+            expected_id: Id that the answer must bear where it bears one.
 
         Returns:
             The answer, once its head and first part are there.
         """
         assert self.transport is not None
+        self.expected_id = expected_id
+        self.met_foreign = False
         loop = asyncio.get_running_loop()
         self.future = loop.create_future()
         if deadline_s is not None:
@@ -172,13 +201,20 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail(ErrorKind.ANSWER_TRUNCATED)
 
+    def eof_received(self) -> None:
+        """Completes an answer whose body ends with the connection.
+
+        A connection that is reset on the way never comes here, so what was
+        cut off is not taken for the whole.
+        """
+        if self.busy and self.until_closed and not self.foreign:
+            self._complete()
+
     def connection_lost(self, _: Exception | None) -> None:
         """Ends the request under way."""
         self.open = False
         self.write_ready.set()
         self.pool.forget(self)
-        # An answer that has no length and ends with the connection cannot be
-        # told from one that broke off, so it counts as broken off too.
         self.fail(
             ErrorKind.ANSWER_TRUNCATED
             if self.started
@@ -206,15 +242,38 @@
 
     def on_headers_complete(self) -> None:
         """Refuses what is too large; ends an answer without a body."""
+        if not self._is_final():
+            return
         length = content_length(self.headers)
-        if self.head_only and self._is_final():
+        self.foreign = self._is_foreign()
+        if self.foreign:
+            return
+        self.until_closed = length is None and self._has_open_end()
+        if self.head_only:
             self._complete()
         elif length is not None and length > self.pool.max_body_bytes:
             self.fail(ErrorKind.ANSWER_TOO_LARGE)
 
+    def _is_foreign(self) -> bool:
+        # A target may send a second answer to an earlier request, where the
+        # answer to this one is due. Handed on, it would tell this caller what
+        # belongs to another; the id is what gives it away.
+        expected = self.expected_id
+        if expected is None:
+            return False
+        value = find_header(self.headers, expected.header)
+        return value is not None and value != expected.value
+
+    def _has_open_end(self) -> bool:
+        if not self.pool.open_ends:
+            return False
+        if self.parser.get_status_code() in _NO_BODY_STATUSES:
+            return False
+        return find_header(self.headers, b"transfer-encoding") is None
+
     def on_body(self, data: bytes) -> None:
         """Collects the body, or passes it on once it is large."""
-        if not self.busy:
+        if not self.busy or self.foreign:
             return
         self.size += len(data)
         if self.size > self.pool.max_body_bytes:
@@ -254,9 +313,11 @@
 
     def on_message_complete(self) -> None:
         """Ends the answer."""
-        if not self._is_final():
+        if self.foreign or not self._is_final():
+            self.met_foreign = self.met_foreign or self.foreign
             self.headers = []
             self.started = False
+            self.foreign = False
             return
         self._complete()
 
@@ -264,6 +325,8 @@
         if not self.busy:
             return
         keep = self.parser.should_keep_alive() and not self.uploading
+        # Where one answer came twice, the next may do so too.
+        keep = keep and not self.until_closed and not self.met_foreign
         self._end_helpers()
         if self.rest is not None:
             self.rest.end()
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_answers.py
@@ -0,0 +1,47 @@
+"""Answers that the system itself gives."""
+
+import json
+
+from pomelobank_core import ANSWERS
+from pomelobank_node._dialect import Dialect
+from pomelobank_node._requests import RequestError
+from pomelobank_node.callers._messages import HttpAnswer
+
+_MS_PER_S = 1000
+
+
+def error_answer(
+    error: RequestError, dialect: Dialect, closes: bool = False
+) -> HttpAnswer:
+    """Returns what a caller is told of an error.
+
+    Args:
+        error: The error.
+        dialect: How the caller reads times.
+        closes: Whether the connection ends after it.
+    """
+    answer = ANSWERS[error.kind]
+    retry_after_ms = error.retry_after_ms
+    if retry_after_ms is None:
+        retry_after_ms = answer.retry_after_ms
+    document = {
+        "error": error.kind.value,
+        "run": answer.run_state.value,
+        "retry_after_ms": retry_after_ms,
+        "message": answer.message,
+    }
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"x-pomelobank-error", error.kind.value.encode()),
+        (b"x-pomelobank-run", answer.run_state.value.encode()),
+    ]
+    if retry_after_ms:
+        headers.append((b"retry-after", _seconds(retry_after_ms, dialect)))
+    body = json.dumps(document).encode()
+    return HttpAnswer(answer.status, headers, body, closes=closes)
+
+
+def _seconds(time_ms: int, dialect: Dialect) -> bytes:
+    if dialect.fractional_retry_after:
+        return b"%.3f" % (time_ms / _MS_PER_S)
+    return b"%d" % -(-time_ms // _MS_PER_S)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
@@ -0,0 +1,240 @@
+"""Takes callers' requests to targets and their answers back."""
+
+import asyncio
+import logging
+import math
+import random
+import re
+from collections import Counter
+
+import attrs
+
+from pomelobank_core import Clock, ErrorKind
+from pomelobank_node._bodies import KEYED_BYTES, BodySource, rest_of
+from pomelobank_node._dialect import Dialect
+from pomelobank_node._dispatcher import CallerRequest, Dispatcher
+from pomelobank_node._http_messages import (
+    CONTENT_LENGTH,
+    end_to_end,
+)
+from pomelobank_node._latency_counts import LatencyCounts
+from pomelobank_node._log_budget import LogBudget
+from pomelobank_node._logging import request_id
+from pomelobank_node._requests import ForwardReply, RequestError, reply_error
+from pomelobank_node._tracing import RequestTrace, begin_trace
+from pomelobank_node.callers._answers import error_answer
+from pomelobank_node.callers._messages import HttpAnswer, HttpRequest
+
+_logger = logging.getLogger(__name__)
+
+ANSWERED = "answered"
+BROKEN_OFF = "broken_off"
+# Names of hosts; an address with a port may stand in a host header too.
+_SERVICE_NAME = re.compile(r"[A-Za-z0-9]([A-Za-z0-9._-]{0,252})")
+# Headers that others read back in logs; longer ones are mistakes.
+_LONGEST_ID = 256
+# A day; a longer wait is a mistake in the caller's units.
+_LONGEST_TIMEOUT_MS = 86_400_000
+_TRACE_BITS = 128
+_NO_BODY_STATUSES = frozenset({204, 304})
+_HEAD = "HEAD"
+
+
+@attrs.define(eq=False)
+class CountedBody:
+    """Passes an answer's body on and notes whether it was whole.
+
+    Attributes:
+        source: The body.
+        outcomes: How many requests ended in which way.
+    """
+
+    source: BodySource
+    outcomes: Counter[str]
+    started: bool = False
+
+    async def read(self) -> bytes:
+        """Returns the next part, empty at the end."""
+        self.started = True
+        try:
+            data = await self.source.read()
+        except RequestError:
+            self.outcomes[BROKEN_OFF] += 1
+            raise
+        if not data:
+            self.outcomes[ANSWERED] += 1
+        return data
+
+    def close(self) -> None:
+        """Gives the rest up."""
+        self.source.close()
+
+
+@attrs.define(eq=False)
+class Ingress:
+    """Answers callers.
+
+    Attributes:
+        dispatcher: Takes requests to targets.
+        clock: Tells the time.
+        dialect: Names of the headers.
+        origin: Upstream of the instance that requests begin on.
+        outcomes: How many requests ended in which way, for the metrics.
+        latency: Times to an answer, for the metrics.
+        lines: Bounds the lines that are logged.
+        draining: Set when no new request is taken.
+    """
+
+    dispatcher: Dispatcher
+    clock: Clock
+    dialect: Dialect = attrs.field(factory=Dialect)
+    origin: str = ""
+    outcomes: Counter[str] = attrs.field(factory=Counter)
+    latency: LatencyCounts = attrs.field(factory=LatencyCounts)
+    lines: LogBudget = attrs.field(factory=LogBudget)
+    draining: bool = False
+
+    async def __call__(self, request: HttpRequest) -> HttpAnswer:
+        """Answers one request."""
+        begun_ms = self.clock.now_ms()
+        trace = begin_trace()
+        try:
+            answer = await self._answer(request)
+        except RequestError as error:
+            self._note_refused(error, trace, begun_ms)
+            return error_answer(error, self.dialect, closes=self.draining)
+        except asyncio.CancelledError:
+            # The caller has gone, so there is nobody to answer.
+            self.outcomes[ErrorKind.CANCELLED.value] += 1
+            self._log("request.cancelled", trace, begun_ms, ErrorKind.CANCELLED)
+            raise
+        self._note_answered(answer, trace, begun_ms)
+        return answer
+
+    async def _answer(self, request: HttpRequest) -> HttpAnswer:
+        if self.draining:
+            raise RequestError(ErrorKind.DRAINING)
+        caller = self._read(request)
+        reply = await self.dispatcher.dispatch(caller)
+        reported = reply_error(reply)
+        if reported is not None:
+            raise reported
+        return self._from_reply(reply, request.method)
+
+    def _read(self, request: HttpRequest) -> CallerRequest:
+        dialect = self.dialect
+        headers = dict(request.headers)
+        trace_id = headers.get(dialect.request_id, b"").decode("latin-1")
+        trace_id = trace_id or f"{random.getrandbits(_TRACE_BITS):032x}"
+        key = headers.get(dialect.idempotency_key, b"").decode("latin-1")
+        if max(len(trace_id), len(key)) > _LONGEST_ID:
+            raise RequestError(ErrorKind.BAD_REQUEST)
+        request_id.set(trace_id)
+        if request.rest is not None and key:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        if key and len(request.body) > KEYED_BYTES:
+            raise RequestError(ErrorKind.BODY_TOO_LARGE)
+        return CallerRequest(
+            service=self._service(headers),
+            method=request.method,
+            path=request.target.partition(b"?")[0].decode("latin-1"),
+            target=request.target,
+            headers=self._passed_on(request, headers),
+            body=request.body,
+            trace_id=trace_id,
+            timeout_ms=_timeout_ms(headers.get(dialect.timeout, b"")),
+            idempotency_key=key,
+            rest=request.rest,
+        )
+
+    def _passed_on(
+        self, request: HttpRequest, headers: dict[bytes, bytes]
+    ) -> list[tuple[bytes, bytes]]:
+        dropped = self.dialect.dropped
+        passed_on = [
+            item
+            for item in end_to_end(request.headers)
+            if item[0] not in dropped
+        ]
+        if self.dialect.origin:
+            passed_on.append((self.dialect.origin, self.origin.encode()))
+        if request.rest is not None and CONTENT_LENGTH in headers:
+            passed_on.append((CONTENT_LENGTH, headers[CONTENT_LENGTH]))
+        return passed_on
+
+    def _service(self, headers: dict[bytes, bytes]) -> str:
+        service = headers.get(self.dialect.service, b"").decode("latin-1")
+        if not service:
+            host = headers.get(b"host", b"").decode("latin-1").lower()
+            service = host.rpartition(":")[0] or host
+        if not _SERVICE_NAME.fullmatch(service):
+            raise RequestError(ErrorKind.BAD_REQUEST)
+        return service
+
+    def _from_reply(self, reply: ForwardReply, method: str) -> HttpAnswer:
+        headers = [(item.name, item.value) for item in reply.headers]
+        rest = rest_of(reply)
+        if reply.status in _NO_BODY_STATUSES and method != _HEAD:
+            headers = end_to_end(headers)
+        if rest is None:
+            return HttpAnswer(
+                reply.status, headers, reply.body, closes=self.draining
+            )
+        counted = CountedBody(rest, self.outcomes)
+        return HttpAnswer(reply.status, headers, reply.body, counted)
+
+    def _note_answered(
+        self, answer: HttpAnswer, trace: RequestTrace, begun_ms: int
+    ) -> None:
+        if answer.rest is None:
+            self.outcomes[ANSWERED] += 1
+        took_ms = self.clock.now_ms() - begun_ms
+        self.latency.add(took_ms)
+        if self.lines.may_tell_success(self.clock.now_ms()):
+            self._log("request.answered", trace, begun_ms, answer.status)
+
+    def _note_refused(
+        self, error: RequestError, trace: RequestTrace, begun_ms: int
+    ) -> None:
+        self.outcomes[error.kind.value] += 1
+        self._log("request.refused", trace, begun_ms, error.kind)
+
+    def _log(
+        self,
+        event: str,
+        trace: RequestTrace,
+        begun_ms: int,
+        outcome: ErrorKind | int | str,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        if isinstance(outcome, ErrorKind):
+            if not self.lines.may_tell_failure(now_ms):
+                return
+            outcome = outcome.value
+        _logger.info(
+            event,
+            extra={
+                "outcome": outcome,
+                "route": trace.route,
+                "routed_version": trace.version,
+                "upstream": trace.upstream,
+                "had_ms": trace.deadline_ms,
+                "took_ms": now_ms - begun_ms,
+                "tries": [str(item) for item in trace.tries],
+                "lines_dropped": self.lines.take_dropped(),
+            },
+        )
+
+
+def _timeout_ms(value: bytes) -> int:
+    if not value:
+        return 0
+    try:
+        timeout_ms = float(value)
+    except ValueError:
+        raise RequestError(ErrorKind.BAD_REQUEST) from None
+    if not 0 <= timeout_ms <= _LONGEST_TIMEOUT_MS or math.isnan(timeout_ms):
+        raise RequestError(ErrorKind.BAD_REQUEST)
+    if timeout_ms < 1:
+        raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
+    return int(timeout_ms)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/parts.py
@@ -0,0 +1,42 @@
+"""The parts from which a node is assembled on another platform."""
+
+from pomelobank_node._dialect import Dialect
+from pomelobank_node._log import Log, LogError, LogErrorKind, LogPage
+from pomelobank_node._logging import set_up_logging
+from pomelobank_node._requests import RequestError
+from pomelobank_node._sidecar import SidecarNode, SidecarPorts
+from pomelobank_node._upstream_client import UpstreamPool, encode_request
+from pomelobank_node.callers import (
+    Handler,
+    HttpAnswer,
+    HttpLimits,
+    HttpRequest,
+)
+from pomelobank_node.published import (
+    Document,
+    PublishedConfig,
+    PublishedSource,
+    SourceError,
+)
+
+__all__ = [
+    "Dialect",
+    "Document",
+    "Handler",
+    "HttpAnswer",
+    "HttpLimits",
+    "HttpRequest",
+    "Log",
+    "LogError",
+    "LogErrorKind",
+    "LogPage",
+    "PublishedConfig",
+    "PublishedSource",
+    "RequestError",
+    "SidecarNode",
+    "SidecarPorts",
+    "SourceError",
+    "UpstreamPool",
+    "encode_request",
+    "set_up_logging",
+]
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -0,0 +1,342 @@
+"""Brings published configurations to this node and on to its peers."""
+
+import asyncio
+import functools
+import logging
+import random
+import zlib
+from collections.abc import Iterable
+
+import attrs
+import xxhash
+
+from pomelobank_core import Clock, MemberState, MemberTable
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import RequestError
+from pomelobank_node.published._source import PublishedSource, SourceError
+from pomelobank_node.published._store import PublishedStore
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import (
+    MemberEntry,
+    RecordsPull,
+    SnapshotPush,
+    VersionDigest,
+)
+
+_logger = logging.getLogger(__name__)
+
+# Nodes of a data centre that read the source. One is enough, because the
+# others notice its silence and read themselves.
+READERS = 1
+# Longest wait of one read. An answer that is lost is noticed after this and
+# the allowance below, well within the three seconds that a source is given to
+# settle after a fault.
+LONG_POLL_MS = 2000
+# Shortest time between two reads that brought news. In a quick succession of
+# changes each read would cost a call, and only the last one counts.
+SETTLE_MS = 200
+# A node that has heard of no read of the source for so long reads itself: two
+# long polls that failed.
+SILENCE_MS = 5000
+# Pause before a peer that knows a newer version is asked for it; mostly the
+# document is on its way already.
+ASK_AFTER_MS = 120
+# Members of other data centres that are told of a new version at once. The
+# others hear of it by gossip or from their own reader.
+FAR_TOLD = 6
+_TICK_S = 0.1
+_FIRST_RETRY_MS = 50
+_MAX_RETRY_MS = 1000
+_MS_PER_S = 1000
+# A document is some hundred kilobytes; a broken peer cannot fill the memory.
+_MAX_DOCUMENT_BYTES = 64 * 1024 * 1024
+
+
+@attrs.define(eq=False)
+class PublishedFeed:
+    """Keeps the store up to date, with few reads of the source.
+
+    Made for a source whose calls are dear and may fail for some nodes only.
+    With every node reading by itself, each change costs a call per node; with
+    one reader in all, its loss stops all news. So one node of each data centre
+    reads and hands the document to the others there, digests tell the rest,
+    and whoever knows less asks whoever knows more.
+
+    Attributes:
+        source: Where configurations are published.
+        store: What is kept up to date.
+        members: The members that the node knows.
+        links: Streams to peers.
+        clock: Tells the time.
+        seeded: Source of randomness.
+        position: Place in the source up to which everything is known.
+        read_ms: When the source was last read, here or by the reader.
+        source_up: Whether the last own read was answered.
+        reads: Reads of the source, for the metrics.
+        pulls_sent: Documents asked for, for the metrics.
+        pushes_sent: Documents sent, for the metrics.
+    """
+
+    source: PublishedSource
+    store: PublishedStore
+    members: MemberTable
+    links: PeerLinks
+    clock: Clock
+    seeded: random.Random = attrs.field(factory=random.Random)
+    position: int | None = None
+    read_ms: int = 0
+    source_up: bool = True
+    reads: int = 0
+    pulls_sent: int = 0
+    pushes_sent: int = 0
+    asked_version: int = 0
+    behind_since_ms: int | None = None
+    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+    sends: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def start(self) -> None:
+        """Starts reading the source and watching the peers' versions."""
+        self.read_ms = self.clock.now_ms()
+        self.tasks = [
+            asyncio.create_task(self._read(), name="published-reader"),
+            asyncio.create_task(self._watch(), name="published-watch"),
+        ]
+
+    async def stop(self) -> None:
+        """Ends the tasks."""
+        tasks = [*self.tasks, *self.sends]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    # Reading the source.
+
+    async def _read(self) -> None:
+        retry_ms = _FIRST_RETRY_MS
+        while True:
+            if not self._has_to_read():
+                await asyncio.sleep(_TICK_S)
+                continue
+            try:
+                news = await self._read_once()
+            except SourceError as error:
+                self._note_source(up=False, reason=error.message)
+                # Full jitter: nodes that lost the source together would
+                # otherwise come back to it in the same instant.
+                pause_ms = self.seeded.uniform(retry_ms / 2, retry_ms)
+                retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
+                await asyncio.sleep(pause_ms / _MS_PER_S)
+                continue
+            retry_ms = _FIRST_RETRY_MS
+            self._note_source(up=True)
+            self._tell_near(heartbeat=not news)
+            if news:
+                await asyncio.sleep(SETTLE_MS / _MS_PER_S)
+
+    def _has_to_read(self) -> bool:
+        first_read = self.position is None and not self.store.ready
+        if first_read or self.is_reader():
+            return True
+        return self.clock.now_ms() - self.read_ms > SILENCE_MS
+
+    def is_reader(self) -> bool:
+        """Tells whether this node reads the source for its data centre."""
+        own = _rank(self.members.own)
+        ahead = sum(_rank(entry) < own for entry in self._near())
+        return ahead < READERS
+
+    async def _read_once(self) -> bool:
+        self.reads += 1
+        if self.position is None:
+            document = await self.source.newest()
+        else:
+            document = await self.source.following(self.position, LONG_POLL_MS)
+        self.read_ms = self.clock.now_ms()
+        if document is None:
+            # Nothing was published yet, or nothing new.
+            self.position = self.position or 0
+            return False
+        self.position = document.position
+        if not document.data or not self.store.offer(document.data, "source"):
+            return False
+        self._spread()
+        return True
+
+    def _note_source(self, up: bool, reason: str = "") -> None:
+        if not up:
+            # What was published meanwhile may have left the history.
+            self.position = None
+        if up == self.source_up:
+            return
+        self.source_up = up
+        _logger.warning(
+            "source.regained" if up else "source.lost",
+            extra={"reason": reason, "version": self.store.version},
+        )
+
+    # Telling peers.
+
+    def _near(self) -> list[MemberEntry]:
+        centre = self.members.own.data_centre
+        return [
+            entry
+            for entry in self.members.present()
+            if entry.data_centre == centre and _is_well(entry)
+        ]
+
+    def _far(self) -> list[MemberEntry]:
+        centre = self.members.own.data_centre
+        return [
+            entry
+            for entry in self.members.present()
+            if entry.data_centre != centre and _is_well(entry)
+        ]
+
+    def _spread(self) -> None:
+        far = self._far()
+        told = self.seeded.sample(far, min(FAR_TOLD, len(far)))
+        self._send(told, self._digest(heartbeat=False))
+        self._send(self._near(), self._document())
+
+    def _tell_near(self, heartbeat: bool) -> None:
+        if heartbeat:
+            self._send(self._near(), self._digest(heartbeat=True))
+
+    def _digest(self, heartbeat: bool) -> VersionDigest:
+        return VersionDigest(
+            version=self.store.version,
+            address=self.members.own.peer_address,
+            heard_version=self.store.version,
+            log_age_ms=self.clock.now_ms() - self.read_ms,
+            heartbeat=heartbeat,
+            ready=self.store.ready,
+        )
+
+    def _document(self) -> SnapshotPush:
+        return SnapshotPush(
+            data=zlib.compress(self.store.data),
+            address=self.members.own.peer_address,
+            logged_as_of=self.store.version,
+        )
+
+    def _send(self, to: Iterable[MemberEntry], frame: WireMessage) -> None:
+        for entry in to:
+            self._post(entry.peer_address, frame)
+
+    def _post(self, address: str, frame: WireMessage) -> None:
+        if not address:
+            return
+        task = asyncio.create_task(self._deliver(address, frame))
+        self.sends.add(task)
+        task.add_done_callback(self.sends.discard)
+
+    async def _deliver(self, address: str, frame: WireMessage) -> None:
+        try:
+            await self.links.to(address).send(frame)
+        except RequestError as error:
+            _logger.debug(
+                "config.not_told",
+                extra={"peer": address, "error": error.kind.value},
+            )
+
+    # Hearing from peers.
+
+    def receive(self, frame: WireMessage) -> None:
+        """Takes a frame about the configuration."""
+        take_frame(frame, self)
+
+    def take_document(self, frame: SnapshotPush) -> None:
+        """Takes a document that a peer sent."""
+        if frame.logged_as_of <= self.store.version and self.store.ready:
+            return
+        unpacker = zlib.decompressobj()
+        try:
+            data = unpacker.decompress(frame.data, _MAX_DOCUMENT_BYTES)
+        except zlib.error as error:
+            _logger.warning(
+                "config.unreadable",
+                extra={"origin": frame.address, "error": str(error)},
+            )
+            return
+        if self.store.offer(data, frame.address):
+            self._send(self._near(), self._digest(heartbeat=False))
+
+    def take_digest(self, frame: VersionDigest) -> None:
+        """Takes a peer's version."""
+        if frame.heartbeat:
+            self.read_ms = max(
+                self.read_ms, self.clock.now_ms() - frame.log_age_ms
+            )
+        if frame.version > self.store.version:
+            self._ask(frame.address, frame.version)
+
+    def take_pull(self, frame: RecordsPull) -> None:
+        """Sends the document to a peer that lacks it."""
+        if frame.from_offset < self.store.version:
+            self.pushes_sent += 1
+            self._post(frame.address, self._document())
+
+    def _ask(self, address: str, version: int) -> None:
+        if version <= self.asked_version:
+            return
+        self.asked_version = version
+        self.pulls_sent += 1
+        self._post(
+            address,
+            RecordsPull(
+                from_offset=self.store.version,
+                address=self.members.own.peer_address,
+            ),
+        )
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self._look_for_newer()
+
+    def _look_for_newer(self) -> None:
+        # Gossip tells every member's version. A digest or an answer that was
+        # lost would else leave this node behind until the next change.
+        newest = max(
+            self.members.present(),
+            key=lambda entry: (entry.version, entry in self._near()),
+            default=None,
+        )
+        if newest is None or newest.version <= self.store.version:
+            self.behind_since_ms = None
+            return
+        now_ms = self.clock.now_ms()
+        if self.behind_since_ms is None:
+            self.behind_since_ms = now_ms
+        if now_ms - self.behind_since_ms >= ASK_AFTER_MS:
+            self.behind_since_ms = now_ms + ASK_AFTER_MS
+            self.asked_version = 0
+            self._ask(newest.peer_address, newest.version)
+
+
+def _rank(entry: MemberEntry) -> int:
+    return xxhash.xxh3_64_intdigest(entry.node.encode())
+
+
+def _is_well(entry: MemberEntry) -> bool:
+    return entry.state != MemberState.SUSPECT.value
+
+
+@functools.singledispatch
+def take_frame(frame: WireMessage, feed: PublishedFeed) -> None:
+    """Hands a frame to the feed; others are ignored."""
+
+
+@take_frame.register
+def _(frame: SnapshotPush, feed: PublishedFeed) -> None:
+    feed.take_document(frame)
+
+
+@take_frame.register
+def _(frame: VersionDigest, feed: PublishedFeed) -> None:
+    feed.take_digest(frame)
+
+
+@take_frame.register
+def _(frame: RecordsPull, feed: PublishedFeed) -> None:
+    feed.take_pull(frame)
--- a/packages/pomelobank-schema/src/pomelobank_schema/_documents.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/_documents.py
@@ -107,6 +107,8 @@
         return _items(typing.get_args(hint)[0], value, where)
     if attrs.has(hint):
         return build(hint, value, where)
+    if hint is float and type(value) is int:
+        return float(value)
     if type(value) is not hint:
         raise SchemaError(
             SchemaErrorKind.WRONG_TYPE,
@@ -127,6 +129,7 @@
 
 _TYPE_NAMES = {
     int: "a whole number",
+    float: "a number",
     str: "text",
     bool: "true or false",
     bytes: "bytes",
--- a/packages/pomelobank-schema/src/pomelobank_schema/generate.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/generate.py
@@ -28,6 +28,7 @@
     _FIELD.TYPE_STRING: ("str", '""'),
     _FIELD.TYPE_BYTES: ("bytes", 'b""'),
     _FIELD.TYPE_BOOL: ("bool", "False"),
+    _FIELD.TYPE_DOUBLE: ("float", "0.0"),
 }
 _MESSAGE_TYPE_NUMBER = 4
 _FIELD_NUMBER = 2
--- a/packages/pomelobank-schema/src/pomelobank_schema/operator_messages.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/operator_messages.py
@@ -43,5 +43,9 @@
         timeout_ms=value.timeout_ms,
         traffic_class=value.traffic_class,
         idempotent_methods=value.idempotent_methods,
+        repeatable=value.repeatable,
+        max_attempts=value.max_attempts,
+        aim_ms=value.aim_ms,
+        priority=value.priority,
     )
     return pb.ConfigObject(route=route)
