--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -0,0 +1,213 @@
+"""Published configurations: never back, and on to those who lack them."""
+
+import asyncio
+import zlib
+
+import pytest
+
+from pomelobank_core import ManualClock, MemberTable, RouteTable
+from pomelobank_node.callers import HttpLimits
+from pomelobank_node.published import (
+    Document,
+    PublishedConfig,
+    PublishedFeed,
+    PublishedStore,
+    SourceError,
+)
+from pomelobank_schema import SchemaError, SchemaErrorKind, WireMessage
+from pomelobank_schema.generated.peer import (
+    MemberEntry,
+    RecordsPull,
+    SnapshotPush,
+    VersionDigest,
+)
+
+GUARD_S = 20
+
+
+def decode(data: bytes) -> PublishedConfig:
+    """Reads a document that is nothing but its version."""
+    if not data.isdigit():
+        raise SchemaError(SchemaErrorKind.MALFORMED, "", "no version")
+    return PublishedConfig(RouteTable(int(data), {}), HttpLimits(), frozenset())
+
+
+class Links:
+    """Notes what is sent to whom."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, WireMessage]] = []
+        self.address = ""
+
+    def to(self, address: str) -> "Links":
+        link = Links()
+        link.sent = self.sent
+        link.address = address
+        return link
+
+    async def send(self, frame: WireMessage) -> None:
+        self.sent.append((self.address, frame))
+
+
+class Source:
+    """Publishes what the test has written down."""
+
+    def __init__(self, *documents: Document | SourceError | None) -> None:
+        self.documents = list(documents)
+        self.positions: list[int | None] = []
+        self.idle = asyncio.Event()
+
+    async def newest(self) -> Document | None:
+        return await self._next(None)
+
+    async def following(self, position: int, wait_ms: int) -> Document | None:
+        return await self._next(position)
+
+    async def _next(self, position: int | None) -> Document | None:
+        self.positions.append(position)
+        if not self.documents:
+            self.idle.set()
+            await asyncio.Event().wait()
+        document = self.documents.pop(0)
+        if isinstance(document, SourceError):
+            raise document
+        return document
+
+
+def member(node: str, centre: str, version: int = 0) -> MemberEntry:
+    return MemberEntry(
+        node=node,
+        state="ready",
+        data_centre=centre,
+        peer_address=f"{node}:1",
+        version=version,
+    )
+
+
+def feed(source: Source, *others: MemberEntry) -> PublishedFeed:
+    table = MemberTable(member("own", "hobart"))
+    table.merge(others)
+    links = Links()
+    return PublishedFeed(
+        source,
+        PublishedStore(decode),
+        table,
+        links,  # type: ignore[arg-type]
+        ManualClock(1000),
+    )
+
+
+def sent(item: PublishedFeed) -> list[tuple[str, WireMessage]]:
+    links = item.links
+    assert isinstance(links, Links)
+    return links.sent
+
+
+@pytest.mark.parametrize(
+    ("offered", "version"),
+    [
+        pytest.param([b"3", b"5"], 5, id="newer"),
+        pytest.param([b"5", b"3"], 5, id="late"),
+        pytest.param([b"5", b"5"], 5, id="twice"),
+        pytest.param([b"5", b"cut of"], 5, id="unreadable"),
+        pytest.param([b"cut of", b"5"], 5, id="unreadable first"),
+    ],
+)
+def test_the_configuration_never_goes_back(
+    offered: list[bytes], version: int
+) -> None:
+    """Documents come late, twice, or broken.
+
+    Taken as they come, requests would go back to a service that the operator
+    has moved them away from.
+    """
+    store = PublishedStore(decode)
+    for data in offered:
+        store.offer(data, "test")
+    assert (store.version, store.ready) == (version, True)
+
+
+def test_without_a_sound_document_nothing_is_served() -> None:
+    store = PublishedStore(decode)
+    assert not store.offer(b"cut of", "test")
+    assert (store.ready, store.unreadable) == (False, 1)
+
+
+async def test_a_reader_hands_on_what_it_reads() -> None:
+    """The node that reads for its data centre finds a new configuration.
+
+    Its neighbours get the document, others only the news that there is one.
+    """
+    source = Source(Document(b"7", 4), None)
+    item = feed(source, member("far", "burnie"))
+    await item.start()
+    async with asyncio.timeout(GUARD_S):
+        await source.idle.wait()
+    await item.stop()
+    assert item.store.version == 7
+    assert source.positions[:2] == [None, 4]
+    digests = [f for _, f in sent(item) if isinstance(f, VersionDigest)]
+    assert any(frame.version == 7 for frame in digests)
+
+
+async def test_after_a_failed_read_the_newest_is_read_again() -> None:
+    """The source fails in the middle of a long poll.
+
+    What was published meanwhile may have left its history, so going on where
+    the poll stood could miss it.
+    """
+    source = Source(Document(b"7", 4), SourceError("down"), Document(b"9", 6))
+    item = feed(source)
+    await item.start()
+    async with asyncio.timeout(GUARD_S):
+        await source.idle.wait()
+    await item.stop()
+    assert item.store.version == 9
+    assert source.positions[:3] == [None, 4, None]
+
+
+async def test_news_of_a_newer_version_is_asked_for_once() -> None:
+    """Two peers tell of the same new version."""
+    item = feed(Source())
+    digest = VersionDigest(version=3, address="far:1")
+    item.receive(digest)
+    item.receive(digest)
+    await asyncio.sleep(0)
+    pulls = [f for _, f in sent(item) if isinstance(f, RecordsPull)]
+    assert len(pulls) == 1
+
+
+async def test_a_peer_that_lacks_the_document_gets_it() -> None:
+    item = feed(Source())
+    item.store.offer(b"7", "test")
+    item.receive(RecordsPull(from_offset=3, address="far:1"))
+    item.receive(RecordsPull(from_offset=7, address="near:1"))
+    await asyncio.sleep(0)
+    assert [address for address, _ in sent(item)] == ["far:1"]
+    frame = sent(item)[0][1]
+    assert isinstance(frame, SnapshotPush)
+    assert zlib.decompress(frame.data) == b"7"
+
+
+async def test_a_document_that_cannot_be_unpacked_changes_nothing() -> None:
+    item = feed(Source())
+    item.store.offer(b"7", "test")
+    item.receive(SnapshotPush(data=b"rubbish", logged_as_of=9))
+    assert item.store.version == 7
+
+
+async def test_a_version_known_by_gossip_alone_is_asked_for() -> None:
+    """Every digest and every answer to this node was lost.
+
+    Without a look at the members' versions it would stay behind until the
+    operator's next change.
+    """
+    item = feed(Source(), member("far", "burnie", version=8))
+    clock = item.clock
+    assert isinstance(clock, ManualClock)
+    item._look_for_newer()
+    clock.advance(500)
+    item._look_for_newer()
+    await asyncio.sleep(0)
+    pulls = [f for _, f in sent(item) if isinstance(f, RecordsPull)]
+    assert len(pulls) == 1
