Admission by rank and time left; a stopping node takes only what it can finish

Under load the queue was first come, first served with 200 ms at most.

Change: LastRequests refuses, from the moment at which callers have been routed away, what would most likely not end before the node does; the last word to peers is bounded to 200 ms. DeadlineAdmission serves the most urgent rank first, within it what can still be in time with the least time to spare, and refuses at once what cannot. Ruled out by replay: dropping late requests early (fewer served after a burst), counting all running work as wait (calls refused).

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -47,6 +47,9 @@
 from pomelobank_core._concurrency import (
     ConcurrencyLimit,
 )
+from pomelobank_core._deadline_admission import (
+    DeadlineAdmission,
+)
 from pomelobank_core._distribution import (
     Distribution,
     Neighbours,
@@ -79,6 +82,9 @@
 from pomelobank_core._floor import (
     VersionFloor,
 )
+from pomelobank_core._last_requests import (
+    LastRequests,
+)
 from pomelobank_core._members import (
     EntryRank,
     MemberState,
@@ -220,6 +226,7 @@
     "ConcurrencyLimit",
     "ConfigObject",
     "ConfigState",
+    "DeadlineAdmission",
     "Distribution",
     "EntryRank",
     "ErrorKind",
@@ -234,6 +241,7 @@
     "FrameVerdict",
     "GuaranteedShared",
     "KeptAnswer",
+    "LastRequests",
     "ManualClock",
     "MemberState",
     "MemberTable",
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -0,0 +1,279 @@
+"""Admission by rank and by the time in which an answer is of use."""
+
+import math
+import random
+
+import attrs
+
+from pomelobank_core._concurrency import ConcurrencyLimit
+from pomelobank_core._errors import ErrorKind
+from pomelobank_core._latency import ServiceTimes
+from pomelobank_core._tickets import (
+    Change,
+    Queued,
+    Refused,
+    Started,
+    Ticket,
+    Verdict,
+    WorkResult,
+)
+
+# Taken for a route's time before the first was measured.
+UNMEASURED_MS = 100.0
+# A running request that has taken its usual time already still takes a part of
+# it, on average, because some requests take several times as long.
+LEAST_LEFT = 0.2
+# Part of the time left that a planned wait may take. Estimates are off by
+# half for mixed work; beyond this most of those that wait are dropped in the
+# end, later than if they had been refused at once.
+WAIT_PART = 0.7
+# Times the usual time that a request is planned with when it comes. Work of one
+# route varies by a third; planned with its mean, half of what waits to the last
+# moment is late.
+SAFE_PART = 1.4
+# Requests that are late already wait in numbers of up to a third of the slots:
+# enough to use what a burst leaves over, without holding hundreds of requests
+# to their deadlines while an overload lasts.
+LATE_PART = 3
+# Longest planned hold of all other requests for one that has to run alone.
+LONGEST_HOLD_MS = 500.0
+# Sooner than this a caller would meet the same queue again.
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 30_000
+
+
+@attrs.define
+class DeadlineAdmission:
+    """Slots and queue of one target, shared by rank and by time left.
+
+    Made for a burst of look-ups that are of use within some hundred ms beside
+    reports that may take seconds. First come, first served makes every
+    look-up late for as long as the burst's queue stands; one notices by a
+    target that is busy all the time with answers that are late. Here the most
+    urgent rank goes first. Within a rank go those that can still be in time,
+    the one with the least time to spare first; what is late already takes the
+    slots that are left. A request that cannot end before its deadline is
+    refused at once, while its caller can still go elsewhere.
+
+    Attributes:
+        limit: Requests tried at once.
+        seeded: Source of randomness.
+        times: Measured service times.
+        running: Requests at the target.
+        queue: Waiting requests.
+        alone: The request that runs or waits to run alone, if any.
+        refused: Requests that were refused.
+        expired: Requests that were dropped from the queue unrun.
+    """
+
+    limit: ConcurrencyLimit
+    seeded: random.Random = attrs.field(factory=random.Random)
+    times: ServiceTimes = attrs.field(factory=ServiceTimes)
+    running: set[Ticket] = attrs.field(factory=set)
+    queue: list[Ticket] = attrs.field(factory=list)
+    alone: Ticket | None = None
+    refused: int = 0
+    expired: int = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Requests at the target."""
+        return len(self.running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        alone_waits = self.alone is not None and self.alone.started_ms is None
+        return len(self.queue) + alone_waits
+
+    def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
+        """Decides about a request that has just come.
+
+        Args:
+            ticket: The request.
+            now_ms: Current time.
+
+        Returns:
+            Whether it starts, waits or is refused.
+        """
+        ticket.offered_ms = now_ms
+        if ticket.deadline_ms <= now_ms:
+            return self._refuse(ErrorKind.DEADLINE_NOT_RUN, MIN_RETRY_AFTER_MS)
+        if ticket.alone:
+            return self._offer_alone(ticket, now_ms)
+        if self.alone is None and self._has_slot() and not self.queue:
+            self._start(ticket, now_ms)
+            return Started()
+        wait_ms = self.wait_ms(ticket, now_ms)
+        if not self._is_worth_waiting(ticket, wait_ms, now_ms):
+            return self._refuse(ErrorKind.OVERLOADED, wait_ms)
+        self.queue.append(ticket)
+        return Queued()
+
+    def _is_worth_waiting(
+        self, ticket: Ticket, wait_ms: float, now_ms: float
+    ) -> bool:
+        usual_ms = self.usual_ms(ticket)
+        spare_ms = ticket.aim_at_ms - now_ms - SAFE_PART * usual_ms
+        if wait_ms <= spare_ms:
+            return True
+        # It would be late. Under a lasting overload only what is in time gets
+        # slots, and a long queue behind that would wait for its deadlines.
+        late = sum(self._is_late(item, now_ms) for item in self.queue)
+        room_ms = ticket.deadline_ms - now_ms - usual_ms
+        return late < self._may_be_late() and wait_ms <= WAIT_PART * room_ms
+
+    def finish(
+        self, ticket: Ticket, result: WorkResult, now_ms: float
+    ) -> Change:
+        """Takes the end of a request's time at the target.
+
+        Args:
+            ticket: The request.
+            result: How it ended.
+            now_ms: Current time.
+
+        Returns:
+            The requests that this let start or that were dropped.
+        """
+        assert ticket.started_ms is not None
+        busy = self.in_flight
+        self.running.discard(ticket)
+        if self.alone is ticket:
+            self.alone = None
+        self._learn(ticket, result, now_ms - ticket.started_ms, busy)
+        return self.start_waiting(now_ms)
+
+    def leave(self, ticket: Ticket, now_ms: float) -> Change:
+        """Takes a waiting request out: its caller went away.
+
+        Args:
+            ticket: The request; nothing happens where it does not wait.
+            now_ms: Current time.
+
+        Returns:
+            The requests that this let start.
+        """
+        if ticket in self.queue:
+            self.queue.remove(ticket)
+        if self.alone is ticket and ticket.started_ms is None:
+            self.alone = None
+        return self.start_waiting(now_ms)
+
+    def set_slots(self, slots: int, now_ms: float) -> Change:
+        """Takes a new number of slots; returns what this let start."""
+        self.limit.set_slots(slots)
+        return self.start_waiting(now_ms)
+
+    def start_waiting(self, now_ms: float) -> Change:
+        """Drops what cannot end in time and starts what there is room for."""
+        dropped = self._drop(now_ms)
+        started: list[Ticket] = []
+        if self.alone is not None:
+            if self.alone.started_ms is None and not self.running:
+                self._start(self.alone, now_ms)
+                started.append(self.alone)
+            return Change(tuple(started), dropped)
+        while self.queue and self._has_slot():
+            ticket = min(self.queue, key=lambda item: self._rank(item, now_ms))
+            self.queue.remove(ticket)
+            self._start(ticket, now_ms)
+            started.append(ticket)
+        return Change(tuple(started), dropped)
+
+    def usual_ms(self, ticket: Ticket) -> float:
+        """Returns the time that a request usually takes at the target."""
+        return self.times.of_route(ticket.route) or UNMEASURED_MS
+
+    def wait_ms(self, ticket: Ticket, now_ms: float) -> float:
+        """Returns how long a new request would wait for its slot."""
+        own = self._rank(ticket, now_ms)
+        ahead_ms = sum(
+            self.usual_ms(item)
+            for item in self.queue
+            if self._rank(item, now_ms) <= own
+        )
+        left_ms = sum(self._left_ms(item, now_ms) for item in self.running)
+        slots = max(1, self.limit.current)
+        # Of n requests that end at any time up to twice their mean, the first
+        # ends after 2 / (n + 1) of it.
+        first_free_ms = left_ms / slots * 2 / (slots + 1)
+        return first_free_ms + ahead_ms / slots
+
+    def _rank(self, ticket: Ticket, now_ms: float) -> tuple[int, bool, float]:
+        spare_ms = ticket.aim_at_ms - now_ms - self.usual_ms(ticket)
+        if spare_ms < 0:
+            return ticket.priority, True, ticket.deadline_ms
+        return ticket.priority, False, spare_ms
+
+    def _is_late(self, ticket: Ticket, now_ms: float) -> bool:
+        return ticket.aim_at_ms - now_ms < self.usual_ms(ticket)
+
+    def _left_ms(self, ticket: Ticket, now_ms: float) -> float:
+        usual_ms = self.usual_ms(ticket)
+        taken_ms = now_ms - (ticket.started_ms or now_ms)
+        return max(usual_ms - taken_ms, LEAST_LEFT * usual_ms)
+
+    def _has_slot(self) -> bool:
+        return self.in_flight < self.limit.current
+
+    def _offer_alone(self, ticket: Ticket, now_ms: float) -> Verdict:
+        # One at a time: several would empty the target for each in turn and
+        # take it from the requests that are no danger. Behind long work, the
+        # target would stand idle for seconds; the suspect comes back later.
+        empty_ms = max(
+            (self._left_ms(item, now_ms) for item in self.running), default=0.0
+        )
+        room_ms = min(ticket.deadline_ms - now_ms, LONGEST_HOLD_MS)
+        if self.alone is not None or empty_ms > room_ms:
+            return self._refuse(ErrorKind.OVERLOADED, LONGEST_HOLD_MS)
+        self.alone = ticket
+        if self.running:
+            return Queued()
+        self._start(ticket, now_ms)
+        return Started()
+
+    def _start(self, ticket: Ticket, now_ms: float) -> None:
+        ticket.started_ms = now_ms
+        self.running.add(ticket)
+
+    def _drop(self, now_ms: float) -> tuple[Ticket, ...]:
+        # Its caller learns now, and not at its deadline, that it will not run.
+        dropped = [
+            ticket
+            for ticket in self.queue
+            if now_ms + self.usual_ms(ticket) / 2 >= ticket.deadline_ms
+        ]
+        for ticket in dropped:
+            self.queue.remove(ticket)
+        alone = self.alone
+        waits_alone = alone is not None and alone.started_ms is None
+        if alone is not None and waits_alone and alone.deadline_ms <= now_ms:
+            dropped.append(alone)
+            self.alone = None
+        self.expired += len(dropped)
+        return tuple(dropped)
+
+    def _may_be_late(self) -> int:
+        return max(1, self.limit.current // LATE_PART)
+
+    def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
+        # Spread over once to twice the wait, because all those refused in one
+        # burst would otherwise come back as the next burst.
+        self.refused += 1
+        spread_ms = wait_ms * self.seeded.uniform(1.0, 2.0)
+        if math.isinf(spread_ms):
+            spread_ms = MAX_RETRY_AFTER_MS
+        within_ms = min(max(spread_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
+        return Refused(kind, int(within_ms))
+
+    def _learn(
+        self, ticket: Ticket, result: WorkResult, took_ms: float, busy: int
+    ) -> None:
+        if result is WorkResult.ANSWERED:
+            self.times.add(ticket.traffic_class.value, ticket.route, took_ms)
+            self.limit.answered(ticket.route, took_ms, busy)
+        elif result is WorkResult.SHED:
+            self.limit.shed()
+        elif result is WorkResult.LOST:
+            self.limit.restart()
--- a/packages/pomelobank-core/src/pomelobank_core/_tickets.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_tickets.py
@@ -1,6 +1,7 @@
 """Requests at the door of a target and what is decided about them."""
 
 import enum
+import math
 
 import attrs
 
@@ -30,6 +31,8 @@
         route: Its route.
         deadline_ms: When its caller stops waiting.
         alone: Whether nothing else may run beside it.
+        priority: Its rank; 0 is the most urgent.
+        aim_at_ms: Until when an answer is of full use.
         offered_ms: When it came.
         started_ms: When it went to the target; None before.
     """
@@ -38,6 +41,8 @@
     route: str
     deadline_ms: float
     alone: bool = False
+    priority: int = 0
+    aim_at_ms: float = math.inf
     offered_ms: float = 0.0
     started_ms: float | None = None
 
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_deadline_admission.py
@@ -0,0 +1,205 @@
+"""Loads at their worst, replayed against admission by rank and time left."""
+
+import random
+
+import attrs
+import pytest
+
+from pomelobank_core import (
+    ConcurrencyLimit,
+    DeadlineAdmission,
+    Refused,
+    Started,
+    Ticket,
+    TrafficClass,
+    WorkResult,
+)
+from pomelobank_core.tests.load_support import Events
+
+SLOTS = 18
+
+
+@attrs.frozen
+class Work:
+    """One kind of request.
+
+    Attributes:
+        route: Its route.
+        per_s: Requests a second.
+        work_ms: Time at the target.
+        aim_ms: Time in which the answer is of full use.
+        timeout_ms: Its caller's limit.
+        priority: Its rank.
+    """
+
+    route: str
+    per_s: float
+    work_ms: float
+    aim_ms: float
+    timeout_ms: float
+    priority: int = 2
+
+
+@attrs.define(slots=False)
+class Target:
+    """One target; counts what became of the requests of each route.
+
+    Attributes:
+        first_come: Whether rank and aims are left out, as the baseline does.
+    """
+
+    first_come: bool = False
+    events: Events = attrs.field(factory=Events)
+    seeded: random.Random = attrs.field(factory=lambda: random.Random(1))
+    outcomes: dict[str, dict[str, int]] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        limit = ConcurrencyLimit(SLOTS, current=SLOTS, cold=False)
+        self.admission = DeadlineAdmission(limit, self.seeded)
+        self.work: dict[Ticket, Work] = {}
+        self.refused_after_ms: list[float] = []
+
+    def load(self, work: Work, begin_ms: float, end_ms: float) -> None:
+        at_ms = begin_ms
+        while (at_ms := at_ms + self.seeded.expovariate(work.per_s) * 1000) < (
+            end_ms
+        ):
+            self.events.at(at_ms, lambda: self._offer(work))
+
+    def _offer(self, work: Work) -> None:
+        now_ms = self.events.now_ms
+        ticket = Ticket(
+            TrafficClass.INTERACTIVE,
+            work.route,
+            now_ms + work.timeout_ms,
+            priority=0 if self.first_come else work.priority,
+            aim_at_ms=now_ms
+            + (work.timeout_ms if self.first_come else work.aim_ms),
+        )
+        self.work[ticket] = work
+        verdict = self.admission.offer(ticket, now_ms)
+        if isinstance(verdict, Started):
+            self._run(ticket)
+        elif isinstance(verdict, Refused):
+            self._count(ticket, "refused")
+            self.refused_after_ms.append(0.0)
+
+    def _run(self, ticket: Ticket) -> None:
+        work = self.work[ticket]
+        took_ms = work.work_ms * self.seeded.uniform(0.7, 1.3)
+        self.events.at(
+            self.events.now_ms + took_ms, lambda: self._ended(ticket)
+        )
+
+    def _ended(self, ticket: Ticket) -> None:
+        now_ms = self.events.now_ms
+        change = self.admission.finish(ticket, WorkResult.ANSWERED, now_ms)
+        work = self.work[ticket]
+        in_aim = now_ms <= ticket.offered_ms + work.aim_ms
+        self._count(ticket, "in aim" if in_aim else "late")
+        for item in change.expired:
+            self._count(item, "dropped")
+        for item in change.started:
+            self._run(item)
+
+    def _count(self, ticket: Ticket, outcome: str) -> None:
+        route = self.outcomes.setdefault(ticket.route, {})
+        route[outcome] = route.get(outcome, 0) + 1
+
+    def part(self, route: str, outcome: str) -> float:
+        found = self.outcomes[route]
+        return found.get(outcome, 0) / sum(found.values())
+
+
+# Two thirds of the slots are busy on an ordinary day.
+LOOK_UP = Work("look-up", 85, 90, 300, 1000)
+REPORT = Work("report", 18, 220, 600, 2000)
+CALL = Work("call", 60, 22, 100, 250, priority=0)
+ORDER = Work("order", 30, 120, 400, 1200, priority=1)
+
+
+@pytest.mark.parametrize(
+    ("first_come", "keeps_up"),
+    [
+        pytest.param(False, True, id="by deadline"),
+        pytest.param(True, False, id="first come"),
+    ],
+)
+def test_orders_in_a_rush_of_look_ups(first_come: bool, keeps_up: bool) -> None:
+    """Look-ups come at twice their usual rate for three seconds.
+
+    Orders are worth more and are ranked before them. Served in the order in
+    which they come, orders wait in the look-ups' queue and are late with them.
+    """
+    target = Target(first_come)
+    target.load(LOOK_UP, 0, 6000)
+    target.load(ORDER, 0, 6000)
+    target.load(attrs.evolve(LOOK_UP, per_s=120), 2000, 5000)
+    target.events.run()
+    assert (target.part("order", "in aim") > 0.97) is keeps_up
+
+
+@pytest.mark.parametrize(
+    ("first_come", "better"),
+    [
+        pytest.param(False, True, id="by deadline"),
+        pytest.param(True, False, id="first come"),
+    ],
+)
+def test_what_can_be_in_time_goes_before_what_is_late(
+    first_come: bool, better: bool
+) -> None:
+    """A target is asked for a quarter more than it can do, for six seconds.
+
+    In the order in which they come, every request waits for those that are
+    late already, and hardly any is in time although the target never rests.
+    """
+    target = Target(first_come)
+    target.load(attrs.evolve(LOOK_UP, per_s=250), 0, 6000)
+    target.events.run()
+    assert (target.part("look-up", "in aim") > 0.7) is better
+
+
+def test_what_cannot_be_served_is_refused_at_once() -> None:
+    """A target is asked for three times what it can do.
+
+    A request that would be dropped from the queue in the end is better refused
+    when it comes: its caller can still go elsewhere.
+    """
+    target = Target()
+    target.load(attrs.evolve(LOOK_UP, per_s=600), 0, 4000)
+    target.events.run()
+    assert target.part("look-up", "in aim") > 0.28
+    assert target.part("look-up", "refused") > 0.5
+    assert target.part("look-up", "dropped") < 0.12
+
+
+def test_calls_of_running_work_go_before_a_queue_of_reports() -> None:
+    """Reports come at a rate that fills every slot and a queue.
+
+    A call that another target makes while it works holds a slot there. Waiting
+    behind the reports it would fail, and its parent's work with it.
+    """
+    target = Target()
+    target.load(attrs.evolve(REPORT, per_s=90, timeout_ms=6000), 0, 3000)
+    target.load(CALL, 1000, 3000)
+    target.events.run()
+    assert target.part("call", "in aim") > 0.95
+    assert target.part("report", "in aim") > 0.6
+
+
+def test_refusals_tell_a_time_that_grows_with_the_queue() -> None:
+    """A hundred callers are refused in one moment.
+
+    Told the same time they would come back as the next rush.
+    """
+    target = Target()
+    admission = target.admission
+    times = []
+    for _ in range(300):
+        ticket = Ticket(TrafficClass.INTERACTIVE, "a", 1000, aim_at_ms=300)
+        verdict = admission.offer(ticket, 0)
+        if isinstance(verdict, Refused):
+            times.append(verdict.retry_after_ms)
+    assert len(times) > 100
+    assert max(times) > 1.5 * min(times)
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -8,6 +8,7 @@
 from pomelobank_core import (
     Clock,
     ErrorKind,
+    LastRequests,
     RouteTable,
     is_idempotent,
     pick_upstream,
@@ -90,6 +91,7 @@
         clock: Tells the time.
         exact_weights: Whether an upstream keeps its part of the requests also
             while none of its targets can serve; the others get it where not.
+        last_requests: Tells which requests a stopping node still takes.
         claims: Runs requests with an idempotency key, None where keys are left
             to the targets.
     """
@@ -98,6 +100,7 @@
     forwarder: Forwarder
     clock: Clock
     exact_weights: bool = False
+    last_requests: LastRequests = attrs.field(factory=LastRequests)
     claims: "ClaimService | None" = None
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
@@ -117,6 +120,8 @@
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
+        if not self.last_requests.takes(route.name, self.clock.now_ms()):
+            raise RequestError(ErrorKind.DRAINING)
         request = with_rest(self._request(route, caller), caller.rest)
         trace = current_trace()
         trace.route = route.name
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -174,8 +174,14 @@
     async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
         begun_ms = self.clock.now_ms()
         left_ms = journey.deadline_ms - begun_ms
+        first = journey.request
+        spent_ms = first.remaining_ms - left_ms
         request = attrs.evolve(
-            journey.request, sent_ms=begun_ms, remaining_ms=left_ms
+            first,
+            sent_ms=begun_ms,
+            remaining_ms=left_ms,
+            # What is late already keeps the shortest aim that can be told.
+            aim_ms=max(1, first.aim_ms - spent_ms) if first.aim_ms else 0,
         )
         if journey.tries > journey.redirects:
             request = self._mark_retry(request)
--- a/packages/pomelobank-node/src/pomelobank_node/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -11,6 +11,7 @@
     Change,
     Clock,
     ConcurrencyLimit,
+    DeadlineAdmission,
     ErrorKind,
     FirstCome,
     FixedPartition,
@@ -44,8 +45,15 @@
     return policies[settings.admission]
 
 
-def new_admission(settings: RequestSettings) -> Admission:
+_BY_DEADLINE = "by_deadline"
+
+
+def new_admission(
+    settings: RequestSettings,
+) -> Admission | DeadlineAdmission:
     """Returns the admission of a target that is not known yet."""
+    if settings.admission == _BY_DEADLINE:
+        return DeadlineAdmission(ConcurrencyLimit.start(settings.slots))
     return Admission(
         admission_policy(settings),
         ConcurrencyLimit.start(settings.slots),
@@ -67,7 +75,7 @@
         idle: Set while no request waits or runs.
     """
 
-    admission: Admission
+    admission: Admission | DeadlineAdmission
     clock: Clock
     waiting: dict[Ticket, asyncio.Future[None]] = attrs.field(factory=dict)
     waits: int = 0
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -147,11 +147,14 @@
         if request.remaining_ms <= 0:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
         standing = self.reports.check(request)
+        now_ms = self.clock.now_ms()
         ticket = Ticket(
             _traffic_class(request),
             request.route,
-            deadline_ms=self.clock.now_ms() + request.remaining_ms,
+            deadline_ms=now_ms + request.remaining_ms,
             alone=standing is Standing.SUSPECT,
+            priority=request.priority,
+            aim_at_ms=now_ms + (request.aim_ms or request.remaining_ms),
         )
         await self.gate.enter(ticket)
         return await self._admitted(ticket, self.pool, request)
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,7 +47,10 @@
 # are on their way.
 ROUTED_AWAY_MS = 2600
 # Kept from the platform's grace to end what is left in order.
-END_RESERVE_MS = 700
+END_RESERVE_MS = 500
+# Longest wait for peers to take the last word of a node that has ended its
+# work; whoever misses it notices by its probes.
+LEAVE_MS = 200
 
 
 class Component(Protocol):
@@ -152,11 +155,11 @@
             retry_header=dialect.retry,
             retries=Retries(new_budget=self._new_budget, free_refusals=True),
         )
-        dispatcher = Dispatcher(
+        self.dispatcher = Dispatcher(
             self.store, self.forwarder, self.clock, exact_weights=True
         )
         self.ingress = Ingress(
-            dispatcher, self.clock, dialect, settings.target.upstream
+            self.dispatcher, self.clock, dialect, settings.target.upstream
         )
 
     def _new_budget(self) -> SharedBudget:
@@ -237,14 +240,22 @@
         _logger.info("node.draining", extra=self._under_way())
         await self.target.close()
         await self._sleep_until(begun_ms + ROUTED_AWAY_MS)
+        self.dispatcher.last_requests.ends_at_ms = end_ms
         self.http.drain()
         await self._wait_for_requests(end_ms)
         _logger.info("node.drained", extra=self._under_way())
-        await self.membership.leave()
+        await self._leave()
         for part in reversed(self.started):
             await part.stop()
         _logger.info("node.stopped")
 
+    async def _leave(self) -> None:
+        try:
+            async with asyncio.timeout(LEAVE_MS / _MS_PER_S):
+                await self.membership.leave()
+        except TimeoutError:
+            _logger.info("node.left_unheard")
+
     def _under_way(self) -> dict[str, int]:
         return {
             "connections": len(self.http.connections),
