--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_retry_budget.py
@@ -0,0 +1,72 @@
+"""The mesh's allowance of retries, kept in every span of its window."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomelobank_core import SharedBudget
+from pomelobank_core._retry_budget import SHARED_PART
+
+RATIO = 0.2
+SLACK = 60.0
+WINDOW_MS = 10_000.0
+
+
+def budget(nodes: int) -> SharedBudget:
+    return SharedBudget(RATIO, SLACK, WINDOW_MS, lambda: nodes)
+
+
+def test_all_nodes_together_keep_the_slack() -> None:
+    """A target dies after a calm minute and every node tries again at once.
+
+    With a full bucket on each node an upstream of few requests would get
+    several times what its operator allows.
+    """
+    nodes = [budget(13) for _ in range(13)]
+    allowed = sum(item.take(60_000) for item in nodes for _ in range(20))
+    assert 0 < allowed <= SLACK
+
+
+def test_requests_earn_tries() -> None:
+    item = budget(1000)
+    for _ in range(100):
+        item.first_try(0)
+    assert sum(item.take(0) for _ in range(100)) == int(
+        SHARED_PART * (RATIO * 100 + SLACK / 1000)
+    )
+
+
+def test_tries_come_back_once_the_window_has_passed() -> None:
+    item = budget(1)
+    while item.take(0):
+        continue
+    assert not item.take(WINDOW_MS / 2)
+    assert item.take(1.2 * WINDOW_MS)
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 400), st.booleans()), min_size=1, max_size=300
+    )
+)
+def test_no_span_of_the_window_holds_more(
+    steps: list[tuple[int, bool]],
+) -> None:
+    item = budget(4)
+    now_ms = 0
+    firsts: list[int] = []
+    spent: list[int] = []
+    for pause_ms, is_first in steps:
+        now_ms += pause_ms
+        if is_first:
+            item.first_try(now_ms)
+            firsts.append(now_ms)
+        elif item.take(now_ms):
+            spent.append(now_ms)
+    for begin_ms in spent:
+        end_ms = begin_ms + WINDOW_MS
+        in_span = sum(begin_ms <= at < end_ms for at in spent)
+        # The window slides in tenths, so requests count a little longer.
+        earned = sum(
+            begin_ms - 1.1 * WINDOW_MS <= at <= end_ms for at in firsts
+        )
+        assert in_span <= RATIO * earned + SLACK / 4
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -145,10 +145,6 @@
         )
         dispatcher.claims = self.claims
 
-    def peer_bytes(self) -> int:
-        """Returns the bytes sent to peers so far."""
-        return self.links.bytes_sent + self.peers.bytes_sent
-
     async def start(self) -> None:
         """Starts every part; the first requests are taken at the end."""
         for part in (
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -279,6 +279,55 @@
     "Bytes of answers kept for resends.",
 )
 
+LATENCY = Instrument(
+    "pomelobank.requests.within",
+    "1",
+    "Requests that were answered within so many ms.",
+    label="le",
+    monotonic=True,
+)
+LATENCY_SUM = Instrument(
+    "pomelobank.requests.answer_time",
+    "ms",
+    "Sum of the times to an answer.",
+    monotonic=True,
+)
+HEDGED = Instrument(
+    "pomelobank.hedges",
+    "1",
+    "Overdue requests that were sent to a second target.",
+    monotonic=True,
+)
+HEDGES_WON = Instrument(
+    "pomelobank.hedges.won",
+    "1",
+    "Overdue requests that the second target answered first.",
+    monotonic=True,
+)
+SOURCE_UP = Instrument(
+    "pomelobank.source.up",
+    "1",
+    "Whether the last read of published configurations succeeded.",
+)
+SOURCE_READS = Instrument(
+    "pomelobank.source.reads",
+    "1",
+    "Reads of published configurations.",
+    monotonic=True,
+)
+LINES_DROPPED = Instrument(
+    "pomelobank.log_lines.dropped",
+    "1",
+    "Failed requests without a line in the log, because there were too many.",
+    monotonic=True,
+)
+OUTPUT_DROPPED = Instrument(
+    "pomelobank.log_lines.unwritten",
+    "1",
+    "Lines dropped because nobody read the node's output.",
+    monotonic=True,
+)
+
 ALL = tuple(
     value
     for name, value in sorted(globals().items())
--- a/packages/pomelobank-node/src/pomelobank_node/_latency_counts.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_latency_counts.py
@@ -1,6 +1,7 @@
 """Counts of times, for the histograms of the metrics page."""
 
 from bisect import bisect_left
+from itertools import accumulate
 
 import attrs
 
@@ -32,7 +33,7 @@
         self.counts[bisect_left(BOUNDS_MS, took_ms)] += 1
         self.sum_ms += took_ms
 
-    @property
-    def total(self) -> int:
-        """Times so far."""
-        return sum(self.counts)
+    def cumulative(self) -> dict[str, int]:
+        """Returns the times up to each bound, as histograms are told."""
+        bounds = [*map(str, BOUNDS_MS), "+Inf"]
+        return dict(zip(bounds, accumulate(self.counts), strict=True))
--- a/packages/pomelobank-node/src/pomelobank_node/_logging.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_logging.py
@@ -7,6 +7,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from pomelobank_node._log_output import BoundedOutput
+
 request_id: contextvars.ContextVar[str] = contextvars.ContextVar(
     "request_id", default=""
 )
@@ -34,7 +36,7 @@
 
 def set_up_logging(
     level: str, node: str, data_centre: str, version: Callable[[], int]
-) -> None:
+) -> BoundedOutput:
     """Sends all logs of the process to standard output as JSON.
 
     Args:
@@ -42,8 +44,12 @@
         node: The node's id.
         data_centre: The node's data centre.
         version: Tells the configuration version in force.
+
+    Returns:
+        Where the lines go.
     """
-    handler = logging.StreamHandler(sys.stdout)
+    output = BoundedOutput(sys.stdout.fileno())
+    handler = logging.StreamHandler(output)
     formatter = JsonFormatter(
         "%(asctime)s %(levelname)s %(name)s %(message)s",
         rename_fields={"asctime": "time", "levelname": "level"},
@@ -54,3 +60,4 @@
     root.handlers = [handler]
     root.setLevel(level.upper())
     logging.getLogger("uvicorn").setLevel(logging.WARNING)
+    return output
--- a/packages/pomelobank-node/src/pomelobank_node/_metrics.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_metrics.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from typing import TYPE_CHECKING
 
 import attrs
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
@@ -13,8 +14,10 @@
 from opentelemetry.sdk.resources import Resource
 from prometheus_client import REGISTRY, generate_latest
 from prometheus_client.exposition import CONTENT_TYPE_LATEST
-from starlette.requests import Request
-from starlette.responses import Response
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.responses import Response
 
 Reading = int | float | Mapping[str, int]
 Read = Callable[[], Reading]
@@ -100,8 +103,13 @@
         if self.provider is not None:
             self.provider.shutdown()
 
-    async def page(self, _: Request) -> Response:
+    def text(self) -> bytes:
+        """Returns every metric in the Prometheus text format."""
+        return generate_latest(REGISTRY)
+
+    async def page(self, _: "Request") -> "Response":
         """Answers with every metric in the Prometheus text format."""
-        return Response(
-            generate_latest(REGISTRY), media_type=CONTENT_TYPE_LATEST
-        )
+        # A node whose pages another server serves does without this library.
+        from starlette.responses import Response
+
+        return Response(self.text(), media_type=CONTENT_TYPE_LATEST)
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -4,18 +4,107 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from pomelobank_core import TwoChoices
 from pomelobank_node import _instruments as listed
 from pomelobank_node._metrics import Instrument, Metrics, Read
 
 if TYPE_CHECKING:
+    from pomelobank_core import MemberTable
     from pomelobank_node._application import NodeApplication
+    from pomelobank_node._crash_reports import CrashReports
+    from pomelobank_node._forwarder import Forwarder
+    from pomelobank_node._membership import Membership
+    from pomelobank_node._owner import Owner
+    from pomelobank_node._peer_links import PeerLinks
+    from pomelobank_node._peer_server import PeerServer
+    from pomelobank_node._sidecar import SidecarNode
+    from pomelobank_node._target_watch import TargetWatch
+    from pomelobank_node.callers import Ingress
 
 Readings = Iterator[tuple[Instrument, Read]]
 
 
+class ObservedNode(Protocol):
+    """The parts that every node has, however it is assembled."""
+
+    @property
+    def table(self) -> MemberTable:
+        """The members."""
+
+    @property
+    def membership(self) -> Membership:
+        """What watches them."""
+
+    @property
+    def links(self) -> PeerLinks:
+        """Streams to peers."""
+
+    @property
+    def peers(self) -> PeerServer:
+        """Streams of peers."""
+
+    @property
+    def owner(self) -> Owner:
+        """The own target's owner."""
+
+    @property
+    def target(self) -> TargetWatch:
+        """The own target's state."""
+
+    @property
+    def forwarder(self) -> Forwarder:
+        """What places requests."""
+
+    @property
+    def ingress(self) -> Ingress:
+        """What answers callers."""
+
+    @property
+    def crash_reports(self) -> CrashReports:
+        """Requests that crash targets."""
+
+
+def peer_bytes(node: ObservedNode) -> int:
+    """Returns the bytes sent to peers so far."""
+    return node.links.bytes_sent + node.peers.bytes_sent
+
+
+def observe_sidecar(
+    metrics: Metrics, node: SidecarNode, unwritten: Read
+) -> None:
+    """Adds every metric of a node on a platform.
+
+    Args:
+        metrics: Takes the instruments; not started yet.
+        node: Whose parts are read.
+        unwritten: Tells the lines that nobody read.
+    """
+    for readings in (
+        _published(node),
+        _members(node),
+        _target(node),
+        _requests(node),
+        _placing(node),
+        _quarantine(node),
+    ):
+        for instrument, read in readings:
+            metrics.observe(instrument, read)
+    metrics.observe(listed.OUTPUT_DROPPED, unwritten)
+
+
+def _published(node: SidecarNode) -> Readings:
+    store, feed = node.store, node.feed
+    yield listed.CONFIG_VERSION, lambda: store.version
+    yield listed.CONFIG_READY, lambda: int(store.ready)
+    yield listed.CONFIG_APPLIED, lambda: store.applied
+    yield listed.CONFIG_UNREADABLE, lambda: store.unreadable
+    yield listed.CONFIG_READER, lambda: int(feed.is_reader())
+    yield listed.SOURCE_UP, lambda: int(feed.source_up)
+    yield listed.SOURCE_READS, lambda: feed.reads
+
+
 def observe_node(metrics: Metrics, node: NodeApplication) -> None:
     """Adds every metric of a node.
 
@@ -36,6 +125,8 @@
     ):
         for instrument, read in readings:
             metrics.observe(instrument, read)
+    pages = node.pages
+    metrics.observe(listed.BAD_ANNOUNCEMENTS, lambda: pages.bad_announcements)
 
 
 def _configuration(node: NodeApplication) -> Readings:
@@ -68,7 +159,7 @@
     yield listed.LOG_BYTES_READ, lambda: log.bytes_read
 
 
-def _members(node: NodeApplication) -> Readings:
+def _members(node: ObservedNode) -> Readings:
     table, swim = node.table, node.membership.swim
     yield (
         listed.MEMBERS,
@@ -77,12 +168,12 @@
     yield listed.MEMBERS_SUSPECTED, lambda: swim.suspected
     yield listed.MEMBERS_REFUTED, lambda: table.refutations
     yield listed.MEMBERS_PAUSES, lambda: swim.pauses
-    yield listed.PEER_BYTES_SENT, node.peer_bytes
+    yield listed.PEER_BYTES_SENT, lambda: peer_bytes(node)
     yield listed.PEER_LATE_FRAMES, lambda: node.links.late_replies
     yield listed.PEER_REFUSED_STREAMS, lambda: node.peers.refused_streams
 
 
-def _target(node: NodeApplication) -> Readings:
+def _target(node: ObservedNode) -> Readings:
     owner, gate = node.owner, node.owner.gate
     admission = gate.admission
     yield listed.REQUESTS_IN_FLIGHT, lambda: owner.in_flight
@@ -98,12 +189,17 @@
     yield listed.TARGET_EXPIRED, lambda: admission.expired
     yield listed.TARGET_CRASHES, lambda: owner.watch.crashes
     yield listed.TARGET_LAPSES, lambda: node.target.lease.lapses
-    yield listed.BAD_ANNOUNCEMENTS, lambda: node.pages.bad_announcements
 
 
-def _requests(node: NodeApplication) -> Readings:
+def _requests(node: ObservedNode) -> Readings:
     budgets = node.forwarder.retries.budgets
-    yield listed.REQUESTS, lambda: node.ingress.outcomes
+    ingress, forwarder = node.ingress, node.forwarder
+    yield listed.REQUESTS, lambda: ingress.outcomes
+    yield listed.LATENCY, ingress.latency.cumulative
+    yield listed.LATENCY_SUM, lambda: ingress.latency.sum_ms
+    yield listed.HEDGED, lambda: forwarder.hedged
+    yield listed.HEDGES_WON, lambda: forwarder.hedges_won
+    yield listed.LINES_DROPPED, lambda: ingress.lines.dropped_total
     yield listed.TURNED_AWAY, lambda: node.forwarder.turned_away
     yield (
         listed.RETRIES,
@@ -115,14 +211,14 @@
     )
 
 
-def _placing(node: NodeApplication) -> Readings:
+def _placing(node: ObservedNode) -> Readings:
     placing = node.forwarder.placing
     if isinstance(placing, TwoChoices):
         yield listed.EJECTIONS, lambda: placing.ejections
         yield listed.SPILLS, lambda: placing.spills
 
 
-def _quarantine(node: NodeApplication) -> Readings:
+def _quarantine(node: ObservedNode) -> Readings:
     reports = node.crash_reports
     yield listed.SUSPECT_REQUESTS, lambda: len(reports.table.entries)
     yield listed.QUARANTINE_REFUSED, lambda: reports.refused
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -26,7 +26,9 @@
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._forwarder import Forwarder, new_placing
 from pomelobank_node._log import Log
+from pomelobank_node._log_output import BoundedOutput
 from pomelobank_node._membership import Membership
+from pomelobank_node._metrics_page import MetricsPage
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
 from pomelobank_node._peer_server import PeerServer
@@ -183,6 +185,12 @@
         )
         self.limits = LimitsWatch(self.store, self.http)
 
+    async def serve_metrics(self, output: BoundedOutput) -> None:
+        """Serves the metrics, where the settings name an address for them."""
+        if self.settings.listen.metrics:
+            page = MetricsPage(self, output)
+            await self._start(CallerServer(self.settings.listen.metrics, page))
+
     @property
     def serves(self) -> bool:
         """Whether callers may be sent here."""
