Connections that go silent are broken after 1.5 s; dark peers are not waited for in turn

Cause: connections to peers, target and store could go silent without a sign: keep-alives asked after 15 s only. Requests that met a dark peer waited for the same connection one after the other, each for a whole second.

Change: TCP_USER_TIMEOUT of 1.5 s and keep-alives after 2 s on all three; connecting takes 0.5 s at most, and a peer that did not answer is unreachable for 0.5 s.

--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -1,6 +1,7 @@
 """Streams to peers: one connection per peer, opened on need."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import attrs
@@ -18,7 +19,13 @@
 from pomelobank_schema.generated.peer import Hello
 
 PROTOCOL_VERSION = 1
-CONNECT_TIMEOUT_S = 1.0
+# Ten round trips between the regions. A peer that is dark answers nothing, and
+# whoever waits for it could be served elsewhere.
+CONNECT_TIMEOUT_S = 0.5
+# After a peer could not be reached, it is held to be unreachable for so long.
+# Requests that came meanwhile would else try it one after the other, each for
+# the whole time-out.
+UNREACHABLE_S = 0.5
 DEFAULT_CONNECT_LIMIT = 32
 _MS_PER_S = 1000
 
@@ -38,6 +45,7 @@
         tasks: Tasks of the streams that are not closed yet.
         links: All links of the node, with what they share.
         used_s: Time of the event loop when the link was last used.
+        failed_s: Time of the event loop when the peer was last unreachable.
     """
 
     address: str
@@ -46,6 +54,7 @@
     current: OutgoingStream | None = None
     ended_late_frames: int = 0
     used_s: float = 0.0
+    failed_s: float = -math.inf
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     connecting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
 
@@ -69,6 +78,9 @@
         async with self.connecting:
             if self.current is not None and not self.current.closing:
                 return self.current
+            now_s = asyncio.get_running_loop().time()
+            if now_s - self.failed_s < UNREACHABLE_S:
+                raise RequestError(ErrorKind.PEER_UNREACHABLE)
             self.current = await self._open()
             return self.current
 
@@ -83,7 +95,10 @@
                 _, stream = await loop.create_connection(
                     FrameStream, host, port
                 )
-        except (OSError, TimeoutError):
+        except TimeoutError:
+            self.failed_s = loop.time()
+            raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
+        except OSError:
             raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
         stream.send(self.hello)
         outgoing = OutgoingStream(self.address, stream, self._take)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_sockets.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_sockets.py
@@ -1,19 +1,24 @@
-"""Options of the sockets between nodes."""
+"""Options of the sockets to peers, to the target and to the log."""
 
 import asyncio
 import socket
 
-# A peer that was cut off or lost its machine sends no end of its stream. After
-# 15 s of silence the kernel asks three times, 5 s apart, and then breaks the
-# stream, so that a node does not collect dead streams for hours. Membership
-# notices a dead peer much earlier; this bounds what is left over.
-_IDLE_S = 15
-_INTERVAL_S = 5
-_TRIES = 3
+# A connection may go silent for good while new ones work: its other end was cut
+# off, lost its machine, or something on the way forgot it. Nothing tells of
+# that, and what is sent there waits for its deadline. So the kernel breaks a
+# connection whose bytes nobody has acknowledged for so long: in a network that
+# loses one packet in forty, one in a million repeats takes this time.
+_UNACKNOWLEDGED_MS = 1500
+# Where nothing is sent, the kernel asks after so many seconds without a word,
+# and again a second later. Membership notices a dead peer earlier; this bounds
+# how long an answer that was lost with its connection is waited for.
+_IDLE_S = 2
+_INTERVAL_S = 1
+_TRIES = 2
 
 
 def notice_dead_peer(transport: asyncio.BaseTransport) -> None:
-    """Lets the kernel break a stream whose other end is silent for good."""
+    """Lets the kernel break a connection whose other end is silent for good."""
     link = transport.get_extra_info("socket")
     if link is None:
         return
@@ -21,3 +26,6 @@
     link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _IDLE_S)
     link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _INTERVAL_S)
     link.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _TRIES)
+    link.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
+    )
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -22,6 +22,7 @@
     encode_chunk,
     find_header,
 )
+from pomelobank_node._peer_sockets import notice_dead_peer
 from pomelobank_node._requests import Headers, RequestError
 
 if TYPE_CHECKING:
@@ -111,6 +112,7 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.open = True
+        notice_dead_peer(transport)
         sock = transport.get_extra_info("socket")
         self.poll.register(sock.fileno(), select.POLLIN)
 
