--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -9,6 +9,11 @@
 from pomelobank_core._concurrency import ConcurrencyLimit
 from pomelobank_core._errors import ErrorKind
 from pomelobank_core._latency import ServiceTimes
+from pomelobank_core._refusals import (
+    MAX_RETRY_AFTER_MS,
+    MIN_RETRY_AFTER_MS,
+    refusal,
+)
 from pomelobank_core._slot_sharing import (
     AdmissionPolicy,
     GuaranteedShared,
@@ -38,9 +43,6 @@
 UNMEASURED_MS = 100.0
 # Longest planned hold of all other requests for one that has to run alone.
 LONGEST_HOLD_MS = 500.0
-# Sooner than this a caller would meet the same queue again.
-MIN_RETRY_AFTER_MS = 50
-MAX_RETRY_AFTER_MS = 30_000
 
 
 def _per_class() -> dict[TrafficClass, int]:
@@ -210,12 +212,8 @@
         return max(map(self._usual_ms, busy), default=0.0)
 
     def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
-        # Spread over once to twice the wait, because all those refused in one
-        # burst would otherwise come back as the next burst.
         self.refused += 1
-        spread_ms = wait_ms * self.seeded.uniform(1.0, 2.0)
-        within_ms = min(max(spread_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-        return Refused(kind, int(within_ms))
+        return refusal(kind, wait_ms, self.seeded)
 
     def _starts_at_once(self, ticket: Ticket, now_ms: float) -> bool:
         if self.alone is not None:
--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -1,6 +1,5 @@
 """Admission by rank and by the time in which an answer is of use."""
 
-import math
 import random
 
 import attrs
@@ -8,6 +7,7 @@
 from pomelobank_core._concurrency import ConcurrencyLimit, SlotLimit
 from pomelobank_core._errors import ErrorKind
 from pomelobank_core._recent_work import RecentWork
+from pomelobank_core._refusals import MIN_RETRY_AFTER_MS, refusal
 from pomelobank_core._tickets import (
     Change,
     Queued,
@@ -35,9 +35,6 @@
 LATE_PART = 3
 # Longest planned hold of all other requests for one that has to run alone.
 LONGEST_HOLD_MS = 500.0
-# Sooner than this a caller would meet the same queue again.
-MIN_RETRY_AFTER_MS = 50
-MAX_RETRY_AFTER_MS = 30_000
 
 
 @attrs.define
@@ -267,14 +264,8 @@
         return max(1, self.limit.current // LATE_PART)
 
     def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
-        # Spread over once to twice the wait, because all those refused in one
-        # burst would otherwise come back as the next burst.
         self.refused += 1
-        spread_ms = wait_ms * self.seeded.uniform(1.0, 2.0)
-        if math.isinf(spread_ms):
-            spread_ms = MAX_RETRY_AFTER_MS
-        within_ms = min(max(spread_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS)
-        return Refused(kind, int(within_ms))
+        return refusal(kind, wait_ms, self.seeded)
 
     def _learn(
         self, ticket: Ticket, result: WorkResult, now_ms: float, busy: int
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
@@ -11,38 +10,29 @@
 from pomelobank_node._admin import Admin
 from pomelobank_node._claims import ClaimService
 from pomelobank_node._clock import SystemClock
+from pomelobank_node._component import Component
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._forwarder import Forwarder, new_placing
 from pomelobank_node._http_server import HttpServer
+from pomelobank_node._identity import Identity
 from pomelobank_node._log_client import LogClient
 from pomelobank_node._membership import Membership
 from pomelobank_node._metrics import Metrics
 from pomelobank_node._observations import observe_node
 from pomelobank_node._operator import OperatorServer, OperatorService
 from pomelobank_node._owner import Owner
-from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
+from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._target_watch import TargetWatch
 from pomelobank_node.callers import CallerServer, HttpLimits, Ingress
-from pomelobank_schema.generated.peer import Hello, MemberEntry
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
 
 
-class Component(Protocol):
-    """A part of the node with life-cycle hooks."""
-
-    async def start(self) -> None:
-        """Begins its work; called once, in order."""
-
-    async def stop(self) -> None:
-        """Ends its work; called once, in reverse order."""
-
-
 @attrs.define(eq=False, slots=False)
 class NodeApplication:
     """One node.
@@ -58,22 +48,13 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.clock = SystemClock()
-        incarnation = self.clock.wall_ms()
-        hello = Hello(
-            protocol=PROTOCOL_VERSION,
-            node=settings.node,
-            incarnation=incarnation,
-            data_centre=settings.data_centre,
-        )
-        own = MemberEntry(
-            node=settings.node,
-            incarnation=incarnation,
-            data_centre=settings.data_centre,
-        )
+        identity = Identity.of(settings, self.clock)
         self.store = ConfigStore()
         self.log = LogClient(settings.log)
-        self.links = PeerLinks(hello, settings.membership.connect_limit)
-        self.table = MemberTable(own)
+        self.links = PeerLinks(
+            identity.hello, settings.membership.connect_limit
+        )
+        self.table = MemberTable(identity.entry)
         self.feed = ConfigFeed(
             settings,
             self.log,
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from typing import Protocol
 
 import attrs
 
@@ -21,16 +20,18 @@
     TargetLease,
 )
 from pomelobank_node._clock import SystemClock
+from pomelobank_node._component import Component
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._dialect import Dialect
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._forwarder import Forwarder, new_placing
+from pomelobank_node._identity import Identity
 from pomelobank_node._log import Log
 from pomelobank_node._log_output import BoundedOutput
 from pomelobank_node._membership import Membership
 from pomelobank_node._metrics_page import MetricsPage
 from pomelobank_node._owner import Owner
-from pomelobank_node._peer_links import PROTOCOL_VERSION, PeerLinks
+from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._target_watch import TargetWatch
 from pomelobank_node.callers import CallerServer, Handler, Ingress
@@ -40,7 +41,6 @@
     PublishedSource,
     PublishedStore,
 )
-from pomelobank_schema.generated.peer import Hello, MemberEntry
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
@@ -56,16 +56,6 @@
 LEAVE_MS = 200
 
 
-class Component(Protocol):
-    """A part of the node with life-cycle hooks."""
-
-    async def start(self) -> None:
-        """Begins its work; called once, in order."""
-
-    async def stop(self) -> None:
-        """Ends its work; called once, in reverse order."""
-
-
 @attrs.define(eq=False)
 class SidecarPorts:
     """What differs from platform to platform.
@@ -109,20 +99,12 @@
     def __attrs_post_init__(self) -> None:
         settings, ports = self.settings, self.ports
         self.clock = SystemClock()
-        own = MemberEntry(
-            node=settings.node,
-            incarnation=self.clock.wall_ms(),
-            data_centre=settings.data_centre,
-        )
-        hello = Hello(
-            protocol=PROTOCOL_VERSION,
-            node=own.node,
-            incarnation=own.incarnation,
-            data_centre=own.data_centre,
-        )
+        identity = Identity.of(settings, self.clock)
         self.store = PublishedStore(ports.decode)
-        self.links = PeerLinks(hello, settings.membership.connect_limit)
-        self.table = MemberTable(own)
+        self.links = PeerLinks(
+            identity.hello, settings.membership.connect_limit
+        )
+        self.table = MemberTable(identity.entry)
         self.feed = PublishedFeed(
             ports.source, self.store, self.table, self.links, self.clock
         )
