A reader that the store turns away hands over at once

The store refused four machines with 503 from 2.5 s on; they were the four readers, one of each data centre. A change acknowledged at 2.961 s was not in force at 5.534 s: neighbours waited five seconds for the readers' silence. Ruled out: gossip (nobody had the version), the peers' pulls (nobody to ask).

--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -28,22 +28,27 @@
 # Nodes of a data centre that read the source. One is enough, because the
 # others notice its silence and read themselves.
 READERS = 1
-# Longest wait of one read. An answer that is lost is noticed after this and
-# the allowance below, well within the three seconds that a source is given to
-# settle after a fault.
-LONG_POLL_MS = 2000
+# Longest wait of one read. A source that went silent for this node is noticed
+# after this and the time-out of a call; both together leave time to hand over
+# within the two seconds in which operators expect a change to be in force.
+LONG_POLL_MS = 1000
 # Shortest time between two reads that brought news. In a quick succession of
 # changes each read would cost a call, and only the last one counts.
 SETTLE_MS = 200
 # A node that has heard of no read of the source for so long reads itself: two
-# long polls that failed.
-SILENCE_MS = 5000
+# long polls whose news did not arrive.
+SILENCE_MS = 2500
+# How long a neighbour that cannot read the source is passed over. It tells so
+# with every try, at least once a second.
+UNABLE_MS = 2500
 # Pause before a peer that knows a newer version is asked for it; mostly the
 # document is on its way already.
 ASK_AFTER_MS = 120
 # Members of other data centres that are told of a new version at once. The
 # others hear of it by gossip or from their own reader.
 FAR_TOLD = 6
+# Age of the newest read in the digest of a node that cannot read.
+_UNREAD = -1
 _TICK_S = 0.1
 _FIRST_RETRY_MS = 50
 _MAX_RETRY_MS = 1000
@@ -60,7 +65,9 @@
     With every node reading by itself, each change costs a call per node; with
     one reader in all, its loss stops all news. So one node of each data centre
     reads and hands the document to the others there, digests tell the rest,
-    and whoever knows less asks whoever knows more.
+    and whoever knows less asks whoever knows more. A reader that the source
+    turns away says so at once, and the next one takes over: the source may
+    refuse just the nodes that read it, and nobody else would notice in time.
 
     Attributes:
         source: Where configurations are published.
@@ -72,6 +79,7 @@
         position: Place in the source up to which everything is known.
         read_ms: When the source was last read, here or by the reader.
         source_up: Whether the last own read was answered.
+        unable: Until when neighbours are passed over as readers, by address.
         reads: Reads of the source, for the metrics.
         pulls_sent: Documents asked for, for the metrics.
         pushes_sent: Documents sent, for the metrics.
@@ -86,6 +94,7 @@
     position: int | None = None
     read_ms: int = 0
     source_up: bool = True
+    unable: dict[str, int] = attrs.field(factory=dict)
     reads: int = 0
     pulls_sent: int = 0
     pushes_sent: int = 0
@@ -121,6 +130,7 @@
                 news = await self._read_once()
             except SourceError as error:
                 self._note_source(up=False, reason=error.message)
+                self._send(self._near(), self._cannot_read())
                 # Full jitter: nodes that lost the source together would
                 # otherwise come back to it in the same instant.
                 pause_ms = self.seeded.uniform(retry_ms / 2, retry_ms)
@@ -142,9 +152,16 @@
     def is_reader(self) -> bool:
         """Tells whether this node reads the source for its data centre."""
         own = _rank(self.members.own)
-        ahead = sum(_rank(entry) < own for entry in self._near())
+        ahead = sum(
+            _rank(entry) < own and self._is_able(entry)
+            for entry in self._near()
+        )
         return ahead < READERS
 
+    def _is_able(self, entry: MemberEntry) -> bool:
+        until_ms = self.unable.get(entry.peer_address, 0)
+        return self.clock.now_ms() >= until_ms
+
     async def _read_once(self) -> bool:
         self.reads += 1
         if self.position is None:
@@ -212,6 +229,9 @@
             ready=self.store.ready,
         )
 
+    def _cannot_read(self) -> VersionDigest:
+        return attrs.evolve(self._digest(heartbeat=True), log_age_ms=_UNREAD)
+
     def _document(self) -> SnapshotPush:
         return SnapshotPush(
             data=zlib.compress(self.store.data),
@@ -263,7 +283,10 @@
 
     def take_digest(self, frame: VersionDigest) -> None:
         """Takes a peer's version."""
-        if frame.heartbeat:
+        if frame.heartbeat and frame.log_age_ms == _UNREAD:
+            self.unable[frame.address] = self.clock.now_ms() + UNABLE_MS
+        elif frame.heartbeat:
+            self.unable.pop(frame.address, None)
             self.read_ms = max(
                 self.read_ms, self.clock.now_ms() - frame.log_age_ms
             )
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -211,3 +211,41 @@
     await asyncio.sleep(0)
     pulls = [f for _, f in sent(item) if isinstance(f, RecordsPull)]
     assert len(pulls) == 1
+
+
+def test_a_reader_that_is_turned_away_is_passed_over() -> None:
+    """The source refuses just the node that reads for a data centre.
+
+    Its neighbours believe that it reads. Waiting for its silence, they would
+    route by the old configuration for seconds after the operator's change.
+    """
+    others = [member(f"n{number}", "hobart") for number in range(9)]
+    item = feed(Source(), *others)
+    clock = item.clock
+    assert isinstance(clock, ManualClock)
+    assert not item.is_reader()
+    for entry in others:
+        item.receive(
+            VersionDigest(
+                address=entry.peer_address, heartbeat=True, log_age_ms=-1
+            )
+        )
+    assert item.is_reader()
+    clock.advance(10_000)
+    assert not item.is_reader()
+
+
+async def test_a_failed_read_is_told_at_once() -> None:
+    source = Source(SourceError("refused"))
+    near = member("near", "hobart")
+    item = feed(source, near, member("far", "burnie"))
+    await item.start()
+    async with asyncio.timeout(GUARD_S):
+        await source.idle.wait()
+    await item.stop()
+    told = [
+        address
+        for address, frame in sent(item)
+        if isinstance(frame, VersionDigest) and frame.log_age_ms == -1
+    ]
+    assert told == [near.peer_address]
