--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -33,7 +33,7 @@
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._peer_server import PeerServer
-from pomelobank_node._target_watch import TargetWatch
+from pomelobank_node._target_watch import REFUSE_AFTER_MS, TargetWatch
 from pomelobank_node.callers import CallerServer, Handler, Ingress
 from pomelobank_node.published import (
     Decoder,
@@ -125,6 +125,7 @@
             self.membership,
             self.clock,
             TargetLease(settings.membership.target_lease_ms),
+            min(REFUSE_AFTER_MS, settings.target.drain_ms // 2),
         )
         self._build_request_path()
         self._build_servers()
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -12,7 +12,8 @@
 # Every member is told of a drain at once and hears it by gossip as well; one
 # that sends work later than this is refused as not run, so that the target
 # gets no new work however far the news went.
-_REFUSE_AFTER_S = 1.0
+REFUSE_AFTER_MS = 1000
+_MS_PER_S = 1000
 
 
 @attrs.define(eq=False)
@@ -24,12 +25,14 @@
         membership: Tells others of the target.
         clock: Tells the time.
         lease: Decides.
+        refuse_after_ms: Time from a drain on after which nothing new is taken.
     """
 
     owner: Owner
     membership: Membership
     clock: Clock
     lease: TargetLease
+    refuse_after_ms: int = REFUSE_AFTER_MS
     refusing: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -102,7 +105,7 @@
         await self.membership.tell_all()
 
     async def _refuse_later(self) -> None:
-        await asyncio.sleep(_REFUSE_AFTER_S)
+        await asyncio.sleep(self.refuse_after_ms / _MS_PER_S)
         self.owner.refuse()
 
     def _check(self, now_ms: int) -> None:
