--- a/packages/pomelobank-core/src/pomelobank_core/_routing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_routing.py
@@ -9,7 +9,6 @@
 from pomelobank_core._objects import Snapshot
 from pomelobank_schema.generated.records import RouteObject
 
-BY_METHOD = "by_method"
 ALWAYS = "always"
 STANDARD_IDEMPOTENT = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 
@@ -80,7 +79,7 @@
 
 def is_idempotent(route: RouteObject, method: str) -> bool:
     """Tells whether a method of the route may run more than once."""
-    if route.repeatable != BY_METHOD:
+    if route.repeatable:
         return route.repeatable == ALWAYS
     if route.idempotent_methods:
         return method in route.idempotent_methods
--- a/packages/pomelobank-node/src/pomelobank_node/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/__init__.py
@@ -11,10 +11,12 @@
     from pomelobank_node._application import NodeApplication, run_until
     from pomelobank_node._http_server import HttpServer
     from pomelobank_node._instruments import ALL as INSTRUMENTS
+    from pomelobank_node._instruments import SIDECAR_ONLY
     from pomelobank_node._main import main
 
 __all__ = [
     "INSTRUMENTS",
+    "SIDECAR_ONLY",
     "HttpServer",
     "NodeApplication",
     "main",
@@ -24,6 +26,7 @@
 _MODULES = {
     "INSTRUMENTS": ("_instruments", "ALL"),
     "HttpServer": ("_http_server", "HttpServer"),
+    "SIDECAR_ONLY": ("_instruments", "SIDECAR_ONLY"),
     "NodeApplication": ("_application", "NodeApplication"),
     "main": ("_main", "main"),
     "run_until": ("_application", "run_until"),
--- a/packages/pomelobank-node/src/pomelobank_node/_dialect.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dialect.py
@@ -16,6 +16,8 @@
         service: Names the service where the host does not.
         timeout: How many ms the caller waits; the target is told what is left.
         request_id: Id that follows a request through every log.
+        late_timeouts: Whether a time-out of nothing says that the caller's
+            time is up; elsewhere it is a mistake.
         retry: Marks a request that is part of another's retry.
         idempotency_key: The caller's key.
         origin: Upstream of the instance that the request began on, as targets
@@ -41,6 +43,7 @@
     echoes_id: bool = False
     open_ends: bool = False
     fractional_retry_after: bool = False
+    late_timeouts: bool = False
     dropped: frozenset[bytes] = attrs.field(init=False)
 
     @dropped.default
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -7,7 +7,6 @@
 import attrs
 
 from pomelobank_core import (
-    ANSWERS,
     MAX_TRIES,
     CandidateIndex,
     Clock,
@@ -21,15 +20,20 @@
     Retries,
     Retry,
     RoundRobin,
-    RunState,
     Standing,
     TargetResult,
     TwoChoices,
     isolation_target,
-    target_result,
 )
 from pomelobank_node._bodies import can_be_sent_again, rest_of
 from pomelobank_node._crash_reports import request_fingerprint
+from pomelobank_node._journey import (
+    Journey,
+    is_answer,
+    is_shed,
+    load_class,
+    observation,
+)
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import (
@@ -46,7 +50,6 @@
 # Marks a request that is part of a retry. A target that passes it on with the
 # calls it makes keeps the nodes behind it from retrying those as well.
 RETRY_HEADER = b"x-pomelobank-retry"
-_ERROR_HEADER = b"x-pomelobank-error"
 _MS_PER_S = 1000
 _PERCENT = 100
 _TWICE = 2
@@ -60,29 +63,6 @@
     return TwoChoices(random.Random(), ramp)
 
 
-@attrs.define(eq=False)
-class Journey:
-    """A request and where it has been.
-
-    Attributes:
-        request: The request.
-        deadline_ms: When its caller stops waiting.
-        is_retry: Whether it came in as part of another's retry.
-        tried: Nodes that it was sent to.
-        tries: How often it was sent.
-        redirects: How many of these cost the upstream nothing.
-        may_have_run: Reply of the last try that may have run, if any.
-    """
-
-    request: ForwardRequest
-    deadline_ms: int
-    is_retry: bool
-    tried: set[str] = attrs.field(factory=set)
-    tries: int = 0
-    redirects: int = 0
-    may_have_run: ForwardReply | None = None
-
-
 @attrs.define(eq=False)
 class Forwarder:
     """Places requests and retries them.
@@ -147,17 +127,17 @@
             reply = await self._try_hedged(journey, target)
             retry = self._decide(journey, reply)
             if retry is None:
-                return _final(journey, reply)
-            _remember(journey, reply)
+                return journey.final(reply)
+            journey.remember(reply)
             await asyncio.sleep(retry.after_ms / _MS_PER_S)
             try:
                 following = self._place(journey)
             except RequestError as error:
                 # By now the request is known to crash targets.
                 refusal = error_reply(request.request_id, error)
-                return _final(journey, refusal)
+                return journey.final(refusal)
             if following is None:
-                return _final(journey, reply)
+                return journey.final(reply)
             target = following
 
     def _turn_away(self, request: ForwardRequest, now_ms: int) -> None:
@@ -234,10 +214,10 @@
             )
             for item in done:
                 reply = item.result()
-                if not pending or _is_answer(reply):
+                if not pending or is_answer(reply):
                     self.hedges_won += item is not first
                     return reply
-                _remember(journey, reply)
+                journey.remember(reply)
 
     async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
         begun_ms = self.clock.now_ms()
@@ -263,7 +243,7 @@
             took_ms = self.clock.now_ms() - begun_ms
             seen = observation(request, reply, took_ms)
             _trace_try(target, reply.error or str(reply.status), took_ms)
-            if self.hedging is not None and _is_answer(reply):
+            if self.hedging is not None and is_answer(reply):
                 self.hedging.learn(request.route, took_ms, self.clock.now_ms())
             if reply.error == ErrorKind.PEER_LOST.value:
                 self.owner.reports.node_lost(request)
@@ -341,71 +321,6 @@
         return self.placing.has_room(other, traffic_class, now_ms)
 
 
-def _remember(journey: Journey, reply: ForwardReply) -> None:
-    error = reply_error(reply)
-    not_run = error and ANSWERS[error.kind].run_state is RunState.NOT_RUN
-    if not not_run:
-        journey.may_have_run = reply
-
-
-def _final(journey: Journey, reply: ForwardReply) -> ForwardReply:
-    # The last try may have been refused as not run after an earlier one was
-    # lost at a target. Told of the last one only, the caller would believe
-    # that the request has not run at all and lodge it anew.
-    error = reply_error(reply)
-    if error is None or journey.may_have_run is None:
-        return reply
-    if ANSWERS[error.kind].run_state is not RunState.NOT_RUN:
-        return reply
-    return attrs.evolve(
-        journey.may_have_run, retry_after_ms=reply.retry_after_ms
-    )
-
-
-def load_class(request: ForwardRequest) -> str:
-    """Returns the requests that a target's refusal of one tells about.
-
-    A target that has no room for a report may well take a call that runs
-    before the reports.
-    """
-    return f"{request.traffic_class}/{request.priority}"
-
-
-def is_shed(reply: ForwardReply) -> bool:
-    """Tells whether a target turned the request away with its answer.
-
-    A target that passes on what a node said to its own call has not shed:
-    the node nearest to that failure has retried what could be retried.
-    """
-    if reply.error or not reply.retry_after_ms:
-        return False
-    return all(header.name != _ERROR_HEADER for header in reply.headers)
-
-
-def observation(
-    request: ForwardRequest, reply: ForwardReply, took_ms: int
-) -> Observation:
-    """Returns what a reply says about the target that sent it."""
-    error = reply_error(reply)
-    if error is not None:
-        result = target_result(error.kind, request.remaining_ms)
-    elif is_shed(reply):
-        result = TargetResult.FULL
-    else:
-        result = TargetResult.ANSWERED
-    return Observation(
-        result,
-        load_class(request),
-        took_ms,
-        reply.outstanding,
-        reply.retry_after_ms,
-    )
-
-
-def _is_answer(reply: ForwardReply) -> bool:
-    return not reply.error and not is_shed(reply)
-
-
 def _trace_try(target: MemberEntry, outcome: str, took_ms: int) -> None:
     current_trace().tries.append(
         TryTrace(target.node, target.incarnation, outcome, took_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -333,3 +333,6 @@
     for name, value in sorted(globals().items())
     if isinstance(value, Instrument)
 )
+
+# Those of a node whose configuration the platform publishes.
+SIDECAR_ONLY = (SOURCE_UP, SOURCE_READS, OUTPUT_DROPPED)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -0,0 +1,105 @@
+"""A request on its way from target to target, and what each reply means."""
+
+import attrs
+
+from pomelobank_core import (
+    ANSWERS,
+    Observation,
+    RunState,
+    TargetResult,
+    target_result,
+)
+from pomelobank_node._requests import ForwardReply, ForwardRequest, reply_error
+
+_ERROR_HEADER = b"x-pomelobank-error"
+
+
+@attrs.define(eq=False)
+class Journey:
+    """A request and where it has been.
+
+    Attributes:
+        request: The request.
+        deadline_ms: When its caller stops waiting.
+        is_retry: Whether it came in as part of another's retry.
+        tried: Nodes that it was sent to.
+        tries: How often it was sent.
+        redirects: How many of these cost the upstream nothing.
+        may_have_run: Reply of the last try that may have run, if any.
+    """
+
+    request: ForwardRequest
+    deadline_ms: int
+    is_retry: bool
+    tried: set[str] = attrs.field(factory=set)
+    tries: int = 0
+    redirects: int = 0
+    may_have_run: ForwardReply | None = None
+
+    def remember(self, reply: ForwardReply) -> None:
+        """Keeps the reply of a try that may have run."""
+        error = reply_error(reply)
+        not_run = error and ANSWERS[error.kind].run_state is RunState.NOT_RUN
+        if not not_run:
+            self.may_have_run = reply
+
+    def final(self, reply: ForwardReply) -> ForwardReply:
+        """Returns what the caller is told, given the last try's reply.
+
+        The last try may have been refused as not run after an earlier one was
+        lost at a target. Told of the last one only, the caller would believe
+        that the request has not run at all and lodge it anew.
+        """
+        error = reply_error(reply)
+        if error is None or self.may_have_run is None:
+            return reply
+        if ANSWERS[error.kind].run_state is not RunState.NOT_RUN:
+            return reply
+        return attrs.evolve(
+            self.may_have_run, retry_after_ms=reply.retry_after_ms
+        )
+
+
+def load_class(request: ForwardRequest) -> str:
+    """Returns the requests that a target's refusal of one tells about.
+
+    A target that has no room for a report may well take a call that runs
+    before the reports.
+    """
+    return f"{request.traffic_class}/{request.priority}"
+
+
+def is_shed(reply: ForwardReply) -> bool:
+    """Tells whether a target turned the request away with its answer.
+
+    A target that passes on what a node said to its own call has not shed:
+    the node nearest to that failure has retried what could be retried.
+    """
+    if reply.error or not reply.retry_after_ms:
+        return False
+    return all(header.name != _ERROR_HEADER for header in reply.headers)
+
+
+def is_answer(reply: ForwardReply) -> bool:
+    """Tells whether a target has answered, whatever it said."""
+    return not reply.error and not is_shed(reply)
+
+
+def observation(
+    request: ForwardRequest, reply: ForwardReply, took_ms: int
+) -> Observation:
+    """Returns what a reply says about the target that sent it."""
+    error = reply_error(reply)
+    if error is not None:
+        result = target_result(error.kind, request.remaining_ms)
+    elif is_shed(reply):
+        result = TargetResult.FULL
+    else:
+        result = TargetResult.ANSWERED
+    return Observation(
+        result,
+        load_class(request),
+        took_ms,
+        reply.outstanding,
+        reply.retry_after_ms,
+    )
--- a/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
@@ -78,7 +78,7 @@
         timeout_ms=route.timeout_ms or _DEFAULT_TIMEOUT_MS,
         traffic_class=route.traffic_class or "interactive",
         idempotent_methods=tuple(route.idempotent_methods),
-        repeatable=route.repeatable or "by_method",
+        repeatable=route.repeatable,
         max_attempts=route.max_attempts,
         aim_ms=route.aim_ms,
         priority=route.priority,
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import random
 import re
 from collections import Counter
@@ -142,7 +141,7 @@
             headers=self._passed_on(request, headers),
             body=request.body,
             trace_id=trace_id,
-            timeout_ms=_timeout_ms(headers.get(dialect.timeout, b"")),
+            timeout_ms=self._timeout_ms(headers.get(dialect.timeout, b"")),
             idempotency_key=key,
             rest=request.rest,
         )
@@ -162,6 +161,22 @@
             passed_on.append((CONTENT_LENGTH, headers[CONTENT_LENGTH]))
         return passed_on
 
+    def _timeout_ms(self, value: bytes) -> int:
+        if not value:
+            return 0
+        try:
+            timeout_ms = float(value)
+        except ValueError:
+            raise RequestError(ErrorKind.BAD_REQUEST) from None
+        if not 0 <= timeout_ms <= _LONGEST_TIMEOUT_MS:
+            raise RequestError(ErrorKind.BAD_REQUEST)
+        if timeout_ms < 1:
+            late = self.dialect.late_timeouts
+            raise RequestError(
+                ErrorKind.DEADLINE_NOT_RUN if late else ErrorKind.BAD_REQUEST
+            )
+        return int(timeout_ms)
+
     def _service(self, headers: dict[bytes, bytes]) -> str:
         service = headers.get(self.dialect.service, b"").decode("latin-1")
         if not service:
@@ -225,17 +240,3 @@
                 "lines_dropped": self.lines.take_dropped(),
             },
         )
-
-
-def _timeout_ms(value: bytes) -> int:
-    if not value:
-        return 0
-    try:
-        timeout_ms = float(value)
-    except ValueError:
-        raise RequestError(ErrorKind.BAD_REQUEST) from None
-    if not 0 <= timeout_ms <= _LONGEST_TIMEOUT_MS or math.isnan(timeout_ms):
-        raise RequestError(ErrorKind.BAD_REQUEST)
-    if timeout_ms < 1:
-        raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-    return int(timeout_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -5,16 +5,15 @@
 import logging
 import random
 import zlib
-from collections.abc import Iterable
 
 import attrs
 import xxhash
 
-from pomelobank_core import Clock, MemberState, MemberTable
+from pomelobank_core import Clock, MemberTable
 from pomelobank_node._peer_links import PeerLinks
-from pomelobank_node._requests import RequestError
 from pomelobank_node.published._source import PublishedSource, SourceError
 from pomelobank_node.published._store import PublishedStore
+from pomelobank_node.published._telling import UNREAD, Telling
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     MemberEntry,
@@ -44,11 +43,6 @@
 # Pause before a peer that knows a newer version is asked for it; mostly the
 # document is on its way already.
 ASK_AFTER_MS = 120
-# Members of other data centres that are told of a new version at once. The
-# others hear of it by gossip or from their own reader.
-FAR_TOLD = 6
-# Age of the newest read in the digest of a node that cannot read.
-_UNREAD = -1
 _TICK_S = 0.1
 _FIRST_RETRY_MS = 50
 _MAX_RETRY_MS = 1000
@@ -101,7 +95,12 @@
     asked_version: int = 0
     behind_since_ms: int | None = None
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
-    sends: set[asyncio.Task[None]] = attrs.field(factory=set)
+    telling: Telling = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.telling = Telling(
+            self.store, self.members, self.links, self.seeded
+        )
 
     async def start(self) -> None:
         """Starts reading the source and watching the peers' versions."""
@@ -113,10 +112,10 @@
 
     async def stop(self) -> None:
         """Ends the tasks."""
-        tasks = [*self.tasks, *self.sends]
-        for task in tasks:
+        for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.telling.stop()
 
     # Reading the source.
 
@@ -130,7 +129,7 @@
                 news = await self._read_once()
             except SourceError as error:
                 self._note_source(up=False, reason=error.message)
-                self._send(self._near(), self._cannot_read())
+                self._tell_near(UNREAD)
                 # Full jitter: nodes that lost the source together would
                 # otherwise come back to it in the same instant.
                 pause_ms = self.seeded.uniform(retry_ms / 2, retry_ms)
@@ -139,8 +138,9 @@
                 continue
             retry_ms = _FIRST_RETRY_MS
             self._note_source(up=True)
-            self._tell_near(heartbeat=not news)
-            if news:
+            if not news:
+                self._tell_near(self._read_age_ms())
+            else:
                 await asyncio.sleep(SETTLE_MS / _MS_PER_S)
 
     def _has_to_read(self) -> bool:
@@ -154,7 +154,7 @@
         own = _rank(self.members.own)
         ahead = sum(
             _rank(entry) < own and self._is_able(entry)
-            for entry in self._near()
+            for entry in self.telling.near()
         )
         return ahead < READERS
 
@@ -176,7 +176,7 @@
         self.position = document.position
         if not document.data or not self.store.offer(document.data, "source"):
             return False
-        self._spread()
+        self.telling.news(self._read_age_ms())
         return True
 
     def _note_source(self, up: bool, reason: str = "") -> None:
@@ -191,73 +191,12 @@
             extra={"reason": reason, "version": self.store.version},
         )
 
-    # Telling peers.
-
-    def _near(self) -> list[MemberEntry]:
-        centre = self.members.own.data_centre
-        return [
-            entry
-            for entry in self.members.present()
-            if entry.data_centre == centre and _is_well(entry)
-        ]
-
-    def _far(self) -> list[MemberEntry]:
-        centre = self.members.own.data_centre
-        return [
-            entry
-            for entry in self.members.present()
-            if entry.data_centre != centre and _is_well(entry)
-        ]
-
-    def _spread(self) -> None:
-        far = self._far()
-        told = self.seeded.sample(far, min(FAR_TOLD, len(far)))
-        self._send(told, self._digest(heartbeat=False))
-        self._send(self._near(), self._document())
-
-    def _tell_near(self, heartbeat: bool) -> None:
-        if heartbeat:
-            self._send(self._near(), self._digest(heartbeat=True))
-
-    def _digest(self, heartbeat: bool) -> VersionDigest:
-        return VersionDigest(
-            version=self.store.version,
-            address=self.members.own.peer_address,
-            heard_version=self.store.version,
-            log_age_ms=self.clock.now_ms() - self.read_ms,
-            heartbeat=heartbeat,
-            ready=self.store.ready,
-        )
-
-    def _cannot_read(self) -> VersionDigest:
-        return attrs.evolve(self._digest(heartbeat=True), log_age_ms=_UNREAD)
+    def _read_age_ms(self) -> int:
+        return self.clock.now_ms() - self.read_ms
 
-    def _document(self) -> SnapshotPush:
-        return SnapshotPush(
-            data=zlib.compress(self.store.data),
-            address=self.members.own.peer_address,
-            logged_as_of=self.store.version,
-        )
-
-    def _send(self, to: Iterable[MemberEntry], frame: WireMessage) -> None:
-        for entry in to:
-            self._post(entry.peer_address, frame)
-
-    def _post(self, address: str, frame: WireMessage) -> None:
-        if not address:
-            return
-        task = asyncio.create_task(self._deliver(address, frame))
-        self.sends.add(task)
-        task.add_done_callback(self.sends.discard)
-
-    async def _deliver(self, address: str, frame: WireMessage) -> None:
-        try:
-            await self.links.to(address).send(frame)
-        except RequestError as error:
-            _logger.debug(
-                "config.not_told",
-                extra={"peer": address, "error": error.kind.value},
-            )
+    def _tell_near(self, read_age_ms: int) -> None:
+        digest = self.telling.digest(read_age_ms, heartbeat=True)
+        self.telling.send(self.telling.near(), digest)
 
     # Hearing from peers.
 
@@ -279,11 +218,12 @@
             )
             return
         if self.store.offer(data, frame.address):
-            self._send(self._near(), self._digest(heartbeat=False))
+            digest = self.telling.digest(self._read_age_ms(), heartbeat=False)
+            self.telling.send(self.telling.near(), digest)
 
     def take_digest(self, frame: VersionDigest) -> None:
         """Takes a peer's version."""
-        if frame.heartbeat and frame.log_age_ms == _UNREAD:
+        if frame.heartbeat and frame.log_age_ms == UNREAD:
             self.unable[frame.address] = self.clock.now_ms() + UNABLE_MS
         elif frame.heartbeat:
             self.unable.pop(frame.address, None)
@@ -297,14 +237,14 @@
         """Sends the document to a peer that lacks it."""
         if frame.from_offset < self.store.version:
             self.pushes_sent += 1
-            self._post(frame.address, self._document())
+            self.telling.post(frame.address, self.telling.document())
 
     def _ask(self, address: str, version: int) -> None:
         if version <= self.asked_version:
             return
         self.asked_version = version
         self.pulls_sent += 1
-        self._post(
+        self.telling.post(
             address,
             RecordsPull(
                 from_offset=self.store.version,
@@ -322,7 +262,7 @@
         # lost would else leave this node behind until the next change.
         newest = max(
             self.members.present(),
-            key=lambda entry: (entry.version, entry in self._near()),
+            key=lambda entry: (entry.version, entry in self.telling.near()),
             default=None,
         )
         if newest is None or newest.version <= self.store.version:
@@ -341,10 +281,6 @@
     return xxhash.xxh3_64_intdigest(entry.node.encode())
 
 
-def _is_well(entry: MemberEntry) -> bool:
-    return entry.state != MemberState.SUSPECT.value
-
-
 @functools.singledispatch
 def take_frame(frame: WireMessage, feed: PublishedFeed) -> None:
     """Hands a frame to the feed; others are ignored."""
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
@@ -0,0 +1,117 @@
+"""Tells peers of published configurations."""
+
+import asyncio
+import logging
+import random
+import zlib
+from collections.abc import Iterable
+
+import attrs
+
+from pomelobank_core import MemberState, MemberTable
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import RequestError
+from pomelobank_node.published._store import PublishedStore
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import (
+    MemberEntry,
+    SnapshotPush,
+    VersionDigest,
+)
+
+_logger = logging.getLogger(__name__)
+
+# Members of other data centres that are told of a new version at once. The
+# others hear of it by gossip or from their own reader.
+FAR_TOLD = 6
+# Age of the newest read in the digest of a node that cannot read.
+UNREAD = -1
+
+
+@attrs.define(eq=False)
+class Telling:
+    """Sends documents and digests to peers.
+
+    Attributes:
+        store: The configuration in force.
+        members: The members that the node knows.
+        links: Streams to peers.
+        seeded: Source of randomness.
+    """
+
+    store: PublishedStore
+    members: MemberTable
+    links: PeerLinks
+    seeded: random.Random
+    sends: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def stop(self) -> None:
+        """Ends what is being sent."""
+        sends = list(self.sends)
+        for task in sends:
+            task.cancel()
+        await asyncio.gather(*sends, return_exceptions=True)
+
+    def near(self) -> list[MemberEntry]:
+        """Returns the members of the own data centre."""
+        centre = self.members.own.data_centre
+        return [item for item in self._well() if item.data_centre == centre]
+
+    def far(self) -> list[MemberEntry]:
+        """Returns the members of other data centres."""
+        centre = self.members.own.data_centre
+        return [item for item in self._well() if item.data_centre != centre]
+
+    def _well(self) -> list[MemberEntry]:
+        suspect = MemberState.SUSPECT.value
+        return [
+            item for item in self.members.present() if item.state != suspect
+        ]
+
+    def news(self, read_age_ms: int) -> None:
+        """Tells of a version that was just read from the source."""
+        far = self.far()
+        told = self.seeded.sample(far, min(FAR_TOLD, len(far)))
+        self.send(told, self.digest(read_age_ms, heartbeat=False))
+        self.send(self.near(), self.document())
+
+    def digest(self, read_age_ms: int, heartbeat: bool) -> VersionDigest:
+        """Returns the own version and the age of the newest read."""
+        return VersionDigest(
+            version=self.store.version,
+            address=self.members.own.peer_address,
+            heard_version=self.store.version,
+            log_age_ms=read_age_ms,
+            heartbeat=heartbeat,
+            ready=self.store.ready,
+        )
+
+    def document(self) -> SnapshotPush:
+        """Returns the document in force."""
+        return SnapshotPush(
+            data=zlib.compress(self.store.data),
+            address=self.members.own.peer_address,
+            logged_as_of=self.store.version,
+        )
+
+    def send(self, to: Iterable[MemberEntry], frame: WireMessage) -> None:
+        """Sends a frame to members."""
+        for entry in to:
+            self.post(entry.peer_address, frame)
+
+    def post(self, address: str, frame: WireMessage) -> None:
+        """Sends a frame to one address, without waiting for it."""
+        if not address:
+            return
+        task = asyncio.create_task(self._deliver(address, frame))
+        self.sends.add(task)
+        task.add_done_callback(self.sends.discard)
+
+    async def _deliver(self, address: str, frame: WireMessage) -> None:
+        try:
+            await self.links.to(address).send(frame)
+        except RequestError as error:
+            _logger.debug(
+                "config.not_told",
+                extra={"peer": address, "error": error.kind.value},
+            )
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_metrics.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_metrics.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from pomelobank_node import INSTRUMENTS
+from pomelobank_node import INSTRUMENTS, SIDECAR_ONLY
 from pomelobank_testing import MESHES, TestMesh, UpstreamService
 
 MESH = MESHES["derwent"]
@@ -27,6 +27,7 @@
             item.name
             for item in INSTRUMENTS
             if not item.label
+            and item not in SIDECAR_ONLY
             and not any(
                 name.startswith(shown_name(item.name)) for name in names
             )
