--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_docs.py
@@ -31,7 +31,10 @@
 
 def named_tests() -> set[str]:
     """Returns the names of all test files and test functions."""
-    files = list((ROOT / "packages").rglob("test_*.py"))
+    files = [
+        *(ROOT / "packages").rglob("test_*.py"),
+        *(ROOT / "platform").rglob("test_*.py"),
+    ]
     names = {path.stem for path in files}
     for path in files:
         names.update(re.findall(r"def (test_\w+)", path.read_text()))
