A request that may crash targets gets no second one beside it

Cause: found by reading. An overdue look-up was sent to a second target although it was suspected of crashing those that run it, past the rule that such a request runs on one target at a time; and where both answers came in one turn of the loop, the body of the one not used kept its target busy to the deadline.

Change: suspects are not sent twice; what comes beside a better answer is put away. The new test fails without the check (the second target is asked).

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -181,6 +181,13 @@
             for item in tries:
                 item.cancel()
 
+    def _is_suspect(self, request: ForwardRequest) -> bool:
+        # A request that may crash targets runs on one at a time.
+        try:
+            return self.owner.reports.check(request) is not Standing.CLEAR
+        except RequestError:
+            return True
+
     def _hedge_after_ms(self, journey: Journey) -> float | None:
         request = journey.request
         once = (request.max_attempts or MAX_TRIES) < _TWICE
@@ -194,6 +201,8 @@
 
     def _second_target(self, journey: Journey) -> MemberEntry | None:
         request = journey.request
+        if self._is_suspect(request):
+            return None
         now_ms = self.clock.now_ms()
         candidates = self.index.of(request.upstream)
         kind = load_class(request)
@@ -212,11 +221,16 @@
             done, pending = await asyncio.wait(
                 pending, return_when=asyncio.FIRST_COMPLETED
             )
-            for item in done:
-                reply = item.result()
-                if not pending or is_answer(reply):
-                    self.hedges_won += item is not first
-                    return reply
+            replies = [(item, item.result()) for item in done]
+            good = [pair for pair in replies if is_answer(pair[1])]
+            if good or not pending:
+                chosen, reply = good[0] if good else replies[-1]
+                self.hedges_won += chosen is not first
+                for item, other in replies:
+                    if item is not chosen:
+                        _put_away(journey, other)
+                return reply
+            for _, reply in replies:
                 journey.remember(reply)
 
     async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
@@ -321,6 +335,15 @@
         return self.placing.has_room(other, traffic_class, now_ms)
 
 
+def _put_away(journey: Journey, reply: ForwardReply) -> None:
+    """Takes a reply that came beside a better one."""
+    journey.remember(reply)
+    rest = rest_of(reply)
+    if rest is not None:
+        # Nobody will read it; its target would stay busy until the deadline.
+        rest.close()
+
+
 def _trace_try(target: MemberEntry, outcome: str, took_ms: int) -> None:
     current_trace().tries.append(
         TryTrace(target.node, target.incarnation, outcome, took_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -271,3 +271,19 @@
     asked.cancel()
     await asyncio.gather(asked, return_exceptions=True)
     assert links.cancelled == 2
+
+
+async def test_a_request_that_may_crash_targets_is_not_sent_twice() -> None:
+    """A look-up is overdue because the target that runs it is about to crash.
+
+    Sent to a second target as well, it would take that one with it.
+    """
+    links = SilentLinks(1, ANSWER)
+    forwarder = _hedging(links)
+    forwarder.owner.reports.target_lost([_request(True)])
+    asked = asyncio.create_task(forwarder.forward(_request(True)))
+    _, pending = await asyncio.wait({asked}, timeout=0.2)
+    assert pending
+    asked.cancel()
+    await asyncio.gather(asked, return_exceptions=True)
+    assert (len(links.sent), forwarder.hedged) == (1, 0)
