The node beside a target says why a request was not served there

Change: target.not_served with slots, requests at the target and waiting, the route's usual time and the request's id; bounded like the entry's lines.

--- a/packages/pomelobank-node/src/pomelobank_node/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -91,11 +91,11 @@
         """Requests that wait or run."""
         return self.admission.in_flight + self.admission.waiting
 
-    def usual_ms(self, ticket: Ticket) -> float:
-        """Returns the time that a request usually takes at the target."""
+    def usual_ms_of(self, route: str) -> float:
+        """Returns the time that a route's requests usually take there."""
         if isinstance(self.admission, DeadlineAdmission):
-            return self.admission.usual_ms(ticket)
-        return self.admission.times.of_route(ticket.route)
+            return self.admission.times.of(route, self.clock.now_ms())
+        return self.admission.times.of_route(route)
 
     async def enter(self, ticket: Ticket) -> None:
         """Returns once the request may go to the target.
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -18,6 +18,8 @@
 from pomelobank_node._crash_watch import CrashWatch
 from pomelobank_node._dialect import Dialect
 from pomelobank_node._gate import Gate, new_admission
+from pomelobank_node._log_budget import LogBudget
+from pomelobank_node._logging import request_id
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -79,6 +81,7 @@
         pool: Connections to it.
         gate: Where requests wait for a slot.
         watch: Notices crashes of the target.
+        lines: Bounds the lines that are logged.
         draining: Set when no new request is taken.
     """
 
@@ -90,6 +93,7 @@
     pool: UpstreamPool | None = None
     gate: Gate = attrs.field()
     watch: CrashWatch = attrs.field()
+    lines: LogBudget = attrs.field(factory=LogBudget)
     draining: bool = False
 
     @watch.default
@@ -132,11 +136,37 @@
         Returns:
             The target's answer, or the error that ended the request.
         """
+        request_id.set(request.trace_id)
         try:
             return await self._serve(request)
         except RequestError as error:
+            self._log_failure(request, error)
             return error_reply(request.request_id, error)
 
+    def _log_failure(
+        self, request: ForwardRequest, error: RequestError
+    ) -> None:
+        if not self.lines.may_tell_failure(self.clock.now_ms()):
+            return
+        admission = self.gate.admission
+        _logger.info(
+            "target.not_served",
+            extra={
+                "outcome": error.kind.value,
+                "retry_after_ms": error.retry_after_ms,
+                "route": request.route,
+                "routed_version": request.version,
+                "had_ms": request.remaining_ms,
+                "aim_ms": request.aim_ms,
+                "at_target": admission.in_flight,
+                "waiting": admission.waiting,
+                "slots": admission.limit.current,
+                "usual_ms": round(self.gate.usual_ms_of(request.route)),
+                "instance": self.target.instance if self.target else "",
+                "lines_dropped": self.lines.take_dropped(),
+            },
+        )
+
     async def _serve(self, request: ForwardRequest) -> ForwardReply:
         if self.draining:
             raise RequestError(ErrorKind.DRAINING)
@@ -206,7 +236,7 @@
             return False
         assert ticket.started_ms is not None
         took_ms = self.clock.now_ms() - ticket.started_ms
-        usual_ms = self.gate.usual_ms(ticket)
+        usual_ms = self.gate.usual_ms_of(ticket.route)
         return took_ms <= max(_QUICK_MS, usual_ms / 2)
 
     def refuse(self) -> None:
