--- a/packages/pomelobank-node/src/pomelobank_node/_dialect.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dialect.py
@@ -29,6 +29,7 @@
         echoes_id: Whether targets repeat the request's id in their answers.
         open_ends: Whether a target's answer may end with its connection.
         fractional_retry_after: Whether callers read fractions of a second.
+        dropped: Headers of callers that are not passed on.
     """
 
     service: bytes = b"x-pomelobank-service"
