A reader hands the document to eight neighbours at most

Cause: computed for a data centre of 167 nodes, the one reader would send 1.3 MB a change, 44 s of the 30 KB/s that a node may use, and the last node would route by the old configuration meanwhile.

Change: eight get the document, each of them tells the others, who ask. A test with 3 and 166 neighbours; with the push to all it counted 166 documents.

--- a/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
@@ -24,6 +24,10 @@
 # Members of other data centres that are told of a new version at once. The
 # others hear of it by gossip or from their own reader.
 FAR_TOLD = 6
+# Neighbours that the reader sends the document to. Each of them tells all
+# others, who ask whoever told them first. With 166 neighbours and a document of
+# 8 KB the reader sends 64 KB a change and not 1.3 MB, 44 s of 30 KB/s.
+NEAR_PUSHED = 8
 # Age of the newest read in the digest of a node that cannot read.
 UNREAD = -1
 
@@ -73,7 +77,9 @@
         far = self.far()
         told = self.seeded.sample(far, min(FAR_TOLD, len(far)))
         self.send(told, self.digest(read_age_ms, heartbeat=False))
-        self.send(self.near(), self.document())
+        near = self.near()
+        pushed = self.seeded.sample(near, min(NEAR_PUSHED, len(near)))
+        self.send(pushed, self.document())
 
     def digest(self, read_age_ms: int, heartbeat: bool) -> VersionDigest:
         """Returns the own version and the age of the newest read."""
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -249,3 +249,24 @@
         if isinstance(frame, VersionDigest) and frame.log_age_ms == -1
     ]
     assert told == [near.peer_address]
+
+
+@pytest.mark.parametrize(
+    ("neighbours", "pushed"),
+    [pytest.param(3, 3, id="few"), pytest.param(166, 8, id="many")],
+)
+async def test_a_reader_is_not_run_over_by_its_neighbours(
+    neighbours: int, pushed: int
+) -> None:
+    """A data centre of 167 nodes gets a new configuration from one of them.
+
+    Sent to each by that one, the document would keep its line busy for most of
+    a minute, and the last node would route by the old one meanwhile.
+    """
+    near = [member(f"n{number}", "hobart") for number in range(neighbours)]
+    item = feed(Source(), *near)
+    item.store.offer(b"7", "test")
+    item.telling.news(read_age_ms=0)
+    await asyncio.sleep(0)
+    documents = [f for _, f in sent(item) if isinstance(f, SnapshotPush)]
+    assert len(documents) == pushed
