The neighbours are listed once a look, not once for each member

Cause: found by reading. Ten times a second each node looked for the newest version among the members and listed its neighbours anew for every one of them: work that grows with the square of the fleet. Change: the list is made once a look; which member is chosen stays as it was. Not measured at size; the tests of published configurations passed.

--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -260,9 +260,10 @@
     def _look_for_newer(self) -> None:
         # Gossip tells every member's version. A digest or an answer that was
         # lost would else leave this node behind until the next change.
+        near = {entry.node for entry in self.telling.near()}
         newest = max(
             self.members.present(),
-            key=lambda entry: (entry.version, entry in self.telling.near()),
+            key=lambda entry: (entry.version, entry.node in near),
             default=None,
         )
         if newest is None or newest.version <= self.store.version:
