Work goes where it is done soonest: offers that a busy target declines

Cause: on the grown sites (63 and 88 machines) data centres differ in the speed of their targets and in the callers they have. Ruled out: too little room as a whole (half of all slots were free); slow nodes (0.035 cores used of 0.43 and more). Change: targets are compared by the part of the objective that their answers take, a target of another data centre is taken where that saves an eighth of it, and a target's node declines an offer that would wait over a tenth of the objective, so that the next one is asked; the least busy of two has to take it.

--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -58,6 +58,7 @@
         queue: Waiting requests.
         alone: The request that runs or waits to run alone, if any.
         refused: Requests that were refused.
+        declined: Offers that would have waited longer than they were to.
         expired: Requests that were dropped from the queue unrun.
     """
 
@@ -68,6 +69,7 @@
     queue: list[Ticket] = attrs.field(factory=list)
     alone: Ticket | None = None
     refused: int = 0
+    declined: int = 0
     expired: int = 0
 
     @property
@@ -100,6 +102,8 @@
             self._start(ticket, now_ms)
             return Started()
         wait_ms = self.wait_ms(ticket, now_ms)
+        if wait_ms > ticket.max_wait_ms:
+            return self._decline(wait_ms)
         if not self._is_worth_waiting(ticket, wait_ms, now_ms):
             return self._refuse(ErrorKind.OVERLOADED, wait_ms)
         self.queue.append(ticket)
@@ -267,6 +271,12 @@
         self.refused += 1
         return refusal(kind, wait_ms, self.seeded)
 
+    def _decline(self, wait_ms: float) -> Refused:
+        # The sender compares the waits of several targets, so it is told this
+        # one as it is and not spread over the time in which callers return.
+        self.declined += 1
+        return Refused(ErrorKind.OVERLOADED, max(1, round(wait_ms)))
+
     def _learn(
         self, ticket: Ticket, result: WorkResult, now_ms: float, busy: int
     ) -> None:
--- a/packages/pomelobank-core/src/pomelobank_core/_observation.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_observation.py
@@ -17,6 +17,7 @@
     Attributes:
         ANSWERED: It works.
         FULL: It has no room just now.
+        BUSY: A request would wait there longer than it was offered to.
         LEAVING: It takes no more requests.
         SLOW: It has not answered within a multiple of the usual time.
         FAILED: It could not be reached, or it was lost on the way.
@@ -25,6 +26,7 @@
 
     ANSWERED = "answered"
     FULL = "full"
+    BUSY = "busy"
     LEAVING = "leaving"
     SLOW = "slow"
     FAILED = "failed"
@@ -75,6 +77,8 @@
         took_ms: Time from sending to the end.
         outstanding: Requests at the target as its node reported them.
         retry_after_ms: When a full target expects to have room.
+        route: The request's route.
+        aim_ms: Time within which its answer is of full use; 0 if not named.
     """
 
     result: TargetResult
@@ -82,6 +86,8 @@
     took_ms: float = 0.0
     outstanding: int = 0
     retry_after_ms: int = 0
+    route: str = ""
+    aim_ms: float = 0.0
 
 
 class Placing(Protocol):
@@ -116,7 +122,7 @@
     def may_accept(
         self, target: MemberEntry, traffic_class: str, now_ms: float
     ) -> bool:
-        """Tells whether a target has not refused the class lately."""
+        """Tells whether a target works and has not refused the class lately."""
 
     def turned_away(
         self, candidates: Candidates, traffic_class: str, now_ms: float
--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -10,8 +10,8 @@
 
 from pomelobank_core._candidates import Candidates
 from pomelobank_core._ejection import Ejection, may_eject
-from pomelobank_core._latency import MovingAverage
 from pomelobank_core._observation import Observation, TargetResult
+from pomelobank_core._pace import RELAXED, Objectives, Pace
 from pomelobank_schema.generated.peer import MemberEntry
 
 # What a target's node said of its load half a second ago says nothing now: at
@@ -29,9 +29,10 @@
 # enough for the cold starts of most services, short against a rush.
 RAMP_MS = 10_000
 RAMP_START = 0.1
-# A near target whose answers take this many times longer than a far one's is
-# no longer near in any way that a caller notices.
-SLOW_RATIO = 3.0
+# Work leaves the data centre when that saves this part of the objective of its
+# answer: a third of a relaxed answer's time. Targets differ in speed by half;
+# with less, this difference alone would move work, and its bytes, to and fro.
+FAR_PART = 0.12
 # Chances to draw a target that may be used before all are looked at.
 DRAWS = 4
 _CHOICES = 2
@@ -82,7 +83,7 @@
         own: Requests of this node that are there.
         others: Requests of other nodes that were there at the last report.
         reported_ms: When that was.
-        latency: Recent time to an answer, in ms.
+        pace: Recent time to an answer, as a part of the objective.
         full: Its last refusal of each class; batch work that finds no room
             says nothing about the slots kept for look-ups.
         leaving_until_ms: Until when it is held to take no more requests.
@@ -95,7 +96,7 @@
     own: int = 0
     others: int = 0
     reported_ms: float = -math.inf
-    latency: MovingAverage = attrs.field(factory=MovingAverage)
+    pace: Pace = attrs.field(factory=Pace)
     full: dict[str, FullHint] = attrs.field(factory=dict)
     leaving_until_ms: float = 0.0
     ramp_from_ms: float = -math.inf
@@ -119,15 +120,14 @@
         """Returns the slots that it is trusted with after its start."""
         return max(1.0, slots * self.ramp.part(now_ms - self.ramp_from_ms))
 
-    def score(self, slots: int, now_ms: float) -> float:
+    def score(self, slots: int, pace: float, now_ms: float) -> float:
         """Returns how unattractive it is.
 
-        Outstanding work already grows with slowness; the square root of the
-        latency adds to that without letting one odd answer decide.
+        Of a target that many nodes use, each node knows a small part of the
+        load only; its pace tells the rest.
         """
-        latency_ms = max(1.0, self.latency.value or 1.0)
         used = (self.load(now_ms) + 1) / self.room(slots, now_ms)
-        return used * math.sqrt(latency_ms)
+        return used * pace
 
 
 @attrs.define(eq=False)
@@ -140,7 +140,10 @@
     the same target at once. Two random draws avoid both.
 
     Targets of the own data centre come first; work spills to others when the
-    better draw there is full or much slower.
+    better draw there is full or slower by more than the way is worth. Upstreams
+    are not spread evenly: one data centre may have the slow machines or most of
+    the callers. Where only a full target sends work away, callers there wait in
+    queues while targets next door are idle.
 
     Attributes:
         seeded: Source of randomness.
@@ -149,7 +152,8 @@
         ejections: How often a target was ejected.
         spills: Requests that left the data centre though it has a target.
         known: Targets of each upstream at its last placing.
-        far_ms: Recent time to answers from other data centres, by upstream.
+        objectives: Tells how fast an answer was.
+        paces: How fast answers come, by upstream and data centre.
     """
 
     seeded: random.Random = attrs.field(factory=random.Random)
@@ -158,7 +162,8 @@
     ejections: int = 0
     spills: int = 0
     known: dict[str, Candidates] = attrs.field(factory=dict)
-    far_ms: dict[str, MovingAverage] = attrs.field(factory=dict)
+    objectives: Objectives = attrs.field(factory=Objectives)
+    paces: dict[tuple[str, str], Pace] = attrs.field(factory=dict)
 
     def place(
         self,
@@ -216,14 +221,13 @@
         load = self._load(target)
         load.own = max(0, load.own - 1)
         if seen.result is TargetResult.ANSWERED:
-            load.latency.add(seen.took_ms)
-            self._learn_far(target, candidates, seen.took_ms)
+            self._learn_pace(target, load, seen, now_ms)
             load.others = max(0, seen.outstanding - load.own - 1)
             load.reported_ms = now_ms
             if load.ejection.succeeded():
                 load.ramp_from_ms = now_ms
         elif seen.result is TargetResult.SLOW:
-            load.latency.add(seen.took_ms)
+            self._learn_pace(target, load, seen, now_ms)
             load.ejection.abandoned()
         elif seen.result is TargetResult.FAILED:
             self._failed(load, candidates, now_ms)
@@ -240,8 +244,11 @@
     def may_accept(
         self, target: MemberEntry, traffic_class: str, now_ms: float
     ) -> bool:
-        """Tells whether a target has not refused the class lately."""
-        return not self._load(target).is_full(traffic_class, now_ms)
+        """Tells whether a target works and has not refused the class lately."""
+        load = self._load(target)
+        if not load.ejection.allows(now_ms):
+            return False
+        return not load.is_full(traffic_class, now_ms)
 
     def turned_away(
         self, candidates: Candidates, traffic_class: str, now_ms: float
@@ -272,13 +279,27 @@
         """Returns the nodes whose targets are ejected."""
         return [n for n, load in self.loads.items() if load.ejection.ejected]
 
-    def _learn_far(
-        self, target: MemberEntry, candidates: Candidates, took_ms: float
+    def _learn_pace(
+        self,
+        target: MemberEntry,
+        load: TargetLoad,
+        seen: Observation,
+        now_ms: float,
     ) -> None:
-        local = candidates.local
-        if local and target.data_centre != local[0].data_centre:
-            average = self.far_ms.setdefault(target.upstream, MovingAverage())
-            average.add(took_ms)
+        centre = target.data_centre
+        part = self.objectives.part(
+            seen.route, seen.aim_ms, centre, seen.took_ms, now_ms
+        )
+        load.pace.add(part, now_ms)
+        around = self.paces.setdefault((target.upstream, centre), Pace())
+        around.add(part, now_ms)
+
+    def _pace(self, target: MemberEntry, now_ms: float) -> float:
+        # A node hears of each of many far targets once in a while only; those
+        # beside them tell as much.
+        around = self.paces.get((target.upstream, target.data_centre))
+        usual = RELAXED if around is None else around.at(now_ms)
+        return self._load(target).pace.at(now_ms, usual)
 
     def _compare(self, candidates: Candidates, now_ms: float) -> None:
         targets = candidates.targets
@@ -323,10 +344,17 @@
             entry = targets[self.seeded.randrange(len(targets))]
             if entry not in drawn and self._usable(entry, tried, now_ms):
                 drawn.append(entry)
-        if not drawn:
-            drawn = [e for e in targets if self._usable(e, tried, now_ms)]
+        found = self._least(drawn, traffic_class, now_ms)
+        if found is None or self._load(found).is_full(traffic_class, now_ms):
+            usable = [e for e in targets if self._usable(e, tried, now_ms)]
+            return self._least(usable, traffic_class, now_ms)
+        return found
+
+    def _least(
+        self, entries: Sequence[MemberEntry], traffic_class: str, now_ms: float
+    ) -> MemberEntry | None:
         return min(
-            drawn,
+            entries,
             key=lambda entry: self._rank(entry, traffic_class, now_ms),
             default=None,
         )
@@ -336,7 +364,8 @@
     ) -> tuple[bool, float]:
         load = self._load(entry)
         is_full = load.is_full(traffic_class, now_ms)
-        return is_full, load.score(entry.slots, now_ms)
+        pace = self._pace(entry, now_ms)
+        return is_full, load.score(entry.slots, pace, now_ms)
 
     def _usable(
         self, entry: MemberEntry, tried: AbstractSet[str], now_ms: float
@@ -358,11 +387,7 @@
     ) -> bool:
         if self._is_full(near, traffic_class, now_ms):
             return True
-        near_ms = self._load(near).latency.value
-        far = self.far_ms.get(near.upstream)
-        if near_ms is None or far is None or far.value is None:
-            return False
-        return near_ms > SLOW_RATIO * far.value
+        return self._pace(near, now_ms) > RELAXED + FAR_PART
 
     def _is_better(
         self,
@@ -378,9 +403,8 @@
         if near_full:
             far_rank = self._rank(far, traffic_class, now_ms)
             return far_rank < self._rank(near, traffic_class, now_ms)
-        near_ms = self.loads[near.node].latency.value or 0.0
-        far_ms = self.loads[far.node].latency.value or near_ms
-        return near_ms > SLOW_RATIO * far_ms
+        saved = self._pace(near, now_ms) - self._pace(far, now_ms)
+        return saved > FAR_PART
 
     def _any(
         self, candidates: Candidates, tried: AbstractSet[str]
@@ -405,11 +429,17 @@
 def _keep_hint(load: TargetLoad, seen: Observation, now_ms: float) -> None:
     if seen.result is TargetResult.LEAVING:
         load.leaving_until_ms = now_ms + LEAVING_HINT_MS
-    elif seen.result is TargetResult.FULL:
-        hint_ms = min(seen.retry_after_ms or FULL_HINT_MS, FULL_HINT_MS)
+        return
+    hint_ms = min(seen.retry_after_ms or FULL_HINT_MS, FULL_HINT_MS)
+    until_ms = now_ms + hint_ms
+    if seen.result is TargetResult.FULL:
         load.full[seen.traffic_class] = FullHint(
-            now_ms, now_ms + hint_ms, seen.retry_after_ms
+            now_ms, until_ms, seen.retry_after_ms
         )
+    elif seen.result is TargetResult.BUSY:
+        # It would have taken the request in the end, so this is no reason to
+        # turn callers away.
+        load.full[seen.traffic_class] = FullHint(-math.inf, until_ms, 0)
 
 
 def isolation_target(
--- a/packages/pomelobank-core/src/pomelobank_core/_tickets.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_tickets.py
@@ -33,6 +33,7 @@
         alone: Whether nothing else may run beside it.
         priority: Its rank; 0 is the most urgent.
         aim_at_ms: Until when an answer is of full use.
+        max_wait_ms: Longest expected wait with which it is taken.
         offered_ms: When it came.
         started_ms: When it went to the target; None before.
     """
@@ -43,6 +44,7 @@
     alone: bool = False
     priority: int = 0
     aim_at_ms: float = math.inf
+    max_wait_ms: float = math.inf
     offered_ms: float = 0.0
     started_ms: float | None = None
 
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -28,11 +28,13 @@
 from pomelobank_node._bodies import can_be_sent_again, rest_of
 from pomelobank_node._crash_reports import request_fingerprint
 from pomelobank_node._journey import (
+    OFFERS,
     Journey,
     is_answer,
     is_shed,
     load_class,
     observation,
+    was_declined,
 )
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
@@ -123,8 +125,12 @@
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
         self._turn_away(request, now_ms)
+        journey.offers = self._offers(request)
         while True:
             reply = await self._try_hedged(journey, target)
+            if journey.is_declined(reply):
+                target = self._after_decline(journey)
+                continue
             retry = self._decide(journey, reply)
             if retry is None:
                 return journey.final(reply)
@@ -140,6 +146,26 @@
                 return journey.final(reply)
             target = following
 
+    def _offers(self, request: ForwardRequest) -> int:
+        targets = len(self.index.of(request.upstream).targets)
+        if not self.retries.free_refusals or targets < _TWICE:
+            return 0
+        if self._is_suspect(request):
+            return 0
+        return min(OFFERS, targets)
+
+    def _after_decline(self, journey: Journey) -> MemberEntry:
+        now_ms = self.clock.now_ms()
+        kind = load_class(journey.request)
+        if journey.offers:
+            other = self._place(journey)
+            if other and self.placing.may_accept(other, kind, now_ms):
+                return other
+        # No idle target was found; the one with the shortest queue has to
+        # take it.
+        journey.offers = 0
+        return journey.least_busy()
+
     def _turn_away(self, request: ForwardRequest, now_ms: int) -> None:
         candidates = self.index.of(request.upstream)
         retry_after_ms = self.placing.turned_away(
@@ -175,7 +201,8 @@
             other = None if tries[0].done() else self._second_target(journey)
             if other is not None:
                 self.hedged += 1
-                tries.append(asyncio.create_task(self._try(journey, other)))
+                hedge = self._try(journey, other, is_hedge=True)
+                tries.append(asyncio.create_task(hedge))
             return await self._first_good(journey, tries)
         finally:
             for item in tries:
@@ -233,7 +260,9 @@
             for _, reply in replies:
                 journey.remember(reply)
 
-    async def _try(self, journey: Journey, target: MemberEntry) -> ForwardReply:
+    async def _try(
+        self, journey: Journey, target: MemberEntry, is_hedge: bool = False
+    ) -> ForwardReply:
         begun_ms = self.clock.now_ms()
         left_ms = journey.deadline_ms - begun_ms
         first = journey.request
@@ -244,6 +273,7 @@
             remaining_ms=left_ms,
             # What is late already keeps the shortest aim that can be told.
             aim_ms=max(1, first.aim_ms - spent_ms) if first.aim_ms else 0,
+            max_wait_ms=0 if is_hedge else journey.offer_wait_ms,
         )
         if journey.tries > journey.redirects:
             request = self._mark_retry(request)
@@ -255,7 +285,9 @@
         try:
             reply = await self._send(target, request)
             took_ms = self.clock.now_ms() - begun_ms
-            seen = observation(request, reply, took_ms)
+            if was_declined(request, reply):
+                journey.decline(target, reply)
+            seen = observation(request, reply, took_ms, first.aim_ms)
             _trace_try(target, reply.error or str(reply.status), took_ms)
             if self.hedging is not None and is_answer(reply):
                 self.hedging.learn(request.route, took_ms, self.clock.now_ms())
@@ -266,7 +298,12 @@
             took_ms = self.clock.now_ms() - begun_ms
             _trace_try(target, "given_up", took_ms)
             if self._is_overdue(request, took_ms):
-                seen = Observation(TargetResult.SLOW, took_ms=took_ms)
+                seen = Observation(
+                    TargetResult.SLOW,
+                    took_ms=took_ms,
+                    route=first.route,
+                    aim_ms=first.aim_ms,
+                )
             raise
         finally:
             candidates = self.index.of(request.upstream)
--- a/packages/pomelobank-node/src/pomelobank_node/_journey.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -4,14 +4,24 @@
 
 from pomelobank_core import (
     ANSWERS,
+    ErrorKind,
     Observation,
     RunState,
     TargetResult,
     target_result,
 )
 from pomelobank_node._requests import ForwardReply, ForwardRequest, reply_error
+from pomelobank_schema.generated.peer import MemberEntry
 
 _ERROR_HEADER = b"x-pomelobank-error"
+# Targets that may decline a request before the least busy of them has to take
+# it. With six of ten slots busy, one target in three has none free, and of two
+# in a row one in nine; a third would shorten few waits.
+OFFERS = 2
+# Part of the objective that a request waits at a target without looking for
+# another one. The way to the next takes a few milliseconds, so waiting pays
+# only where it is about as short.
+OFFER_WAIT_PART = 0.1
 
 
 @attrs.define(eq=False)
@@ -26,6 +36,9 @@
         tries: How often it was sent.
         redirects: How many of these cost the upstream nothing.
         may_have_run: Reply of the last try that may have run, if any.
+        offers: How many targets may still decline it.
+        declined: Targets that declined it, each with its expected wait.
+        just_declined: Whether the last try was an offer that was declined.
     """
 
     request: ForwardRequest
@@ -35,6 +48,37 @@
     tries: int = 0
     redirects: int = 0
     may_have_run: ForwardReply | None = None
+    offers: int = 0
+    declined: dict[MemberEntry, int] = attrs.field(factory=dict)
+    just_declined: bool = False
+
+    @property
+    def offer_wait_ms(self) -> int:
+        """Longest wait with which it is offered now; 0 for any."""
+        if not self.offers:
+            return 0
+        request = self.request
+        objective_ms = request.aim_ms or request.remaining_ms
+        return max(1, int(OFFER_WAIT_PART * objective_ms))
+
+    def decline(self, target: MemberEntry, reply: ForwardReply) -> None:
+        """Takes note that a target declined it, which is no try."""
+        self.tries -= 1
+        self.offers -= 1
+        self.declined[target] = reply.retry_after_ms
+        self.just_declined = True
+
+    def is_declined(self, reply: ForwardReply) -> bool:
+        """Tells whether the last try was declined; asked once for each try.
+
+        Where the request was sent twice meanwhile, the other reply counts.
+        """
+        declined, self.just_declined = self.just_declined, False
+        return declined and reply.error == ErrorKind.OVERLOADED.value
+
+    def least_busy(self) -> MemberEntry:
+        """Returns the target with the shortest wait of those that declined."""
+        return min(self.declined, key=lambda entry: self.declined[entry])
 
     def remember(self, reply: ForwardReply) -> None:
         """Keeps the reply of a try that may have run."""
@@ -85,12 +129,28 @@
     return not reply.error and not is_shed(reply)
 
 
+def was_declined(request: ForwardRequest, reply: ForwardReply) -> bool:
+    """Tells whether a target declined a request that was offered to it."""
+    busy = reply.error == ErrorKind.OVERLOADED.value
+    return busy and request.max_wait_ms > 0
+
+
 def observation(
-    request: ForwardRequest, reply: ForwardReply, took_ms: int
+    request: ForwardRequest, reply: ForwardReply, took_ms: int, aim_ms: int
 ) -> Observation:
-    """Returns what a reply says about the target that sent it."""
+    """Returns what a reply says about the target that sent it.
+
+    Args:
+        request: The request as it was sent in this try.
+        reply: The reply.
+        took_ms: Time that the try took.
+        aim_ms: Objective of the whole request, of which earlier tries may have
+            used a part.
+    """
     error = reply_error(reply)
-    if error is not None:
+    if was_declined(request, reply):
+        result = TargetResult.BUSY
+    elif error is not None:
         result = target_result(error.kind, request.remaining_ms)
     elif is_shed(reply):
         result = TargetResult.FULL
@@ -102,4 +162,6 @@
         took_ms,
         reply.outstanding,
         reply.retry_after_ms,
+        request.route,
+        aim_ms,
     )
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 
 import attrs
 
@@ -140,7 +141,10 @@
         try:
             return await self._serve(request)
         except RequestError as error:
-            self._log_failure(request, error)
+            declined = error.kind is ErrorKind.OVERLOADED
+            if not (declined and request.max_wait_ms):
+                # An offer that was declined stands in the entry's line.
+                self._log_failure(request, error)
             return error_reply(request.request_id, error)
 
     def _log_failure(
@@ -185,6 +189,7 @@
             alone=standing is Standing.SUSPECT,
             priority=request.priority,
             aim_at_ms=now_ms + (request.aim_ms or request.remaining_ms),
+            max_wait_ms=request.max_wait_ms or math.inf,
         )
         await self.gate.enter(ticket)
         return await self._admitted(ticket, self.pool, request)
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -287,3 +287,54 @@
     asked.cancel()
     await asyncio.gather(asked, return_exceptions=True)
     assert (len(links.sent), forwarder.hedged) == (1, 0)
+
+
+def _declined(wait_ms: int) -> ForwardReply:
+    return error_reply(0, RequestError(ErrorKind.OVERLOADED, wait_ms))
+
+
+@pytest.mark.parametrize(
+    ("replies", "error", "waits"),
+    [
+        pytest.param([ANSWER], "", [50], id="idle"),
+        pytest.param([_declined(90), ANSWER], "", [50, 50], id="second_idle"),
+        pytest.param(
+            [_declined(90), _declined(70), ANSWER],
+            "",
+            [50, 50, 0],
+            id="none_idle",
+        ),
+        pytest.param(
+            [_declined(90), _declined(70), FULL, FULL, FULL],
+            "overloaded",
+            [50, 50, 0, 0, 0],
+            id="all_full",
+        ),
+    ],
+)
+async def test_a_busy_target_declines_while_others_may_be_idle(
+    replies: list[ForwardReply | ErrorKind], error: str, waits: list[int]
+) -> None:
+    """A node hears of a target's load once a second, and queues form sooner.
+
+    The request would wait in one while a target next door stands idle; its
+    caller notices by answers that come late on a mesh with half of its slots
+    free.
+    """
+    links = ScriptedLinks(*replies)
+    forwarder = _forwarder(links)
+    forwarder.retries.free_refusals = True
+    reply = await forwarder.forward(_request(False, aim_ms=500))
+    assert reply.error == error
+    assert [request.max_wait_ms for request in links.sent] == waits
+    assert not links.replies
+
+
+async def test_the_least_busy_target_takes_what_all_declined() -> None:
+    links = ScriptedLinks(_declined(70), _declined(90), ANSWER)
+    asked: list[str] = []
+    links.to = lambda address: asked.append(address) or links  # type: ignore
+    forwarder = _forwarder(links)
+    forwarder.retries.free_refusals = True
+    await forwarder.forward(_request(False, aim_ms=500))
+    assert asked[2] == asked[0] != asked[1]
