The node on the fastest line reads the configuration

Readers were drawn by a hash. One on a line of 2.5 Mbit/s loads 350 KB for more than a second, says nothing meanwhile, and after 2.5 s all its neighbours took that for silence and loaded the document as well; their lines were full and requests waited up to 300 ms on the way, each way. Ruled out: frames between nodes (20 KB a second and node), reading the document (no pause of the event loop over 150 ms), queues at the targets. Change: members tell the speed of their lines; the fastest reads. An answer that is still coming counts as a read. Neighbours of a silent reader come one after the other. At their start nodes on slow lines leave the first read to others for up to 0.8 s.

--- a/packages/pomelobank-node/src/pomelobank_node/_identity.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_identity.py
@@ -27,6 +27,7 @@
             node=settings.node,
             incarnation=clock.wall_ms(),
             data_centre=settings.data_centre,
+            line_mbps=max(1, round(settings.line_mbps)),
         )
         hello = Hello(
             protocol=PROTOCOL_VERSION,
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -39,6 +39,20 @@
 # A node that has heard of no read of the source for so long reads itself: two
 # long polls whose news did not arrive.
 SILENCE_MS = 2500
+# The further down a node is in the order of readers, the longer it waits, up to
+# four steps. Else all neighbours of a reader that went silent fetch a document
+# of 350 KB at once, and on lines of 2.5 Mbit/s each of them keeps its callers
+# waiting for a second.
+SILENCE_STEP_MS = 250
+_MOST_SILENCE_STEPS = 4
+# Pause between two words of a reader whose answer is still on its way.
+PROGRESS_TOLD_MS = 500
+# At its start a node on a slow line leaves the first read to others: a document
+# of 470 KB takes a second and a half on a line of 2.5 Mbit/s, from a neighbour
+# it comes packed in a tenth of that. The pause is this time on a line of
+# 1 Mbit/s, and shorter on faster ones.
+FIRST_PAUSE_MS = 2000
+_MOST_FIRST_PAUSE_MS = 800
 # How long a neighbour that cannot read the source is passed over. It tells so
 # with every try, at least once a second.
 UNABLE_MS = 2500
@@ -89,6 +103,8 @@
         neighbour_read_ms: When a neighbour read the source last.
         source_up: Whether the last own read was answered.
         unable: Until when neighbours are passed over as readers, by address.
+        progress_told_ms: When neighbours were last told of an answer that is
+            still on its way.
         rests_until_ms: Until when reading is left to a neighbour that can.
         reads: Reads of the source, for the metrics.
         pulls_sent: Documents asked for, for the metrics.
@@ -111,6 +127,7 @@
     neighbour_read_ms: float = -math.inf
     source_up: bool = True
     unable: dict[str, int] = attrs.field(factory=dict)
+    progress_told_ms: int = 0
     rests_until_ms: int = 0
     reads: int = 0
     pulls_sent: int = 0
@@ -129,6 +146,7 @@
     async def start(self) -> None:
         """Starts reading the source and watching the peers' versions."""
         self.read_ms = self.clock.now_ms()
+        self.source.on_progress = self._note_progress
         self.tasks = [
             asyncio.create_task(self._read(), name="published-reader"),
             asyncio.create_task(self._watch(), name="published-watch"),
@@ -144,6 +162,7 @@
     # Reading the source.
 
     async def _read(self) -> None:
+        await self._let_faster_ones_read()
         retry_ms = _FIRST_RETRY_MS
         while True:
             if not self._has_to_read():
@@ -172,11 +191,33 @@
             else:
                 await asyncio.sleep(SETTLE_MS / _MS_PER_S)
 
+    async def _let_faster_ones_read(self) -> None:
+        line_mbps = max(1, self.members.own.line_mbps)
+        pause_ms = min(_MOST_FIRST_PAUSE_MS, FIRST_PAUSE_MS / line_mbps)
+        try:
+            async with asyncio.timeout(pause_ms / _MS_PER_S):
+                while not self.store.ready:
+                    await self.store.moved.wait()
+        except TimeoutError:
+            return
+
     def _has_to_read(self) -> bool:
-        first_read = self.position is None and not self.store.ready
-        if first_read or self.is_reader():
+        if self.position is None and not self.store.ready:
             return True
-        return self.clock.now_ms() - self.read_ms > SILENCE_MS
+        ahead = self._ahead()
+        if ahead < READERS:
+            return True
+        steps = min(ahead - READERS, _MOST_SILENCE_STEPS)
+        silence_ms = SILENCE_MS + steps * SILENCE_STEP_MS
+        return self.clock.now_ms() - self.read_ms > silence_ms
+
+    def _note_progress(self) -> None:
+        # Without a word, neighbours would take a long answer for silence.
+        now_ms = self.clock.now_ms()
+        self.read_ms = now_ms
+        if now_ms - self.progress_told_ms >= PROGRESS_TOLD_MS:
+            self.progress_told_ms = now_ms
+            self._tell_near(0)
 
     def _may_rest(self) -> bool:
         now_ms = self.clock.now_ms()
@@ -341,8 +382,10 @@
     return max(found, default=(0, ""))
 
 
-def _rank(entry: MemberEntry) -> int:
-    return xxhash.xxh3_64_intdigest(entry.node.encode())
+def _rank(entry: MemberEntry) -> tuple[int, int]:
+    # The fastest lines first: a reader fetches whole documents.
+    chance = xxhash.xxh3_64_intdigest(entry.node.encode())
+    return -entry.line_mbps, chance
 
 
 @functools.singledispatch
--- a/packages/pomelobank-node/src/pomelobank_node/published/_source.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_source.py
@@ -1,5 +1,6 @@
 """Where published configurations are read, whichever client serves it."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import attrs
@@ -30,7 +31,13 @@
 
 
 class PublishedSource(Protocol):
-    """Reads the newest configuration and waits for newer ones."""
+    """Reads the newest configuration and waits for newer ones.
+
+    Attributes:
+        on_progress: Called with each part of an answer that takes long.
+    """
+
+    on_progress: Callable[[], None] | None
 
     async def newest(self) -> Document | None:
         """Returns the newest configuration, None where there is none yet.
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -1,7 +1,9 @@
 """Published configurations: never back, and on to those who lack them."""
 
 import asyncio
+from collections.abc import Callable
 
+import attrs
 import pytest
 
 from pomelobank_core import ManualClock, MemberTable, RouteTable
@@ -13,7 +15,11 @@
     PublishedStore,
     SourceError,
 )
-from pomelobank_node.published._feed import ASK_AFTER_MS, ASK_FAR_AFTER_MS
+from pomelobank_node.published._feed import (
+    ASK_AFTER_MS,
+    ASK_FAR_AFTER_MS,
+    SILENCE_STEP_MS,
+)
 from pomelobank_node.published._packing import PackingError, pack, unpack
 from pomelobank_schema import SchemaError, SchemaErrorKind, WireMessage
 from pomelobank_schema.generated.peer import (
@@ -57,6 +63,7 @@
         self.documents = list(documents)
         self.positions: list[int | None] = []
         self.idle = asyncio.Event()
+        self.on_progress: Callable[[], None] | None = None
 
     async def newest(self) -> Document | None:
         return await self._next(None)
@@ -419,3 +426,57 @@
 def test_what_cannot_be_unpacked_is_told(packed: bytes, base: bytes) -> None:
     with pytest.raises(PackingError):
         unpack(packed, base)
+
+
+def test_the_node_on_the_fastest_line_reads() -> None:
+    """Half of the machines of a data centre are on lines of 2.5 Mbit/s.
+
+    If one of these read for the others, a change of the configuration would
+    come a second or more after the operator published it.
+    """
+    slow = [
+        attrs.evolve(member(f"n{number}", "hobart"), line_mbps=3)
+        for number in range(9)
+    ]
+    item = feed(Source(), *slow)
+    item.members.own = attrs.evolve(item.members.own, line_mbps=50)
+    assert item.is_reader()
+
+
+async def test_a_reader_that_is_still_loading_is_not_taken_for_silent() -> None:
+    """A large document is on its way to the reader for several seconds.
+
+    If its neighbours took that for its end, each would load it as well, and
+    their callers would wait behind it.
+    """
+    source = Source(Document(b"7", 4))
+    near = member("near", "hobart")
+    item = feed(source, near)
+    await item.start()
+    assert source.on_progress is not None
+    source.on_progress()
+    await asyncio.sleep(0)
+    await item.stop()
+    told = [f for _, f in sent(item) if isinstance(f, VersionDigest)]
+    assert any(f.heartbeat and f.log_age_ms == 0 for f in told)
+
+
+def test_neighbours_of_a_silent_reader_do_not_read_all_at_once() -> None:
+    nodes = [member(f"n{number}", "hobart") for number in range(9)]
+    reading_ms = []
+    for own in nodes:
+        item = feed(Source(), *(node for node in nodes if node != own))
+        item.members.own = own
+        item.store.offer(b"7", "test")
+        item.position = 4
+        clock = item.clock
+        assert isinstance(clock, ManualClock)
+        item.read_ms = clock.now_ms()
+        waited_ms = 0
+        while not item._has_to_read():
+            clock.advance(50)
+            waited_ms += 50
+        reading_ms.append(waited_ms)
+    reading_ms.sort()
+    assert reading_ms[0] == 0
+    assert reading_ms[2] - reading_ms[1] >= SILENCE_STEP_MS
