A frame that comes during a stream's close breaks nothing

A stopping node says its last word on a stream and waits for the peer to close; a probe of the peer that comes meanwhile was answered, which raised, and the stream ended before its time. Change: nothing is sent after the last word. The test fails without it.

--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -56,6 +56,7 @@
         unknown_frames: Frames of a kind this version does not know.
         queued_bytes: Bytes of the frames that wait.
         closed: Set once the connection is gone.
+        said_all: Set once no frame may be sent any more.
         on_written: Called with the tag of a frame when it is handed over.
     """
 
@@ -73,6 +74,7 @@
         self.turns: deque[asyncio.Future[None]] = deque()
         self.paused = False
         self.closed = False
+        self.said_all = False
         self.read_paused = False
         self.lost = asyncio.Event()
         self.bytes_sent = 0
@@ -131,7 +133,7 @@
             message: The frame.
             tag: Passed to `on_written` once bytes of it may have left.
         """
-        if self.closed:
+        if self.closed or self.said_all:
             return
         data = encode(message)
         if not self.paused and not self.queue:
@@ -261,6 +263,9 @@
                     # The peer closes when it has read all of this. Closing
                     # first could reset the connection, and the last answers
                     # would be lost on the way.
+                    # The peer's frames still come meanwhile, and what
+                    # answers them must not break the stream.
+                    self.said_all = True
                     self.transport.write_eof()
                 await self.lost.wait()
         except (OSError, TimeoutError):
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
@@ -1,5 +1,7 @@
 """Bytes from a peer, whatever they are."""
 
+import asyncio
+
 import msgpack
 import pytest
 from hypothesis import given, settings, strategies
@@ -66,10 +68,16 @@
     def __init__(self) -> None:
         self.written: list[bytes] = []
         self.aborted = False
+        self.ended = asyncio.Event()
 
     def write(self, data: bytes) -> None:
+        if self.ended.is_set():
+            raise RuntimeError("Cannot call write() after write_eof()")
         self.written.append(data)
 
+    def write_eof(self) -> None:
+        self.ended.set()
+
     def abort(self) -> None:
         self.aborted = True
 
@@ -126,3 +134,19 @@
     stream.resume_writing()
     assert transport.written == [encode(frame) for frame in frames]
     assert stream.queued_bytes == 0
+
+
+async def test_a_frame_that_comes_during_the_close_breaks_nothing() -> None:
+    """A peer's probe arrives after this node has said its last word.
+
+    An answer would break the stream; requests of that peer that still run here
+    would end with it, and their callers would be told that nobody knows.
+    """
+    stream, transport = stuck_stream()
+    closing = asyncio.create_task(stream.close())
+    await transport.ended.wait()
+    stream.send(peer.CancelRequest(request_id=1))
+    stream.connection_lost(None)
+    await closing
+    assert not transport.written
+    assert not transport.aborted
