Requests that run once do not go out on connections that were idle for long

A target may forget an idle connection sooner than it says; what is sent next is reset, and a request that may run once is then lost with nobody knowing whether it ran. Its connection may have been idle for 0.3 s at most now (2 s before); look-ups still use the others.

--- a/packages/pomelobank-node/src/pomelobank_node/_target_call.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_call.py
@@ -18,6 +18,7 @@
     RequestError,
 )
 from pomelobank_node._upstream_client import (
+    LONGEST_IDLE_S,
     ExpectedId,
     UpstreamAnswer,
     UpstreamPool,
@@ -25,6 +26,12 @@
 from pomelobank_schema.generated.peer import Header
 
 _MS_PER_S = 1000
+# Longest time for which a connection was idle that carries a request which may
+# run once only. A target may forget idle connections sooner than it says, and
+# what is sent then is reset: nobody knows whether it ran, and it cannot be sent
+# again. At ten requests a second half of the connections are younger; a new
+# one costs a millisecond.
+RUNS_ONCE_IDLE_S = 0.3
 _HEAD = "HEAD"
 _MISDIRECTED = 421
 _SUCCESSES = range(200, 300)
@@ -69,6 +76,9 @@
         rest,
         chunked=more and content_length(headers) is None,
         expected_id=expected,
+        longest_idle_s=(
+            LONGEST_IDLE_S if request.idempotent else RUNS_ONCE_IDLE_S
+        ),
     )
     _check(answer, dialect)
     return _reply(request, answer, outstanding)
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
@@ -26,7 +26,7 @@
 _CONNECT_TIMEOUT_S = 1.0
 # Servers commonly close connections after 5 s without a request. Staying well
 # below keeps a request from meeting a connection that is about to be closed.
-_LONGEST_IDLE_S = 2.0
+LONGEST_IDLE_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -62,6 +62,7 @@
         rest: BodySource | None = None,
         chunked: bool = False,
         expected_id: ExpectedId | None = None,
+        longest_idle_s: float = LONGEST_IDLE_S,
     ) -> UpstreamAnswer:
         """Sends one request and waits for its answer.
 
@@ -72,6 +73,8 @@
             rest: The rest of the body.
             chunked: Whether the rest is sent in HTTP's chunks.
             expected_id: Id that the answer must bear where it bears one.
+            longest_idle_s: Longest time for which a connection that is used
+                again was idle.
 
         Returns:
             The answer, once its head and first part are there.
@@ -80,7 +83,7 @@
             RequestError: UPSTREAM_UNREACHABLE or DEADLINE_NOT_RUN before any
                 byte was sent; any other kind after.
         """
-        connection = await self._take(deadline_s)
+        connection = await self._take(deadline_s, longest_idle_s)
         loop = asyncio.get_running_loop()
         # A process that was paused finds its deadline passed only now.
         if deadline_s is not None and loop.time() >= deadline_s:
@@ -96,17 +99,27 @@
             connection.close()
             raise
 
-    async def _take(self, deadline_s: float | None) -> UpstreamConnection:
+    async def _take(
+        self, deadline_s: float | None, longest_idle_s: float
+    ) -> UpstreamConnection:
         loop = asyncio.get_running_loop()
         now_s = loop.time()
-        while self.idle:
+        # The one used last is at the end; where it was idle for too long, so
+        # were all others, which may still serve less careful requests.
+        while self.idle and now_s - self.idle[-1].idle_since_s < longest_idle_s:
             connection = self.idle.pop()
-            if connection.is_usable(now_s, _LONGEST_IDLE_S):
+            if connection.is_usable(now_s, LONGEST_IDLE_S):
                 return connection
             self.stale_connections += 1
             connection.close()
+        self._close_stale(now_s)
         return await self._connect(loop, deadline_s)
 
+    def _close_stale(self, now_s: float) -> None:
+        while self.idle and now_s - self.idle[0].idle_since_s > LONGEST_IDLE_S:
+            self.stale_connections += 1
+            self.idle.popleft().close()
+
     async def _connect(
         self, loop: asyncio.AbstractEventLoop, deadline_s: float | None
     ) -> UpstreamConnection:
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_upstream_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_upstream_client.py
@@ -290,3 +290,28 @@
         ErrorKind.ANSWER_TRUNCATED,
         ErrorKind.UPSTREAM_LOST,
     )
+
+
+@pytest.mark.parametrize(
+    ("longest_idle_s", "accepted"),
+    [
+        pytest.param(10.0, 1, id="may run again"),
+        pytest.param(0.0, 2, id="runs once"),
+    ],
+)
+async def test_an_idle_connection_is_not_trusted_with_what_runs_once(
+    pool: UpstreamPool,
+    target: RawTarget,
+    longest_idle_s: float,
+    accepted: int,
+) -> None:
+    """A target forgets idle connections without a word.
+
+    A reorder that is sent on one is reset; the counter cannot know whether it
+    was lodged.
+    """
+    target.answers = [OK, OK]
+    await pool.request(GET)
+    await pool.request(GET, longest_idle_s=longest_idle_s)
+    assert target.accepted == accepted
+    assert len(pool.idle) == accepted
