--- a/packages/pomelobank-core/src/pomelobank_core/_target_lease.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_target_lease.py
@@ -62,7 +62,7 @@
             return self.drain()
         if self.draining:
             return self._restart(old, new, returned)
-        if returned or _changes(old, new):
+        if returned or old != new:
             return TargetChange.TAKEN
         return TargetChange.NONE
 
@@ -103,11 +103,6 @@
         self.draining = True
 
 
-def _changes(old: TargetAnnouncement | None, new: TargetAnnouncement) -> bool:
-    # The time until a target is warm differs in every announcement.
-    return old is None or attrs.evolve(old, cold_ms=new.cold_ms) != new
-
-
 def _start_of(announcement: TargetAnnouncement) -> tuple[str, int, str]:
     return (
         announcement.instance,
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -195,6 +195,12 @@
     "Requests whose deadline passed while they waited.",
     monotonic=True,
 )
+TARGET_DECLINED = Instrument(
+    "pomelobank.target.declined",
+    "1",
+    "Offers that would have waited longer than they were to.",
+    monotonic=True,
+)
 TARGET_CRASHES = Instrument(
     "pomelobank.target.crashes",
     "1",
--- a/packages/pomelobank-node/src/pomelobank_node/_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log.py
@@ -63,9 +63,13 @@
 
     Attributes:
         long_poll_ms: Longest time that one read waits for new records.
+        reads: Reads sent, for the metrics.
+        appends: Appends sent, for the metrics.
     """
 
     long_poll_ms: int
+    reads: int
+    appends: int
 
     async def append(self, stream: str, record: bytes) -> int:
         """Appends one record and returns its offset.
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Protocol
 
-from pomelobank_core import TwoChoices
+from pomelobank_core import DeadlineAdmission, TwoChoices
 from pomelobank_node import _instruments as listed
 from pomelobank_node._metrics import Instrument, Metrics, Read
 
@@ -83,6 +83,7 @@
     """
     for readings in (
         _published(node),
+        _first_contacts(node),
         _members(node),
         _target(node),
         _requests(node),
@@ -159,6 +160,13 @@
     yield listed.LOG_BYTES_READ, lambda: log.bytes_read
 
 
+def _first_contacts(node: SidecarNode) -> Readings:
+    log, feed = node.ports.log, node.feed
+    yield listed.LOG_UP, lambda: int(feed.source_up)
+    yield listed.LOG_READS, lambda: log.reads
+    yield listed.LOG_APPENDS, lambda: log.appends
+
+
 def _members(node: ObservedNode) -> Readings:
     table, swim = node.table, node.membership.swim
     yield (
@@ -187,6 +195,8 @@
     yield listed.TARGET_LIMIT, lambda: admission.limit.current
     yield listed.TARGET_REFUSED, lambda: admission.refused
     yield listed.TARGET_EXPIRED, lambda: admission.expired
+    if isinstance(admission, DeadlineAdmission):
+        yield listed.TARGET_DECLINED, lambda: admission.declined
     yield listed.TARGET_CRASHES, lambda: owner.watch.crashes
     yield listed.TARGET_LAPSES, lambda: node.target.lease.lapses
 
--- a/packages/pomelobank-node/src/pomelobank_node/published/_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_store.py
@@ -21,12 +21,10 @@
     Attributes:
         routes: Its routes, with its version.
         limits: What callers may send.
-        services: Names of its upstreams.
     """
 
     routes: RouteTable
     limits: HttpLimits
-    services: frozenset[str]
 
     @property
     def version(self) -> int:
@@ -38,7 +36,7 @@
 
 
 def _nothing() -> PublishedConfig:
-    return PublishedConfig(RouteTable(0, {}), HttpLimits(), frozenset())
+    return PublishedConfig(RouteTable(0, {}), HttpLimits())
 
 
 @attrs.define(eq=False)
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -36,7 +36,7 @@
     """Reads a document that is nothing but its version."""
     if not data.isdigit():
         raise SchemaError(SchemaErrorKind.MALFORMED, "", "no version")
-    return PublishedConfig(RouteTable(int(data), {}), HttpLimits(), frozenset())
+    return PublishedConfig(RouteTable(int(data), {}), HttpLimits())
 
 
 class Links:
