No circles between modules, held by import-linter

Four circles were left, all of types only: connections and their pool, callers' connections and their server, frames and feed of the configuration, the two assemblies and their observations. What one side needs of the other stands in a protocol beside it now.

--- a/packages/pomelobank-node/src/pomelobank_node/_config_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_frames.py
@@ -3,9 +3,18 @@
 from __future__ import annotations
 
 import functools
-from typing import TYPE_CHECKING
-
-from pomelobank_core import PullRecords, PushRecords, SendDigest
+from typing import Protocol
+
+from pomelobank_core import (
+    Clock,
+    Distribution,
+    MemberTable,
+    PullRecords,
+    PushRecords,
+    SendDigest,
+)
+from pomelobank_node._config_store import ConfigStore
+from pomelobank_node._snapshot_writer import SnapshotWriter
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     RecordsPull,
@@ -13,9 +22,7 @@
     SnapshotPush,
     VersionDigest,
 )
-
-if TYPE_CHECKING:
-    from pomelobank_node._config_feed import ConfigFeed
+from pomelobank_schema.generated.settings import NodeSettings
 
 # Most records of one push, and their bytes: a peer that is far behind gets
 # them in parts, between which its requests go on.
@@ -23,39 +30,79 @@
 PUSH_BYTES = 256 * 1024
 
 
+class FeedState(Protocol):
+    """What frames are made of, and what takes them.
+
+    Attributes:
+        settings: The node's settings.
+        store: The configuration.
+        members: The members that the node knows.
+        clock: Tells the time.
+        distribution: Decides what to tell whom.
+        writer: Writes snapshots.
+        digests_sent: Digests sent, for the metrics.
+        pulls_sent: Pulls sent, for the metrics.
+        pushes_sent: Pushes of records sent, for the metrics.
+        snapshots_sent: Snapshots sent to peers, for the metrics.
+    """
+
+    settings: NodeSettings
+    store: ConfigStore
+    members: MemberTable
+    clock: Clock
+    distribution: Distribution
+    writer: SnapshotWriter
+    digests_sent: int
+    pulls_sent: int
+    pushes_sent: int
+    snapshots_sent: int
+
+    def take_records(self, push: RecordsPush) -> None:
+        """Takes records that a peer sent."""
+
+    def take_snapshot(self, push: SnapshotPush) -> None:
+        """Takes a snapshot that a peer sent."""
+
+    def take_digest(self, digest: VersionDigest) -> None:
+        """Takes a peer's version."""
+
+    def take_pull(self, pull: RecordsPull) -> None:
+        """Answers a peer that lacks records."""
+
+
 @functools.singledispatch
-def take_frame(frame: WireMessage, feed: ConfigFeed) -> None:
+def take_frame(frame: WireMessage, feed: FeedState) -> None:
     """Hands a frame to the feed; others are ignored."""
 
 
 @take_frame.register(RecordsPush)
-def _(frame: RecordsPush, feed: ConfigFeed) -> None:
+def _(frame: RecordsPush, feed: FeedState) -> None:
     feed.take_records(frame)
 
 
 @take_frame.register(SnapshotPush)
-def _(frame: SnapshotPush, feed: ConfigFeed) -> None:
+def _(frame: SnapshotPush, feed: FeedState) -> None:
     feed.take_snapshot(frame)
 
 
 @take_frame.register(VersionDigest)
-def _(frame: VersionDigest, feed: ConfigFeed) -> None:
+def _(frame: VersionDigest, feed: FeedState) -> None:
     feed.take_digest(frame)
 
 
 @take_frame.register(RecordsPull)
-def _(frame: RecordsPull, feed: ConfigFeed) -> None:
+def _(frame: RecordsPull, feed: FeedState) -> None:
     feed.take_pull(frame)
 
 
 @functools.singledispatch
-def make_frame(action: object, feed: ConfigFeed) -> WireMessage | None:
+def make_frame(action: object, feed: FeedState) -> WireMessage | None:
     """Builds the frame of an action from the node's present state."""
     raise TypeError(f"no frame for {type(action).__name__}")
 
 
 @make_frame.register(SendDigest)
-def _(action: SendDigest, feed: ConfigFeed) -> WireMessage | None:
+def _(action: SendDigest, feed: FeedState) -> WireMessage | None:
     feed.digests_sent += 1
     version = feed.store.version
     return VersionDigest(
@@ -70,7 +117,7 @@
 
 
 @make_frame.register(PullRecords)
-def _(action: PullRecords, feed: ConfigFeed) -> WireMessage | None:
+def _(action: PullRecords, feed: FeedState) -> WireMessage | None:
     if feed.store.version >= action.version:
         return None
     feed.pulls_sent += 1
@@ -82,7 +129,7 @@
 
 
 @make_frame.register(PushRecords)
-def _(action: PushRecords, feed: ConfigFeed) -> WireMessage | None:
+def _(action: PushRecords, feed: FeedState) -> WireMessage | None:
     store = feed.store
     if action.from_version >= store.version:
         return None
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -11,17 +11,23 @@
 from pomelobank_node._metrics import Instrument, Metrics, Read
 
 if TYPE_CHECKING:
-    from pomelobank_core import MemberTable
-    from pomelobank_node._application import NodeApplication
+    from pomelobank_core import Clock, MemberTable
+    from pomelobank_node._admin import Admin
+    from pomelobank_node._claims import ClaimService
+    from pomelobank_node._config_feed import ConfigFeed
+    from pomelobank_node._config_store import ConfigStore
     from pomelobank_node._crash_reports import CrashReports
     from pomelobank_node._forwarder import Forwarder
+    from pomelobank_node._log import Log
+    from pomelobank_node._log_client import LogClient
     from pomelobank_node._membership import Membership
     from pomelobank_node._owner import Owner
     from pomelobank_node._peer_links import PeerLinks
     from pomelobank_node._peer_server import PeerServer
-    from pomelobank_node._sidecar import SidecarNode
     from pomelobank_node._target_watch import TargetWatch
     from pomelobank_node.callers import Ingress
+    from pomelobank_node.published import PublishedFeed, PublishedStore
+    from pomelobank_schema.generated.settings import NodeSettings
 
 Readings = Iterator[tuple[Instrument, Read]]
 
@@ -66,13 +72,61 @@
         """Requests that crash targets."""
 
 
+class SidecarParts(ObservedNode, Protocol):
+    """The parts of a node on a platform."""
+
+    @property
+    def settings(self) -> NodeSettings:
+        """Its settings."""
+
+    @property
+    def store(self) -> PublishedStore:
+        """The configuration."""
+
+    @property
+    def feed(self) -> PublishedFeed:
+        """What keeps it up to date."""
+
+    @property
+    def log(self) -> Log:
+        """Where first contacts are announced."""
+
+
+class ProductParts(ObservedNode, Protocol):
+    """The parts of a node with the product's own log."""
+
+    @property
+    def store(self) -> ConfigStore:
+        """The configuration."""
+
+    @property
+    def feed(self) -> ConfigFeed:
+        """What keeps it up to date."""
+
+    @property
+    def log(self) -> LogClient:
+        """The log."""
+
+    @property
+    def clock(self) -> Clock:
+        """Tells the time."""
+
+    @property
+    def claims(self) -> ClaimService:
+        """Idempotency keys."""
+
+    @property
+    def pages(self) -> Admin:
+        """The target's announcements."""
+
+
 def peer_bytes(node: ObservedNode) -> int:
     """Returns the bytes sent to peers so far."""
     return node.links.bytes_sent + node.peers.bytes_sent
 
 
 def observe_sidecar(
-    metrics: Metrics, node: SidecarNode, unwritten: Read
+    metrics: Metrics, node: SidecarParts, unwritten: Read
 ) -> None:
     """Adds every metric of a node on a platform.
 
@@ -95,7 +149,7 @@
     metrics.observe(listed.OUTPUT_DROPPED, unwritten)
 
 
-def _published(node: SidecarNode) -> Readings:
+def _published(node: SidecarParts) -> Readings:
     store, feed = node.store, node.feed
     yield listed.CONFIG_VERSION, lambda: store.version
     yield listed.CONFIG_READY, lambda: int(store.ready)
@@ -106,7 +160,7 @@
     yield listed.SOURCE_READS, lambda: feed.reads
 
 
-def observe_node(metrics: Metrics, node: NodeApplication) -> None:
+def observe_node(metrics: Metrics, node: ProductParts) -> None:
     """Adds every metric of a node.
 
     Args:
@@ -130,7 +184,7 @@
     metrics.observe(listed.BAD_ANNOUNCEMENTS, lambda: pages.bad_announcements)
 
 
-def _configuration(node: NodeApplication) -> Readings:
+def _configuration(node: ProductParts) -> Readings:
     store = node.store
     yield listed.CONFIG_VERSION, lambda: store.version
     yield listed.CONFIG_BLOCKED, lambda: int(store.blocked)
@@ -139,7 +193,7 @@
     yield listed.CONFIG_UNREADABLE, lambda: store.unreadable
 
 
-def _distribution(node: NodeApplication) -> Readings:
+def _distribution(node: ProductParts) -> Readings:
     feed, clock = node.feed, node.clock
     plan = feed.distribution
     yield listed.CONFIG_LOG_AGE, lambda: plan.log_age_ms(clock.now_ms())
@@ -152,7 +206,7 @@
     yield listed.CONFIG_SNAPSHOTS, lambda: feed.writer.written
 
 
-def _log(node: NodeApplication) -> Readings:
+def _log(node: ProductParts) -> Readings:
     log, feed = node.log, node.feed
     yield listed.LOG_UP, lambda: int(feed.log_up)
     yield listed.LOG_READS, lambda: log.reads
@@ -160,8 +214,8 @@
     yield listed.LOG_BYTES_READ, lambda: log.bytes_read
 
 
-def _first_contacts(node: SidecarNode) -> Readings:
-    log, feed = node.ports.log, node.feed
+def _first_contacts(node: SidecarParts) -> Readings:
+    log, feed = node.log, node.feed
     yield listed.LOG_UP, lambda: int(feed.source_up)
     yield listed.LOG_READS, lambda: log.reads
     yield listed.LOG_APPENDS, lambda: log.appends
@@ -234,7 +288,7 @@
     yield listed.QUARANTINE_REFUSED, lambda: reports.refused
 
 
-def _claims(node: NodeApplication) -> Readings:
+def _claims(node: ProductParts) -> Readings:
     claims = node.claims
     yield listed.CLAIM_KEYS, lambda: claims.keys
     yield listed.CLAIMS_FORWARDED, lambda: claims.forwarded
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -174,6 +174,11 @@
             page = MetricsPage(self, output)
             await self._start(CallerServer(self.settings.listen.metrics, page))
 
+    @property
+    def log(self) -> Log:
+        """Where first contacts are announced."""
+        return self.ports.log
+
     @property
     def serves(self) -> bool:
         """Whether callers may be sent here."""
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import select
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 import httptools
@@ -25,9 +25,6 @@
 from pomelobank_node._peer_sockets import notice_dead_peer
 from pomelobank_node._requests import Headers, RequestError
 
-if TYPE_CHECKING:
-    from pomelobank_node._upstream_client import UpstreamPool
-
 _FIRST_FINAL_STATUS = 200
 _NO_BODY_STATUSES = frozenset({204, 304})
 _HEAD = b"HEAD "
@@ -63,6 +60,24 @@
     rest: PartBuffer | None = None
 
 
+class ConnectionPool(Protocol):
+    """Where a connection returns to after its request.
+
+    Attributes:
+        max_body_bytes: Largest answer that is taken.
+        open_ends: Whether the end of the connection may end an answer.
+    """
+
+    max_body_bytes: int
+    open_ends: bool
+
+    def give_back(self, connection: UpstreamConnection) -> None:
+        """Takes a connection whose request has ended."""
+
+    def forget(self, connection: UpstreamConnection) -> None:
+        """Drops a connection that was closed."""
+
+
 class UpstreamConnection(asyncio.Protocol):
     """Carries one request at a time.
 
@@ -80,7 +95,7 @@
         until_closed: Whether the answer's body ends with the connection.
     """
 
-    def __init__(self, pool: UpstreamPool) -> None:
+    def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.open = False
--- a/packages/pomelobank-node/src/pomelobank_node/callers/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/__init__.py
@@ -5,11 +5,12 @@
 from pomelobank_node.callers._connection import HttpConnection
 from pomelobank_node.callers._ingress import Ingress
 from pomelobank_node.callers._messages import (
+    Handler,
     HttpAnswer,
     HttpLimits,
     HttpRequest,
 )
-from pomelobank_node.callers._server import CallerServer, Handler
+from pomelobank_node.callers._server import CallerServer
 
 __all__ = [
     "CallerServer",
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -11,12 +11,13 @@
 import asyncio
 import logging
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import httptools
 
 from pomelobank_core import ErrorKind
 from pomelobank_node._bodies import INLINE_BYTES, WINDOW_BYTES, PartBuffer
+from pomelobank_node._dialect import Dialect
 from pomelobank_node._http_messages import (
     LAST_CHUNK,
     content_length,
@@ -27,13 +28,12 @@
 from pomelobank_node.callers._answers import error_answer
 from pomelobank_node.callers._exchange import Exchange
 from pomelobank_node.callers._messages import (
+    Handler,
     HttpAnswer,
+    HttpLimits,
     encode_answer,
 )
 
-if TYPE_CHECKING:
-    from pomelobank_node.callers._server import CallerServer
-
 _logger = logging.getLogger(__name__)
 # Requests of one connection that run at once; later ones stay unread. One
 # caller could otherwise take every slot of an upstream.
@@ -43,6 +43,27 @@
 _MS_PER_S = 1000
 
 
+class ConnectionHost(Protocol):
+    """Whose connection it is.
+
+    Attributes:
+        handler: Answers each request.
+        dialect: How errors are told.
+        limits: What callers may send.
+        draining: Whether connections end after the answers under way.
+        connections: Open connections.
+    """
+
+    handler: Handler
+    dialect: Dialect
+    limits: HttpLimits
+    draining: bool
+    connections: set[HttpConnection]
+
+    def opened(self, connection: HttpConnection) -> bool:
+        """Takes a new connection; returns whether there is room for it."""
+
+
 class HttpConnection(asyncio.Protocol):
     """Reads requests, runs them at the same time, answers in their order.
 
@@ -56,7 +77,7 @@
         ended: Whether nothing further is read.
     """
 
-    def __init__(self, server: CallerServer) -> None:
+    def __init__(self, server: ConnectionHost) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpRequestParser(self)
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_messages.py
@@ -1,5 +1,6 @@
 """Requests and answers of HTTP/1.1 as the node's servers exchange them."""
 
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import attrs
@@ -108,3 +109,6 @@
 
 def _unnamed(status: int) -> bytes:
     return b"HTTP/1.1 %d \r\n" % status
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -1,21 +1,17 @@
 """Listens for HTTP/1.1 and hands every request to one handler."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import attrs
 
 from pomelobank_node._dialect import Dialect
 from pomelobank_node.callers._connection import HttpConnection
 from pomelobank_node.callers._messages import (
-    HttpAnswer,
+    Handler,
     HttpLimits,
-    HttpRequest,
 )
 from pomelobank_schema import parse_address
 
-Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
-
 # A burst of callers must not find the queue of new connections full: their
 # first packet would be dropped and sent again after a second or more.
 _BACKLOG = 1024
