--- a/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -1,12 +1,10 @@
-"""Claims the keys of one shard: appends to its stream and reads it on."""
+"""Claims the keys of one shard and runs their requests."""
 
 import asyncio
 import logging
-import random
 from collections.abc import Awaitable, Callable, Iterator
 
 import attrs
-from returns.result import Failure
 
 from pomelobank_core import (
     ANSWERS,
@@ -35,7 +33,9 @@
     kept_answer,
     replayed_reply,
 )
-from pomelobank_node._log import Log, LogError, LogErrorKind
+from pomelobank_node._claims_reader import ClaimReader
+from pomelobank_node._claims_writer import ClaimWriter, Item, wait_event
+from pomelobank_node._log import Log
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -43,10 +43,8 @@
     error_reply,
     reply_error,
 )
-from pomelobank_schema import SchemaError, WireMessage, decode, encode
 from pomelobank_schema.generated.records import (
     ClaimBatch,
-    ClaimCompletion,
     ClaimEntry,
     ClaimRelease,
 )
@@ -55,14 +53,8 @@
 _logger = logging.getLogger(__name__)
 
 Place = Callable[[ForwardRequest], Awaitable[ForwardReply]]
-Item = ClaimEntry | ClaimRelease | ClaimCompletion
 
 _MS_PER_S = 1000
-_KINDS: dict[int, type[WireMessage]] = {ClaimBatch.KIND: ClaimBatch}
-# 200 full batches are some 2 MB in one answer of the log.
-_PAGE_LIMIT = 200
-_FIRST_RETRY_MS = 50
-_MAX_RETRY_MS = 2000
 # An acknowledgement of an order with its headers fits; a report does not, and
 # at 100 keyed requests a second the answers add at most 100 KB/s to the log.
 MAX_LOGGED_ANSWER_BYTES = 1024
@@ -77,7 +69,7 @@
 
 @attrs.define(eq=False)
 class ShardWorker:
-    """Writes and reads one shard's stream.
+    """Answers the keyed requests of one shard.
 
     Attributes:
         shard: Number of the shard.
@@ -90,12 +82,12 @@
         place: Runs a request on a target.
         batcher: Decides when to append.
         table: The stream's state.
+        out: Appends to the stream.
+        reader: Reads it on.
         flights: Requests that this node claims or runs, by claim key.
         pending: Flights whose claim was not seen yet, by claim number.
         releasing: Own claims whose release was not seen yet.
         used_ms: When a request last came in.
-        blocked: Set when the stream holds a record that cannot be read.
-        read_failing: Whether the last read failed.
     """
 
     shard: int
@@ -108,17 +100,29 @@
     place: Place
     batcher: ClaimBatcher[Item]
     table: ClaimTable = attrs.field(factory=ClaimTable)
+    out: ClaimWriter = attrs.field(init=False)
+    reader: ClaimReader = attrs.field(init=False)
     flights: dict[bytes, Flight] = attrs.field(factory=dict)
     pending: dict[int, Flight] = attrs.field(factory=dict)
     releasing: set[ClaimId] = attrs.field(factory=set)
     used_ms: int = 0
-    blocked: bool = False
-    read_failing: bool = False
-    caught_up: asyncio.Event = attrs.field(factory=asyncio.Event)
-    work: asyncio.Event = attrs.field(factory=asyncio.Event)
-    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
+    def __attrs_post_init__(self) -> None:
+        self.out = ClaimWriter(
+            self.stream,
+            self.writer,
+            self.log,
+            self.clock,
+            self.settings.window_ms,
+            self.table,
+            self.batcher,
+            self._refuse,
+        )
+        self.reader = ClaimReader(
+            self.stream, self.log, self.clock, self.table, self
+        )
+
     @property
     def stream(self) -> str:
         """Name of the shard's stream."""
@@ -126,8 +130,8 @@
 
     def start(self) -> None:
         """Starts reading and appending."""
-        self._spawn(self._read_on(), "read")
-        self._spawn(self._append_on(), "append")
+        self._spawn(self.reader.run(), "read")
+        self._spawn(self.out.run(), "append")
 
     def _spawn(self, work: Awaitable[None], name: str) -> None:
         async def run() -> None:
@@ -152,8 +156,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing is under way or waits to be appended."""
-        queued = self.batcher.urgent or self.batcher.lazy
-        return not (self.flights or queued or self.batcher.appending)
+        return not self.flights and self.out.idle
 
     # Requests.
 
@@ -185,14 +188,14 @@
                 return reply
 
     async def _catch_up(self, keyed: KeyedRequest) -> None:
-        if self.caught_up.is_set():
+        if self.reader.caught_up.is_set():
             return
-        if self.read_failing:
+        if self.reader.failing:
             raise RequestError(ErrorKind.CLAIM_UNAVAILABLE)
         wait_ms = min(self.settings.claim_timeout_ms, self._left_ms(keyed))
         try:
             async with asyncio.timeout(wait_ms / _MS_PER_S):
-                await self.caught_up.wait()
+                await self.reader.caught_up.wait()
         except TimeoutError:
             raise RequestError(ErrorKind.CLAIM_UNAVAILABLE) from None
 
@@ -236,8 +239,7 @@
             wait_ms = until_ms - self.clock.now_ms()
             if wait_ms <= 0:
                 break
-            changed = self.changed
-            await _wait_event(changed, wait_ms)
+            await wait_event(self.reader.changed, wait_ms)
             current = self.table.find(keyed.key, self.clock.wall_ms())
         return current
 
@@ -278,20 +280,15 @@
             request=keyed.digest,
             remaining_ms=self._left_ms(keyed),
         )
-        offered = self.batcher.offer(entry, self.clock.now_ms(), patience_ms)
-        if isinstance(offered, Failure):
-            raise RequestError(
-                ErrorKind.CLAIM_UNAVAILABLE, max(1, offered.failure())
-            )
+        self.out.claim(entry, patience_ms)
         flight = Flight(keyed, attempt)
         self.flights[keyed.key] = flight
         self.pending[number] = flight
-        self.work.set()
         self._spawn(self._fly(flight, patience_ms), f"claim-{number}")
         return flight
 
     def _check_room(self) -> None:
-        if self.blocked or self.read_failing:
+        if self.reader.blocked or self.reader.failing:
             raise RequestError(ErrorKind.CLAIM_UNAVAILABLE)
         wall_ms = self.clock.wall_ms()
         wait_ms = max(
@@ -352,8 +349,7 @@
     def _release(self, attempt: Attempt) -> None:
         self.releasing.add(attempt.claim_id)
         record = ClaimRelease(key=attempt.key, number=attempt.claim_id.number)
-        self.batcher.offer_lazily(record, self.clock.now_ms())
-        self.work.set()
+        self.out.add(record)
 
     def _complete(self, attempt: Attempt, reply: ForwardReply) -> None:
         answer = None if reply.error else kept_answer(reply)
@@ -366,8 +362,7 @@
             answer,
             MAX_LOGGED_ANSWER_BYTES,
         )
-        self.batcher.offer_lazily(record, self.clock.now_ms())
-        self.work.set()
+        self.out.add(record)
 
     def _forget_body(self, flight: Flight) -> None:
         # A claim that was given up is waited for without its request: bodies
@@ -382,131 +377,20 @@
         for number in abandoned[:-_MAX_ABANDONED]:
             del self.pending[number]
 
-    # Appending.
-
-    async def _append_on(self) -> None:
-        while True:
-            wait_ms = self.batcher.wait_ms(self.clock.now_ms())
-            if wait_ms == 0:
-                await self._append()
-                continue
-            self.work.clear()
-            await _wait_event(self.work, wait_ms)
-
-    async def _append(self) -> None:
-        began_ms = self.clock.now_ms()
-        items = self.batcher.take(began_ms)
-        batch = self._batch(items)
-        try:
-            await self.log.append(self.stream, encode(batch))
-        except LogError as error:
-            self._append_failed(items, error)
-            return
-        self.batcher.appended(began_ms, self.clock.now_ms())
-
-    def _batch(self, items: list[Item]) -> ClaimBatch:
-        return ClaimBatch(
-            writer=self.writer,
-            at_ms=max(self.clock.wall_ms(), self.table.stream_ms),
-            previous_at_ms=self.table.stream_ms,
-            seen_offset=self.table.next_offset,
-            window_ms=self.settings.window_ms,
-            releases=tuple(i for i in items if isinstance(i, ClaimRelease)),
-            completions=tuple(
-                i for i in items if isinstance(i, ClaimCompletion)
-            ),
-            claims=tuple(i for i in items if isinstance(i, ClaimEntry)),
-        )
-
-    def _append_failed(self, items: list[Item], error: LogError) -> None:
-        _logger.warning(
-            "claims.append_failed",
-            extra={"stream": self.stream, "error": str(error)},
-        )
-        # A claim is never appended again: the first append may still take
-        # effect, and a second one of the same claim after its release would
-        # hold the key for good. Releases and completions may be repeated.
-        again = [i for i in items if not isinstance(i, ClaimEntry)]
-        refused = self.batcher.failed(self.clock.now_ms(), again)
-        if error.kind is LogErrorKind.REFUSED:
-            refused += [i for i in items if isinstance(i, ClaimEntry)]
-        for item in refused:
-            if isinstance(item, ClaimEntry):
-                self._refuse(item)
+    # What became of claims.
 
     def _refuse(self, entry: ClaimEntry) -> None:
         flight = self.pending.get(entry.number)
         if flight is not None:
             self._give_up(flight)
 
-    # Reading.
-
-    async def _read_on(self) -> None:
-        retry_ms = _FIRST_RETRY_MS
-        while True:
-            try:
-                await self._read_once()
-                self.read_failing = False
-                retry_ms = _FIRST_RETRY_MS
-            except LogError as error:
-                if error.kind is LogErrorKind.TRIMMED:
-                    self._restart(error.first_offset)
-                    continue
-                self.read_failing = True
-                # Full jitter, so that the readers of all shards do not meet
-                # the log together when it comes back.
-                pause_ms = random.uniform(0, retry_ms)
-                await asyncio.sleep(pause_ms / _MS_PER_S)
-                retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
-
-    def _restart(self, first_offset: int) -> None:
-        # The trimmed records may hold an earlier claim of a key that is just
-        # being claimed: read without them, the later claim would seem to win
-        # and its request run a second time. So no pending claim may run.
+    def history_lost(self) -> None:
+        """Lets no pending claim run."""
         for flight in self.pending.values():
             self._give_up(flight)
-        self.table.restart(first_offset, self.clock.wall_ms())
-        self.caught_up.clear()
-        self.blocked = False
-
-    async def _read_once(self) -> None:
-        wait_ms = self.log.long_poll_ms if self.caught_up.is_set() else 0
-        page = await self.log.read(
-            self.stream, self.table.next_offset, _PAGE_LIMIT, wait_ms
-        )
-        for index, data in enumerate(page.records):
-            self._apply(page.first_offset + index, data)
-            if self.blocked:
-                await asyncio.sleep(_MAX_RETRY_MS / _MS_PER_S)
-                return
-        if page.next_offset >= page.end_offset:
-            self.caught_up.set()
-        if page.records:
-            changed, self.changed = self.changed, asyncio.Event()
-            changed.set()
-
-    def _apply(self, offset: int, data: bytes) -> None:
-        try:
-            batch = decode(data, _KINDS)
-        except SchemaError as error:
-            # Skipping what cannot be read could skip a claim, and its request
-            # would run again; the shard takes no new key instead.
-            self.blocked = True
-            _logger.error(
-                "claims.unreadable_record",
-                extra={"offset": offset, "error": str(error)},
-            )
-            return
-        self.blocked = False
-        assert isinstance(batch, ClaimBatch)
-        for event in self.table.apply(offset, batch):
-            if isinstance(event, ClaimSeen):
-                self._seen(event)
-            else:
-                self._ended(event)
-        self._forget_written(batch)
-
-    def _seen(self, event: ClaimSeen) -> None:
+
+    def seen(self, event: ClaimSeen) -> None:
+        """Takes a claim that was read."""
         if event.claim_id.writer != self.writer:
             return
         flight = self.pending.pop(event.claim_id.number, None)
@@ -519,11 +403,13 @@
             self._release(flight.attempt)
         flight.decide(step)
 
-    def _ended(self, event: ClaimEnded) -> None:
+    def ended(self, event: ClaimEnded) -> None:
+        """Keeps the answer of a claim that has ended."""
         if event.answer and self.answers.get(event.key) is None:
             self.answers.put(event.key, event.answer)
 
-    def _forget_written(self, batch: ClaimBatch) -> None:
+    def written(self, batch: ClaimBatch) -> None:
+        """Forgets what has been written for good."""
         if batch.writer != self.writer:
             return
         for completion in batch.completions:
@@ -541,12 +427,3 @@
     if step is AttemptStep.EXPIRED:
         kind = ErrorKind.DEADLINE_NOT_RUN
     return error_reply(0, RequestError(kind))
-
-
-async def _wait_event(event: asyncio.Event, wait_ms: int | None) -> None:
-    timeout = None if wait_ms is None else wait_ms / _MS_PER_S
-    try:
-        async with asyncio.timeout(timeout):
-            await event.wait()
-    except TimeoutError:
-        return
