--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -160,6 +160,14 @@
             self.alone = None
         return self.start_waiting(now_ms)
 
+    def usual_ms_of(self, route: str, _: float) -> float:
+        """Returns the time that a route's requests usually take."""
+        return self.times.of_route(route)
+
+    def give_up_ms(self, ticket: Ticket) -> float:
+        """Returns until when a request may wait: to its deadline."""
+        return ticket.deadline_ms
+
     def set_slots(self, slots: int, now_ms: float) -> Change:
         """Takes a new number of slots; returns what this let start."""
         self.limit.set_slots(slots)
--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -187,6 +187,10 @@
         """Returns the time that a request usually takes at the target."""
         return self.times.of(ticket.route, ticket.offered_ms)
 
+    def usual_ms_of(self, route: str, now_ms: float) -> float:
+        """Returns the time that a route's requests usually take."""
+        return self.times.of(route, now_ms)
+
     def give_up_ms(self, ticket: Ticket) -> float:
         """Returns when a waiting request is better refused after all.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -93,9 +93,7 @@
 
     def usual_ms_of(self, route: str) -> float:
         """Returns the time that a route's requests usually take there."""
-        if isinstance(self.admission, DeadlineAdmission):
-            return self.admission.times.of(route, self.clock.now_ms())
-        return self.admission.times.of_route(route)
+        return self.admission.usual_ms_of(route, self.clock.now_ms())
 
     async def enter(self, ticket: Ticket) -> None:
         """Returns once the request may go to the target.
@@ -133,7 +131,8 @@
     async def _wait(self, ticket: Ticket) -> None:
         woken = asyncio.get_running_loop().create_future()
         self.waiting[ticket] = woken
-        room_ms = self._until_ms(ticket) - self.clock.now_ms()
+        until_ms = self.admission.give_up_ms(ticket)
+        room_ms = until_ms - self.clock.now_ms()
         self.waits += 1
         begun_ms = self.clock.now_ms()
         try:
@@ -155,11 +154,6 @@
             return ErrorKind.OVERLOADED
         return ErrorKind.DEADLINE_NOT_RUN
 
-    def _until_ms(self, ticket: Ticket) -> float:
-        if isinstance(self.admission, DeadlineAdmission):
-            return self.admission.give_up_ms(ticket)
-        return ticket.deadline_ms
-
     def _give_up(self, ticket: Ticket) -> None:
         # The slot may have been given in the same moment; it would stay taken
         # for good if the request went away without giving it back.
