--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -0,0 +1,217 @@
+"""Whoever can read the source reads it, and every node has what was published.
+
+Real feeds on a network and a source of the test's own, in virtual time.
+"""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from pomelobank_core import MemberTable
+from pomelobank_node.published import (
+    Document,
+    PublishedFeed,
+    PublishedStore,
+    SourceError,
+)
+from pomelobank_node.published.tests.test_published import decode, member
+from pomelobank_node.published.tests.virtual_time import (
+    VirtualClock,
+    VirtualTime,
+    run_virtually,
+)
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import MemberEntry, MemberVersion
+
+NODES = {"hobart": 5, "burnie": 4, "launceston": 1}
+LENGTH_S = 30.0
+# The store answers in 4 ms, and a lost answer is given up after half a second.
+ANSWER_S = 0.004
+LOST_S = 0.5
+# By this time after a publication every node must have it, whichever nodes the
+# source has turned away or left without an answer, as long as it serves one.
+IN_FORCE_S = 2.0
+
+
+@attrs.define(eq=False)
+class World:
+    """The source, the network and the nodes."""
+
+    seeded: random.Random
+    time: VirtualTime
+    version: int = 1
+    published: asyncio.Event = attrs.field(factory=asyncio.Event)
+    refused: set[str] = attrs.field(factory=set)
+    silent: set[str] = attrs.field(factory=set)
+    feeds: dict[str, PublishedFeed] = attrs.field(factory=dict)
+    calls: int = 0
+
+    def publish(self) -> None:
+        self.version += 1
+        published, self.published = self.published, asyncio.Event()
+        published.set()
+
+
+@attrs.define(eq=False)
+class Source:
+    """The source as one node sees it; a version is its place as well."""
+
+    world: World
+    node: str
+    on_progress: object = None
+
+    async def newest(self) -> Document | None:
+        return await self._read(0, 0.0)
+
+    async def following(self, position: int, wait_ms: int) -> Document | None:
+        return await self._read(position, wait_ms / 1000)
+
+    async def _read(self, position: int, wait_s: float) -> Document | None:
+        world = self.world
+        world.calls += 1
+        await asyncio.sleep(ANSWER_S)
+        if self.node in world.refused:
+            raise SourceError("refused")
+        if world.version <= position:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await world.published.wait()
+            except TimeoutError:
+                pass
+        if self.node in world.silent:
+            await asyncio.sleep(LOST_S)
+            raise SourceError("no answer")
+        if world.version <= position:
+            return None
+        return Document(str(world.version).encode(), world.version)
+
+
+@attrs.define(eq=False)
+class Link:
+    """Carries frames to one node."""
+
+    world: World
+    address: str
+
+    async def send(self, frame: WireMessage) -> None:
+        asyncio.get_running_loop().call_later(
+            self.world.seeded.uniform(0.001, 0.02), self._arrive, frame
+        )
+
+    def _arrive(self, frame: WireMessage) -> None:
+        self.world.feeds[self.address].receive(frame)
+
+
+@attrs.define(eq=False)
+class Links:
+    """Streams of one node."""
+
+    world: World
+
+    def to(self, address: str) -> Link:
+        return Link(self.world, address)
+
+
+def build(world: World) -> None:
+    entries = [
+        member(f"{centre}-{number}", centre)
+        for centre, count in NODES.items()
+        for number in range(count)
+    ]
+    for entry in entries:
+        table = MemberTable(entry)
+        table.merge(item for item in entries if item is not entry)
+        world.feeds[entry.peer_address] = PublishedFeed(
+            Source(world, entry.node),  # type: ignore[arg-type]
+            PublishedStore(decode),
+            table,
+            Links(world),  # type: ignore[arg-type]
+            VirtualClock(world.time),
+            random.Random(entry.node),
+        )
+
+
+async def gossip(world: World) -> None:
+    """Each node tells its version to another one twice a second."""
+    feeds = list(world.feeds.values())
+    while True:
+        await asyncio.sleep(0.5)
+        for feed in feeds:
+            own: MemberEntry = feed.members.own
+            told = MemberVersion(
+                node=own.node,
+                incarnation=own.incarnation,
+                version=feed.store.version,
+            )
+            world.seeded.choice(feeds).members.merge_versions([told])
+
+
+async def trouble(world: World, kinds: list[set[str]]) -> None:
+    """The source leaves some nodes out for a while, now these, now those."""
+    nodes = [feed.members.own.node for feed in world.feeds.values()]
+    while True:
+        await asyncio.sleep(world.seeded.uniform(0, 4))
+        kind = world.seeded.choice(kinds)
+        # One node at least is always served.
+        hit = world.seeded.sample(nodes[1:], world.seeded.randint(1, 8))
+        kind.update(hit)
+        await asyncio.sleep(world.seeded.uniform(0.5, 6))
+        kind.clear()
+
+
+async def check(world: World) -> None:
+    """Publishes now and then, and looks whether every node has it in time."""
+    while world.time.now_s < LENGTH_S:
+        await asyncio.sleep(world.seeded.uniform(0, 3))
+        world.publish()
+        wanted = world.version
+        await asyncio.sleep(IN_FORCE_S)
+        late = {
+            feed.members.own.node: feed.store.version
+            for feed in world.feeds.values()
+            if feed.store.version < wanted
+        }
+        assert not late, f"{wanted} at {world.time.now_s:.1f} s: {late}"
+
+
+async def play(world: World, troubled: bool) -> None:
+    build(world)
+    for feed in world.feeds.values():
+        await feed.start()
+    tasks = [asyncio.create_task(gossip(world))]
+    if troubled:
+        kinds = [world.refused, world.silent]
+        tasks.append(asyncio.create_task(trouble(world, kinds)))
+    try:
+        await asyncio.sleep(2)
+        await check(world)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for feed in world.feeds.values():
+            await feed.stop()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_what_is_published_is_in_force_wherever_the_source_is_read(
+    seed: int,
+) -> None:
+    """The source refuses some nodes and leaves others without an answer.
+
+    If nobody who can read took over in time, callers of a whole data centre
+    would be routed by the configuration before.
+    """
+    time = VirtualTime()
+    run_virtually(time, play(World(random.Random(seed), time), troubled=True))
+
+
+def test_a_calm_source_is_asked_once_a_second_by_each_data_centre() -> None:
+    time = VirtualTime()
+    world = World(random.Random(1), time)
+    run_virtually(time, play(world, troubled=False))
+    readers = len(NODES)
+    starts = sum(NODES.values())
+    assert world.calls < starts + readers * (1.1 * time.now_s + world.version)
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/virtual_time.py
@@ -0,0 +1,73 @@
+"""An event loop whose time jumps to the next timer."""
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+from pomelobank_core import Clock
+
+_MS_PER_S = 1000
+
+
+@attrs.define(eq=False)
+class VirtualTime:
+    """The time of one run.
+
+    Attributes:
+        now_s: Seconds since its start.
+    """
+
+    now_s: float = 0.0
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Waits for nothing; what would be waited for has passed at once."""
+
+    def __init__(self, time: VirtualTime) -> None:
+        super().__init__()
+        self.time = time
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is not None and timeout > 0:
+            self.time.now_s += timeout
+        return super().select(0)
+
+
+class _VirtualLoop(asyncio.SelectorEventLoop):
+    def __init__(self, time: VirtualTime) -> None:
+        self.virtual = time
+        super().__init__(_JumpingSelector(time))
+
+    def time(self) -> float:
+        return self.virtual.now_s
+
+
+@attrs.define
+class VirtualClock(Clock):
+    """Tells the time of a run.
+
+    Attributes:
+        time: The time.
+    """
+
+    time: VirtualTime
+
+    def now_ms(self) -> int:
+        return int(self.time.now_s * _MS_PER_S)
+
+    def wall_ms(self) -> int:
+        return self.now_ms()
+
+
+def run_virtually(time: VirtualTime, work: Coroutine[Any, Any, None]) -> None:
+    """Runs a coroutine; a minute of its sleeps takes no time."""
+    loop = _VirtualLoop(time)
+    try:
+        loop.run_until_complete(work)
+    finally:
+        loop.close()
