--- a/packages/pomelobank-core/src/pomelobank_core/tests/fleet_support.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/fleet_support.py
@@ -91,11 +91,13 @@
         round_robin: bool = False,
         data_centre: str = "hobart",
         retrying: bool = True,
+        aim_ms: float = 0.0,
     ) -> None:
         self.events = Events()
         self.calls: list[Call] = []
         self.runs: dict[int, int] = {}
         self.retrying = retrying
+        self.aim_ms = aim_ms
         self.tries = 0
         self.targets = {item.node: _target(item) for item in members}
         self.entries = []
@@ -249,6 +251,8 @@
             now_ms - visit.sent_ms,
             admission.in_flight + admission.waiting,
             visit.retry_after_ms,
+            visit.call.route,
+            self.aim_ms,
         )
         entry = visit.entry
         candidates = entry.index.of(UPSTREAM)
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_placing.py
@@ -227,3 +227,25 @@
     table.merge([member("n0", upstream="u0", sequence=200, state="draining")])
     assert len(index.of("u0").targets) == 31
     assert index.builds == 2
+
+
+def test_a_data_centre_with_slow_machines_sends_work_next_door() -> None:
+    """One data centre has the slow machines, the other one idle fast ones.
+
+    No target is full, so nothing looks wrong; callers in the slow data centre
+    wait more than twice as long as they need.
+    """
+    near = [member(f"near-{number}", "hobart") for number in range(4)]
+    far = [member(f"far-{number}", "burnie") for number in range(4)]
+    fleet = Fleet([*near, *far], aim_ms=30)
+    for entry in near:
+        fleet.targets[entry.node].slow_factor = 2.5
+    fleet.load(800, 6000)
+    fleet.events.run()
+    took = fleet.outcomes(from_ms=2000)["answered"]
+    assert quantile(took, 0.5) <= 15
+    even = Fleet([*near, *far], aim_ms=30)
+    even.load(800, 6000)
+    even.events.run()
+    stayed = sum(even.targets[entry.node].runs for entry in near)
+    assert stayed > 0.95 * len(even.calls)
