--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -74,6 +74,8 @@
         seen_ms: When each class asked last.
         alone: The request that runs or waits to run alone, if any.
         refused: Requests that were refused.
+        declined: Offers that were declined: none, because a refusal costs a try
+            here.
         expired: Requests whose deadline passed in the queue.
     """
 
@@ -87,6 +89,7 @@
     seen_ms: dict[TrafficClass, float] = attrs.field(factory=dict)
     alone: Ticket | None = None
     refused: int = 0
+    declined: int = 0
     expired: int = 0
 
     @property
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import TYPE_CHECKING, Protocol
 
-from pomelobank_core import DeadlineAdmission, TwoChoices
+from pomelobank_core import TwoChoices
 from pomelobank_node import _instruments as listed
 from pomelobank_node._metrics import Instrument, Metrics, Read
 
@@ -249,8 +249,7 @@
     yield listed.TARGET_LIMIT, lambda: admission.limit.current
     yield listed.TARGET_REFUSED, lambda: admission.refused
     yield listed.TARGET_EXPIRED, lambda: admission.expired
-    if isinstance(admission, DeadlineAdmission):
-        yield listed.TARGET_DECLINED, lambda: admission.declined
+    yield listed.TARGET_DECLINED, lambda: admission.declined
     yield listed.TARGET_CRASHES, lambda: owner.watch.crashes
     yield listed.TARGET_LAPSES, lambda: node.target.lease.lapses
 
