Names of headers, bodiless statuses and the system's 400 stand once

Found by reading the whole change: the set of statuses without a body stood in three modules, two headers of the system in two, the retry header beside the dialect that already names it, and the admin server wrote the bytes of a 400 by hand that error_answer and encode_answer make (compared: the same bytes). HttpServer.stop_timeout_s was left without a caller when callers got a server of their own. No behaviour changes; tests of core, node and platform passed.

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -27,6 +27,7 @@
 )
 from pomelobank_node._bodies import can_be_sent_again, rest_of
 from pomelobank_node._crash_reports import request_fingerprint
+from pomelobank_node._dialect import Dialect
 from pomelobank_node._journey import (
     OFFERS,
     Journey,
@@ -51,7 +52,7 @@
 
 # Marks a request that is part of a retry. A target that passes it on with the
 # calls it makes keeps the nodes behind it from retrying those as well.
-RETRY_HEADER = b"x-pomelobank-retry"
+RETRY_HEADER = Dialect().retry
 _MS_PER_S = 1000
 _PERCENT = 100
 _TWICE = 2
--- a/packages/pomelobank-node/src/pomelobank_node/_http_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_messages.py
@@ -3,6 +3,12 @@
 from pomelobank_node._requests import Headers
 
 CONTENT_LENGTH = b"content-length"
+# Name the kind of an error that the system itself answers with, and what is
+# known about whether the request ran.
+ERROR_HEADER = b"x-pomelobank-error"
+RUN_HEADER = b"x-pomelobank-run"
+# Answers with these statuses have no body, whatever their headers say.
+NO_BODY_STATUSES = frozenset({204, 304})
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
--- a/packages/pomelobank-node/src/pomelobank_node/_http_protocol.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_protocol.py
@@ -1,7 +1,6 @@
 """Uvicorn's HTTP/1.1 connection with the habits that a mesh needs."""
 
 import asyncio
-import json
 from typing import Any
 
 import httptools
@@ -10,7 +9,11 @@
     RequestResponseCycle,
 )
 
-from pomelobank_core import ANSWERS, ErrorKind
+from pomelobank_core import ErrorKind
+from pomelobank_node._dialect import Dialect
+from pomelobank_node._requests import RequestError
+from pomelobank_node.callers import error_answer
+from pomelobank_node.callers._messages import encode_answer
 
 # Larger heads are mistakes or attacks; common servers stop at 8 to 64 KiB.
 MAX_HEAD_BYTES = 64 * 1024
@@ -142,22 +145,6 @@
 
 
 def _bad_request() -> bytes:
-    answer = ANSWERS[ErrorKind.BAD_REQUEST]
-    body = json.dumps(
-        {
-            "error": ErrorKind.BAD_REQUEST.value,
-            "run": answer.run_state.value,
-            "retry_after_ms": answer.retry_after_ms,
-            "message": answer.message,
-        }
-    ).encode()
-    return (
-        b"HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\n"
-        b"x-pomelobank-error: %s\r\nx-pomelobank-run: %s\r\n"
-        b"content-length: %d\r\nconnection: close\r\n\r\n"
-        % (
-            ErrorKind.BAD_REQUEST.value.encode(),
-            answer.run_state.value.encode(),
-            len(body),
-        )
-    ) + body
+    error = RequestError(ErrorKind.BAD_REQUEST)
+    answer = error_answer(error, Dialect(), closes=True)
+    return encode_answer(answer, head_only=False, closes=True)
--- a/packages/pomelobank-node/src/pomelobank_node/_http_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_server.py
@@ -33,15 +33,12 @@
         application: The ASGI application.
         address: Address that is really used, once it listens.
         cancels: Whether a request is cancelled when its caller has gone.
-        stop_timeout_s: Longest time that a stop waits for requests under way,
-            None for as long as they take.
     """
 
     listen: str
     application: Any
     address: str = ""
     cancels: bool = False
-    stop_timeout_s: int | None = None
     server: _Server | None = None
     task: asyncio.Task[None] | None = None
 
@@ -62,7 +59,6 @@
             date_header=False,
             proxy_headers=False,
             backlog=_BACKLOG,
-            timeout_graceful_shutdown=self.stop_timeout_s,
         )
         self.server = _Server(config)
         self.task = asyncio.create_task(self.server.serve())
--- a/packages/pomelobank-node/src/pomelobank_node/_journey.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -10,10 +10,10 @@
     TargetResult,
     target_result,
 )
+from pomelobank_node._http_messages import ERROR_HEADER
 from pomelobank_node._requests import ForwardReply, ForwardRequest, reply_error
 from pomelobank_schema.generated.peer import MemberEntry
 
-_ERROR_HEADER = b"x-pomelobank-error"
 # Targets that may decline a request before the least busy of them has to take
 # it. With six of ten slots busy, one target in three has none free, and of two
 # in a row one in nine; a third would shorten few waits.
@@ -121,7 +121,7 @@
     """
     if reply.error or not reply.retry_after_ms:
         return False
-    return all(header.name != _ERROR_HEADER for header in reply.headers)
+    return all(header.name != ERROR_HEADER for header in reply.headers)
 
 
 def is_answer(reply: ForwardReply) -> bool:
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -18,6 +18,7 @@
 )
 from pomelobank_node._http_messages import (
     LAST_CHUNK,
+    NO_BODY_STATUSES,
     content_length,
     encode_chunk,
     find_header,
@@ -26,7 +27,6 @@
 from pomelobank_node._requests import Headers, RequestError
 
 _FIRST_FINAL_STATUS = 200
-_NO_BODY_STATUSES = frozenset({204, 304})
 _HEAD = b"HEAD "
 
 
@@ -284,7 +284,7 @@
     def _has_open_end(self) -> bool:
         if not self.pool.open_ends:
             return False
-        if self.parser.get_status_code() in _NO_BODY_STATUSES:
+        if self.parser.get_status_code() in NO_BODY_STATUSES:
             return False
         return find_header(self.headers, b"transfer-encoding") is None
 
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_answers.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_answers.py
@@ -4,6 +4,7 @@
 
 from pomelobank_core import ANSWERS
 from pomelobank_node._dialect import Dialect
+from pomelobank_node._http_messages import ERROR_HEADER, RUN_HEADER
 from pomelobank_node._requests import RequestError
 from pomelobank_node.callers._messages import HttpAnswer
 
@@ -32,8 +33,8 @@
     }
     headers = [
         (b"content-type", b"application/json"),
-        (b"x-pomelobank-error", error.kind.value.encode()),
-        (b"x-pomelobank-run", answer.run_state.value.encode()),
+        (ERROR_HEADER, error.kind.value.encode()),
+        (RUN_HEADER, answer.run_state.value.encode()),
     ]
     if retry_after_ms:
         headers.append((b"retry-after", _seconds(retry_after_ms, dialect)))
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
@@ -14,6 +14,7 @@
 from pomelobank_node._dispatcher import CallerRequest, Dispatcher
 from pomelobank_node._http_messages import (
     CONTENT_LENGTH,
+    NO_BODY_STATUSES,
     end_to_end,
 )
 from pomelobank_node._latency_counts import LatencyCounts
@@ -35,7 +36,6 @@
 # A day; a longer wait is a mistake in the caller's units.
 _LONGEST_TIMEOUT_MS = 86_400_000
 _TRACE_BITS = 128
-_NO_BODY_STATUSES = frozenset({204, 304})
 _HEAD = "HEAD"
 
 
@@ -189,7 +189,7 @@
     def _from_reply(self, reply: ForwardReply, method: str) -> HttpAnswer:
         headers = [(item.name, item.value) for item in reply.headers]
         rest = rest_of(reply)
-        if reply.status in _NO_BODY_STATUSES and method != _HEAD:
+        if reply.status in NO_BODY_STATUSES and method != _HEAD:
             headers = end_to_end(headers)
         if rest is None:
             return HttpAnswer(
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_messages.py
@@ -6,10 +6,13 @@
 import attrs
 
 from pomelobank_node._bodies import BodySource
-from pomelobank_node._http_messages import CONTENT_LENGTH, find_header
+from pomelobank_node._http_messages import (
+    CONTENT_LENGTH,
+    NO_BODY_STATUSES,
+    find_header,
+)
 from pomelobank_node._requests import Headers
 
-_NO_BODY_STATUSES = frozenset({204, 304})
 _STATUS_LINES = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode()
     for status in HTTPStatus
@@ -95,7 +98,7 @@
     for name, value in answer.headers:
         if not (whole and name == CONTENT_LENGTH):
             parts += (name, b": ", value, b"\r\n")
-    if whole and answer.status not in _NO_BODY_STATUSES:
+    if whole and answer.status not in NO_BODY_STATUSES:
         parts.append(b"content-length: %d\r\n" % len(answer.body))
     elif answer.chunked and not head_only:
         parts.append(b"transfer-encoding: chunked\r\n")
