Offers, documents and idle connections without state that can be derived

Found by reading the whole change. - A declined offer was remembered in a flag beside the count of offers that it lowers; the count tells. Whether a request runs alone was looked up a second time (with a digest of its body where any suspicion stands); placing knows it. min(OFFERS, targets) could be nothing but OFFERS. - A node asked for a document unpacked its base (350 KB) for each peer although the packed push was kept; pushes are kept whole now. - The look for newer versions, ten times a second, listed all members twice; once now, and split only when somebody knows more. - A connection's idle time was checked by the pool and again by the connection, where the second check could not fail any more. No behaviour changes; tests of node and platform passed.

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -126,10 +126,13 @@
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
         self._turn_away(request, now_ms)
-        journey.offers = self._offers(request)
+        journey.offers = self._offers(journey)
         while True:
+            offers = journey.offers
             reply = await self._try_hedged(journey, target)
-            if journey.is_declined(reply):
+            declined = journey.offers < offers
+            # Where it was sent twice meanwhile, the other reply counts.
+            if declined and reply.error == ErrorKind.OVERLOADED.value:
                 target = self._after_decline(journey)
                 continue
             retry = self._decide(journey, reply)
@@ -147,13 +150,11 @@
                 return journey.final(reply)
             target = following
 
-    def _offers(self, request: ForwardRequest) -> int:
-        targets = len(self.index.of(request.upstream).targets)
-        if not self.retries.free_refusals or targets < _TWICE:
+    def _offers(self, journey: Journey) -> int:
+        targets = self.index.of(journey.request.upstream).targets
+        if not self.retries.free_refusals or journey.runs_alone:
             return 0
-        if self._is_suspect(request):
-            return 0
-        return min(OFFERS, targets)
+        return OFFERS if len(targets) >= OFFERS else 0
 
     def _after_decline(self, journey: Journey) -> MemberEntry:
         now_ms = self.clock.now_ms()
@@ -181,7 +182,8 @@
         candidates = self.index.of(request.upstream)
         now_ms = self.clock.now_ms()
         standing = self.owner.reports.check(request)
-        if standing is Standing.SUSPECT:
+        journey.runs_alone = standing is Standing.SUSPECT
+        if journey.runs_alone:
             # Every node sends it to the same target, so that it runs once at
             # a time and a crash takes that one target only.
             print_ = request_fingerprint(request)
--- a/packages/pomelobank-node/src/pomelobank_node/_journey.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -38,7 +38,7 @@
         may_have_run: Reply of the last try that may have run, if any.
         offers: How many targets may still decline it.
         declined: Targets that declined it, each with its expected wait.
-        just_declined: Whether the last try was an offer that was declined.
+        runs_alone: Whether it is suspected to crash targets.
     """
 
     request: ForwardRequest
@@ -50,7 +50,7 @@
     may_have_run: ForwardReply | None = None
     offers: int = 0
     declined: dict[MemberEntry, int] = attrs.field(factory=dict)
-    just_declined: bool = False
+    runs_alone: bool = False
 
     @property
     def offer_wait_ms(self) -> int:
@@ -66,15 +66,6 @@
         self.tries -= 1
         self.offers -= 1
         self.declined[target] = reply.retry_after_ms
-        self.just_declined = True
-
-    def is_declined(self, reply: ForwardReply) -> bool:
-        """Tells whether the last try was declined; asked once for each try.
-
-        Where the request was sent twice meanwhile, the other reply counts.
-        """
-        declined, self.just_declined = self.just_declined, False
-        return declined and reply.error == ErrorKind.OVERLOADED.value
 
     def least_busy(self) -> MemberEntry:
         """Returns the target with the shortest wait of those that declined."""
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
@@ -108,7 +108,7 @@
         # were all others, which may still serve less careful requests.
         while self.idle and now_s - self.idle[-1].idle_since_s < longest_idle_s:
             connection = self.idle.pop()
-            if connection.is_usable(now_s, LONGEST_IDLE_S):
+            if connection.is_usable():
                 return connection
             self.stale_connections += 1
             connection.close()
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -131,17 +131,15 @@
         sock = transport.get_extra_info("socket")
         self.poll.register(sock.fileno(), select.POLLIN)
 
-    def is_usable(self, now_s: float, longest_idle_s: float) -> bool:
+    def is_usable(self) -> bool:
         """Tells whether a request can be sent without a doubt.
 
         A target may close a connection just when it is taken out of the pool.
-        The request would be lost with nobody knowing whether it ran. So one
-        that was idle for long is left alone, and the kernel is asked whether
-        the target's end has arrived before the event loop has seen it.
+        The request would be lost with nobody knowing whether it ran. So the
+        kernel is asked whether the target's end has arrived before the event
+        loop has seen it; the pool leaves those alone that were idle for long.
         """
-        if not self.open or now_s - self.idle_since_s > longest_idle_s:
-            return False
-        return not self.poll.poll(0)
+        return self.open and not self.poll.poll(0)
 
     def send(
         self,
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -350,16 +350,19 @@
     def _look_for_newer(self) -> None:
         # Gossip tells every member's version. A digest or an answer that was
         # lost would else leave this node behind until the next change.
-        near = _newest(self.telling.near())
-        far = max(_newest(self.telling.far()), self.far_news)
-        if max(near, far)[0] <= self.store.version:
+        version = self.store.version
+        newer = [e for e in self.telling.well() if e.version > version]
+        if not newer and self.far_news[0] <= version:
             self.behind_since_ms = None
             return
+        near = _newest(e for e in newer if self.telling.is_near(e))
+        far = _newest(e for e in newer if not self.telling.is_near(e))
+        far = max(far, self.far_news)
         now_ms = self.clock.now_ms()
         if self.behind_since_ms is None:
             self.behind_since_ms = now_ms
         age_ms = now_ms - self.behind_since_ms
-        if near[0] > self.store.version:
+        if near[0] > version:
             if age_ms >= ASK_AFTER_MS:
                 self._ask_again(near, now_ms)
         elif age_ms >= self._far_pause_ms():
--- a/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
@@ -42,17 +42,16 @@
         members: The members that the node knows.
         links: Streams to peers.
         seeded: Source of randomness.
-        packed: The document in force, packed, by the version of its base.
-            To pack it takes milliseconds, and many may ask for it at once.
-        packed_version: Its version.
+        pushes: The document in force, packed, by the version that the
+            receiver has. To pack it takes milliseconds, and many may ask for
+            it at once.
     """
 
     store: PublishedStore
     members: MemberTable
     links: PeerLinks
     seeded: random.Random
-    packed: dict[int, bytes] = attrs.field(factory=dict)
-    packed_version: int = 0
+    pushes: dict[int, DocumentPush] = attrs.field(factory=dict)
     sends: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def stop(self) -> None:
@@ -64,15 +63,18 @@
 
     def near(self) -> list[MemberEntry]:
         """Returns the members of the own data centre."""
-        centre = self.members.own.data_centre
-        return [item for item in self._well() if item.data_centre == centre]
+        return [item for item in self.well() if self.is_near(item)]
 
     def far(self) -> list[MemberEntry]:
         """Returns the members of other data centres."""
-        centre = self.members.own.data_centre
-        return [item for item in self._well() if item.data_centre != centre]
+        return [item for item in self.well() if not self.is_near(item)]
 
-    def _well(self) -> list[MemberEntry]:
+    def is_near(self, entry: MemberEntry) -> bool:
+        """Tells whether a member is in the own data centre."""
+        return entry.data_centre == self.members.own.data_centre
+
+    def well(self) -> list[MemberEntry]:
+        """Returns the members that are not in doubt."""
         suspect = MemberState.SUSPECT.value
         return [
             item for item in self.members.present() if item.state != suspect
@@ -110,18 +112,24 @@
         Args:
             base_version: Version that the receiver has; 0 for none.
         """
-        version = self.store.version
-        if self.packed_version != version:
-            self.packed_version = version
-            self.packed = {}
+        push = self.pushes.get(base_version)
+        if push is not None and push.version == self.store.version:
+            return push
+        self.pushes = {
+            base: item
+            for base, item in self.pushes.items()
+            if item.version == self.store.version
+        }
+        push = self.pushes[base_version] = self._pack(base_version)
+        return push
+
+    def _pack(self, base_version: int) -> DocumentPush:
         base = self.store.document(base_version)
-        if not base:
-            base_version = 0
-        if base_version not in self.packed:
-            self.packed[base_version] = pack(self.store.data, base)
+        if base_version and not base:
+            return self.document(0)
         return DocumentPush(
-            data=self.packed[base_version],
-            version=version,
+            data=pack(self.store.data, base),
+            version=self.store.version,
             base_version=base_version,
             address=self.members.own.peer_address,
         )
