The two admissions share what they do alike

Ends, departures, new slots, the request that runs alone, counts and what an answer teaches stood twice, in the admission by classes and in the one by deadlines. BaseAdmission holds them; the two decide who starts, waits, is refused and is dropped. One difference, at time zero only, which no clock of ours tells while requests run: a request begun at 0 ms was measured as having taken no time by the admission by deadlines.

--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -6,13 +6,12 @@
 
 import attrs
 
+from pomelobank_core._base_admission import LONGEST_HOLD_MS, BaseAdmission
 from pomelobank_core._concurrency import ConcurrencyLimit
 from pomelobank_core._errors import ErrorKind
 from pomelobank_core._latency import ServiceTimes
 from pomelobank_core._refusals import (
     MAX_RETRY_AFTER_MS,
-    MIN_RETRY_AFTER_MS,
-    refusal,
 )
 from pomelobank_core._slot_sharing import (
     AdmissionPolicy,
@@ -23,14 +22,11 @@
     turnover,
 )
 from pomelobank_core._tickets import (
-    Change,
     Queued,
-    Refused,
     Started,
     Ticket,
     TrafficClass,
     Verdict,
-    WorkResult,
 )
 
 # A class that has not asked for this long lends its guaranteed part, so that a
@@ -41,8 +37,6 @@
 # Taken for a class's service time before the first was measured: a burst at a
 # cold target would otherwise queue without any bound.
 UNMEASURED_MS = 100.0
-# Longest planned hold of all other requests for one that has to run alone.
-LONGEST_HOLD_MS = 500.0
 
 
 def _per_class() -> dict[TrafficClass, int]:
@@ -54,7 +48,7 @@
 
 
 @attrs.define
-class Admission:
+class Admission(BaseAdmission):
     """Slots and queue of one target.
 
     Made for bursts above what the target can run, and for batch work that
@@ -72,11 +66,6 @@
         running: Requests at the target, by class.
         queues: Waiting requests, by class.
         seen_ms: When each class asked last.
-        alone: The request that runs or waits to run alone, if any.
-        refused: Requests that were refused.
-        declined: Offers that were declined: none, because a refusal costs a try
-            here.
-        expired: Requests whose deadline passed in the queue.
     """
 
     policy: AdmissionPolicy
@@ -87,10 +76,6 @@
     running: dict[TrafficClass, int] = attrs.field(factory=_per_class)
     queues: dict[TrafficClass, deque[Ticket]] = attrs.field(factory=_queues)
     seen_ms: dict[TrafficClass, float] = attrs.field(factory=dict)
-    alone: Ticket | None = None
-    refused: int = 0
-    declined: int = 0
-    expired: int = 0
 
     @property
     def in_flight(self) -> int:
@@ -98,11 +83,9 @@
         return sum(self.running.values())
 
     @property
-    def waiting(self) -> int:
-        """Requests in the queue."""
-        queued = sum(len(queue) for queue in self.queues.values())
-        alone_waits = self.alone is not None and self.alone.started_ms is None
-        return queued + alone_waits
+    def queued(self) -> int:
+        """Requests in the queue, without one that waits to run alone."""
+        return sum(len(queue) for queue in self.queues.values())
 
     def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
         """Decides about a request that has just come.
@@ -114,56 +97,10 @@
         Returns:
             Whether it starts, waits or is refused.
         """
-        ticket.offered_ms = now_ms
         self.seen_ms[ticket.traffic_class] = now_ms
-        if ticket.deadline_ms <= now_ms:
-            return self._refuse(ErrorKind.DEADLINE_NOT_RUN, MIN_RETRY_AFTER_MS)
-        if ticket.alone:
-            return self._offer_alone(ticket, now_ms)
-        if self._starts_at_once(ticket, now_ms):
-            self._start(ticket, now_ms)
-            return Started()
-        return self._offer_wait(ticket, now_ms)
-
-    def finish(
-        self, ticket: Ticket, result: WorkResult, now_ms: float
-    ) -> Change:
-        """Takes the end of a request's time at the target.
+        return super().offer(ticket, now_ms)
 
-        Args:
-            ticket: The request.
-            result: How it ended.
-            now_ms: Current time.
-
-        Returns:
-            The requests that this let start or that expired meanwhile.
-        """
-        assert ticket.started_ms is not None
-        busy = self.in_flight
-        self.running[ticket.traffic_class] -= 1
-        if self.alone is ticket:
-            self.alone = None
-        self._learn(ticket, result, now_ms - ticket.started_ms, busy)
-        return self.start_waiting(now_ms)
-
-    def leave(self, ticket: Ticket, now_ms: float) -> Change:
-        """Takes a waiting request out: its caller went away.
-
-        Args:
-            ticket: The request; nothing happens where it does not wait.
-            now_ms: Current time.
-
-        Returns:
-            The requests that this let start.
-        """
-        queue = self.queues[ticket.traffic_class]
-        if ticket in queue:
-            queue.remove(ticket)
-        if self.alone is ticket and ticket.started_ms is None:
-            self.alone = None
-        return self.start_waiting(now_ms)
-
-    def usual_ms_of(self, route: str, _: float) -> float:
+    def usual_ms_of(self, route: str, now_ms: float) -> float:
         """Returns the time that a route's requests usually take."""
         return self.times.of_route(route)
 
@@ -171,21 +108,16 @@
         """Returns until when a request may wait: to its deadline."""
         return ticket.deadline_ms
 
-    def set_slots(self, slots: int, now_ms: float) -> Change:
-        """Takes a new number of slots; returns what this let start."""
-        self.limit.set_slots(slots)
-        return self.start_waiting(now_ms)
-
-    def start_waiting(self, now_ms: float) -> Change:
-        """Drops what has expired and starts what there is room for."""
-        expired = self._expire(now_ms)
-        started = tuple(self._start_next(now_ms))
-        return Change(started, expired)
-
     def waiting_tickets(self) -> list[Ticket]:
         """Returns the waiting requests, class by class."""
         return [ticket for queue in self.queues.values() for ticket in queue]
 
+    def _offer_shared(self, ticket: Ticket, now_ms: float) -> Verdict:
+        if self._starts_at_once(ticket, now_ms):
+            self._start(ticket, now_ms)
+            return Started()
+        return self._offer_wait(ticket, now_ms)
+
     def _offer_wait(self, ticket: Ticket, now_ms: float) -> Verdict:
         # Refusing at once leaves the caller time to go elsewhere; a request
         # that waits and then misses its deadline has cost a place for nothing.
@@ -212,20 +144,12 @@
         room_ms = min(ticket.deadline_ms - now_ms, LONGEST_HOLD_MS)
         if empty_ms > room_ms:
             return self._refuse(ErrorKind.OVERLOADED, empty_ms)
-        self.alone = ticket
-        if not self.in_flight:
-            self._start(ticket, now_ms)
-            return Started()
-        return Queued()
+        return self._hold_for(ticket, now_ms)
 
     def _empty_ms(self) -> float:
         busy = [item for item, slots in self.running.items() if slots]
         return max(map(self._usual_ms, busy), default=0.0)
 
-    def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
-        self.refused += 1
-        return refusal(kind, wait_ms, self.seeded)
-
     def _starts_at_once(self, ticket: Ticket, now_ms: float) -> bool:
         if self.alone is not None:
             return False
@@ -233,22 +157,24 @@
             return False
         return not queues_ahead(self.policy, self, ticket.traffic_class)
 
-    def _start(self, ticket: Ticket, now_ms: float) -> None:
-        ticket.started_ms = now_ms
+    def _occupy(self, ticket: Ticket) -> None:
         self.running[ticket.traffic_class] += 1
 
-    def _start_next(self, now_ms: float) -> Iterator[Ticket]:
-        if self.alone is not None:
-            if self.alone.started_ms is None and not self.in_flight:
-                self._start(self.alone, now_ms)
-                yield self.alone
-            return
+    def _vacate(self, ticket: Ticket) -> None:
+        self.running[ticket.traffic_class] -= 1
+
+    def _unqueue(self, ticket: Ticket) -> None:
+        queue = self.queues[ticket.traffic_class]
+        if ticket in queue:
+            queue.remove(ticket)
+
+    def _start_queued(self, now_ms: float) -> Iterator[Ticket]:
         while (chosen := next_class(self.policy, self, now_ms)) is not None:
             ticket = self.queues[chosen].popleft()
             self._start(ticket, now_ms)
             yield ticket
 
-    def _expire(self, now_ms: float) -> tuple[Ticket, ...]:
+    def _drop_queued(self, now_ms: float) -> list[Ticket]:
         passed = [
             ticket
             for ticket in self.waiting_tickets()
@@ -256,15 +182,7 @@
         ]
         for ticket in passed:
             self.queues[ticket.traffic_class].remove(ticket)
-        if (
-            self.alone is not None
-            and self.alone.started_ms is None
-            and self.alone.deadline_ms <= now_ms
-        ):
-            passed.append(self.alone)
-            self.alone = None
-        self.expired += len(passed)
-        return tuple(passed)
+        return passed
 
     def _wait_ms(self, traffic_class: TrafficClass, now_ms: float) -> float:
         ahead = queues_ahead(self.policy, self, traffic_class) + 1
@@ -281,16 +199,10 @@
     def _usual_ms(self, traffic_class: TrafficClass) -> float:
         return self.times.of_class(traffic_class.value) or UNMEASURED_MS
 
-    def _learn(
-        self, ticket: Ticket, result: WorkResult, took_ms: float, busy: int
+    def _learn_time(
+        self, ticket: Ticket, took_ms: float, now_ms: float
     ) -> None:
-        if result is WorkResult.ANSWERED:
-            self.times.add(ticket.traffic_class.value, ticket.route, took_ms)
-            self.limit.answered(ticket.route, took_ms, busy)
-        elif result is WorkResult.SHED:
-            self.limit.shed()
-        elif result is WorkResult.LOST:
-            self.limit.restart()
+        self.times.add(ticket.traffic_class.value, ticket.route, took_ms)
 
     def reserved(self, traffic_class: TrafficClass, now_ms: float) -> int:
         """Returns the slots kept free for a class just now."""
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/_base_admission.py
@@ -0,0 +1,217 @@
+"""What every admission does alike, however it shares the slots."""
+
+import abc
+import random
+from collections.abc import Iterable
+
+import attrs
+
+from pomelobank_core._concurrency import ConcurrencyLimit, SlotLimit
+from pomelobank_core._errors import ErrorKind
+from pomelobank_core._refusals import MIN_RETRY_AFTER_MS, refusal
+from pomelobank_core._tickets import (
+    Change,
+    Queued,
+    Refused,
+    Started,
+    Ticket,
+    Verdict,
+    WorkResult,
+)
+
+# Longest planned hold of all other requests for one that has to run alone.
+LONGEST_HOLD_MS = 500.0
+
+
+@attrs.define(kw_only=True)
+class BaseAdmission(abc.ABC):
+    """Takes requests to a target's slots and learns from how they end.
+
+    Subclasses decide who starts, who waits and who is refused. Alike are the
+    counts, the one request that runs alone, and what an end teaches.
+
+    Attributes:
+        alone: The request that runs or waits to run alone, if any.
+        refused: Requests that were refused.
+        declined: Offers that would have waited longer than they were to.
+        expired: Requests that were dropped unrun.
+    """
+
+    alone: Ticket | None = None
+    refused: int = 0
+    declined: int = 0
+    expired: int = 0
+
+    # What the subclasses have and decide.
+
+    @property
+    @abc.abstractmethod
+    def limit(self) -> ConcurrencyLimit | SlotLimit:
+        """Requests tried at once."""
+
+    @property
+    @abc.abstractmethod
+    def seeded(self) -> random.Random:
+        """Source of randomness."""
+
+    @property
+    @abc.abstractmethod
+    def in_flight(self) -> int:
+        """Requests at the target."""
+
+    @property
+    @abc.abstractmethod
+    def queued(self) -> int:
+        """Requests in the queue, without one that waits to run alone."""
+
+    @abc.abstractmethod
+    def usual_ms_of(self, route: str, now_ms: float) -> float:
+        """Returns the time that a route's requests usually take."""
+
+    @abc.abstractmethod
+    def give_up_ms(self, ticket: Ticket) -> float:
+        """Returns until when a request may wait."""
+
+    @abc.abstractmethod
+    def _offer_shared(self, ticket: Ticket, now_ms: float) -> Verdict:
+        """Decides about a request that may run beside others."""
+
+    @abc.abstractmethod
+    def _offer_alone(self, ticket: Ticket, now_ms: float) -> Verdict:
+        """Decides about a request that has to run alone."""
+
+    @abc.abstractmethod
+    def _occupy(self, ticket: Ticket) -> None:
+        """Counts a request that starts."""
+
+    @abc.abstractmethod
+    def _vacate(self, ticket: Ticket) -> None:
+        """Counts a request that has ended."""
+
+    @abc.abstractmethod
+    def _unqueue(self, ticket: Ticket) -> None:
+        """Takes a request out of the queue, if it is there."""
+
+    @abc.abstractmethod
+    def _drop_queued(self, now_ms: float) -> list[Ticket]:
+        """Takes what waits in vain out of the queue and returns it."""
+
+    @abc.abstractmethod
+    def _start_queued(self, now_ms: float) -> Iterable[Ticket]:
+        """Starts what there is room for and returns it."""
+
+    @abc.abstractmethod
+    def _learn_time(
+        self, ticket: Ticket, took_ms: float, now_ms: float
+    ) -> None:
+        """Takes the time of a request that was answered."""
+
+    # What is alike.
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return self.queued + self._alone_waits()
+
+    def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
+        """Decides about a request that has just come.
+
+        Args:
+            ticket: The request.
+            now_ms: Current time.
+
+        Returns:
+            Whether it starts, waits or is refused.
+        """
+        ticket.offered_ms = now_ms
+        if ticket.deadline_ms <= now_ms:
+            return self._refuse(ErrorKind.DEADLINE_NOT_RUN, MIN_RETRY_AFTER_MS)
+        if ticket.alone:
+            return self._offer_alone(ticket, now_ms)
+        return self._offer_shared(ticket, now_ms)
+
+    def finish(
+        self, ticket: Ticket, result: WorkResult, now_ms: float
+    ) -> Change:
+        """Takes the end of a request's time at the target.
+
+        Args:
+            ticket: The request.
+            result: How it ended.
+            now_ms: Current time.
+
+        Returns:
+            The requests that this let start or that were dropped.
+        """
+        assert ticket.started_ms is not None
+        took_ms = now_ms - ticket.started_ms
+        busy = self.in_flight
+        self._vacate(ticket)
+        if self.alone is ticket:
+            self.alone = None
+        if result is WorkResult.ANSWERED:
+            self._learn_time(ticket, took_ms, now_ms)
+            self.limit.answered(ticket.route, took_ms, busy)
+        elif result is WorkResult.SHED:
+            self.limit.shed()
+        elif result is WorkResult.LOST:
+            self.limit.restart()
+        return self.start_waiting(now_ms)
+
+    def leave(self, ticket: Ticket, now_ms: float) -> Change:
+        """Takes a waiting request out: its caller went away.
+
+        Args:
+            ticket: The request; nothing happens where it does not wait.
+            now_ms: Current time.
+
+        Returns:
+            The requests that this let start.
+        """
+        self._unqueue(ticket)
+        if self.alone is ticket and ticket.started_ms is None:
+            self.alone = None
+        return self.start_waiting(now_ms)
+
+    def set_slots(self, slots: int, now_ms: float) -> Change:
+        """Takes a new number of slots; returns what this let start."""
+        self.limit.set_slots(slots)
+        return self.start_waiting(now_ms)
+
+    def start_waiting(self, now_ms: float) -> Change:
+        """Drops what waits in vain and starts what there is room for."""
+        dropped = self._drop(now_ms)
+        if self.alone is None:
+            return Change(tuple(self._start_queued(now_ms)), dropped)
+        if self._alone_waits() and not self.in_flight:
+            self._start(self.alone, now_ms)
+            return Change((self.alone,), dropped)
+        return Change((), dropped)
+
+    def _drop(self, now_ms: float) -> tuple[Ticket, ...]:
+        dropped = self._drop_queued(now_ms)
+        alone = self.alone
+        if alone and self._alone_waits() and alone.deadline_ms <= now_ms:
+            dropped.append(alone)
+            self.alone = None
+        self.expired += len(dropped)
+        return tuple(dropped)
+
+    def _alone_waits(self) -> bool:
+        return self.alone is not None and self.alone.started_ms is None
+
+    def _hold_for(self, ticket: Ticket, now_ms: float) -> Verdict:
+        """Lets nothing start until a request has run alone."""
+        self.alone = ticket
+        if self.in_flight:
+            return Queued()
+        self._start(ticket, now_ms)
+        return Started()
+
+    def _start(self, ticket: Ticket, now_ms: float) -> None:
+        ticket.started_ms = now_ms
+        self._occupy(ticket)
+
+    def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
+        self.refused += 1
+        return refusal(kind, wait_ms, self.seeded)
--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -1,21 +1,20 @@
 """Admission by rank and by the time in which an answer is of use."""
 
 import random
+from collections.abc import Iterator
 
 import attrs
 
+from pomelobank_core._base_admission import LONGEST_HOLD_MS, BaseAdmission
 from pomelobank_core._concurrency import ConcurrencyLimit, SlotLimit
 from pomelobank_core._errors import ErrorKind
 from pomelobank_core._recent_work import RecentWork
-from pomelobank_core._refusals import MIN_RETRY_AFTER_MS, refusal
 from pomelobank_core._tickets import (
-    Change,
     Queued,
     Refused,
     Started,
     Ticket,
     Verdict,
-    WorkResult,
 )
 
 # A running request that has taken its usual time already still takes a part of
@@ -33,12 +32,10 @@
 # enough to use what a burst leaves over, without holding hundreds of requests
 # to their deadlines while an overload lasts.
 LATE_PART = 3
-# Longest planned hold of all other requests for one that has to run alone.
-LONGEST_HOLD_MS = 500.0
 
 
 @attrs.define
-class DeadlineAdmission:
+class DeadlineAdmission(BaseAdmission):
     """Slots and queue of one target, shared by rank and by time left.
 
     Made for a burst of look-ups that are of use within some hundred ms beside
@@ -56,10 +53,6 @@
         times: Measured service times.
         running: Requests at the target.
         queue: Waiting requests.
-        alone: The request that runs or waits to run alone, if any.
-        refused: Requests that were refused.
-        declined: Offers that would have waited longer than they were to.
-        expired: Requests that were dropped from the queue unrun.
     """
 
     limit: ConcurrencyLimit | SlotLimit
@@ -67,10 +60,6 @@
     times: RecentWork = attrs.field(factory=RecentWork)
     running: set[Ticket] = attrs.field(factory=set)
     queue: list[Ticket] = attrs.field(factory=list)
-    alone: Ticket | None = None
-    refused: int = 0
-    declined: int = 0
-    expired: int = 0
 
     @property
     def in_flight(self) -> int:
@@ -78,26 +67,11 @@
         return len(self.running)
 
     @property
-    def waiting(self) -> int:
-        """Requests in the queue."""
-        alone_waits = self.alone is not None and self.alone.started_ms is None
-        return len(self.queue) + alone_waits
+    def queued(self) -> int:
+        """Requests in the queue, without one that waits to run alone."""
+        return len(self.queue)
 
-    def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
-        """Decides about a request that has just come.
-
-        Args:
-            ticket: The request.
-            now_ms: Current time.
-
-        Returns:
-            Whether it starts, waits or is refused.
-        """
-        ticket.offered_ms = now_ms
-        if ticket.deadline_ms <= now_ms:
-            return self._refuse(ErrorKind.DEADLINE_NOT_RUN, MIN_RETRY_AFTER_MS)
-        if ticket.alone:
-            return self._offer_alone(ticket, now_ms)
+    def _offer_shared(self, ticket: Ticket, now_ms: float) -> Verdict:
         if self.alone is None and self._has_slot() and not self.queue:
             self._start(ticket, now_ms)
             return Started()
@@ -125,64 +99,6 @@
         room_ms = ticket.deadline_ms - now_ms - usual_ms
         return late < self._may_be_late() and wait_ms <= WAIT_PART * room_ms
 
-    def finish(
-        self, ticket: Ticket, result: WorkResult, now_ms: float
-    ) -> Change:
-        """Takes the end of a request's time at the target.
-
-        Args:
-            ticket: The request.
-            result: How it ended.
-            now_ms: Current time.
-
-        Returns:
-            The requests that this let start or that were dropped.
-        """
-        assert ticket.started_ms is not None
-        busy = self.in_flight
-        self.running.discard(ticket)
-        if self.alone is ticket:
-            self.alone = None
-        self._learn(ticket, result, now_ms, busy)
-        return self.start_waiting(now_ms)
-
-    def leave(self, ticket: Ticket, now_ms: float) -> Change:
-        """Takes a waiting request out: its caller went away.
-
-        Args:
-            ticket: The request; nothing happens where it does not wait.
-            now_ms: Current time.
-
-        Returns:
-            The requests that this let start.
-        """
-        if ticket in self.queue:
-            self.queue.remove(ticket)
-        if self.alone is ticket and ticket.started_ms is None:
-            self.alone = None
-        return self.start_waiting(now_ms)
-
-    def set_slots(self, slots: int, now_ms: float) -> Change:
-        """Takes a new number of slots; returns what this let start."""
-        self.limit.set_slots(slots)
-        return self.start_waiting(now_ms)
-
-    def start_waiting(self, now_ms: float) -> Change:
-        """Drops what cannot end in time and starts what there is room for."""
-        dropped = self._drop(now_ms)
-        started: list[Ticket] = []
-        if self.alone is not None:
-            if self.alone.started_ms is None and not self.running:
-                self._start(self.alone, now_ms)
-                started.append(self.alone)
-            return Change(tuple(started), dropped)
-        while self.queue and self._has_slot():
-            ticket = min(self.queue, key=lambda item: self._rank(item, now_ms))
-            self.queue.remove(ticket)
-            self._start(ticket, now_ms)
-            started.append(ticket)
-        return Change(tuple(started), dropped)
-
     def usual_ms(self, ticket: Ticket) -> float:
         """Returns the time that a request usually takes at the target."""
         return self.times.of(ticket.route, ticket.offered_ms)
@@ -243,52 +159,44 @@
         room_ms = min(ticket.deadline_ms - now_ms, LONGEST_HOLD_MS)
         if self.alone is not None or empty_ms > room_ms:
             return self._refuse(ErrorKind.OVERLOADED, LONGEST_HOLD_MS)
-        self.alone = ticket
-        if self.running:
-            return Queued()
-        self._start(ticket, now_ms)
-        return Started()
+        return self._hold_for(ticket, now_ms)
 
-    def _start(self, ticket: Ticket, now_ms: float) -> None:
-        ticket.started_ms = now_ms
+    def _occupy(self, ticket: Ticket) -> None:
         self.running.add(ticket)
 
-    def _drop(self, now_ms: float) -> tuple[Ticket, ...]:
+    def _vacate(self, ticket: Ticket) -> None:
+        self.running.discard(ticket)
+
+    def _unqueue(self, ticket: Ticket) -> None:
+        if ticket in self.queue:
+            self.queue.remove(ticket)
+
+    def _start_queued(self, now_ms: float) -> Iterator[Ticket]:
+        while self.queue and self._has_slot():
+            ticket = min(self.queue, key=lambda item: self._rank(item, now_ms))
+            self.queue.remove(ticket)
+            self._start(ticket, now_ms)
+            yield ticket
+
+    def _drop_queued(self, now_ms: float) -> list[Ticket]:
         # Its caller learns now, and not at its deadline, that it will not run.
         dropped = [
             ticket for ticket in self.queue if now_ms >= self.give_up_ms(ticket)
         ]
         for ticket in dropped:
             self.queue.remove(ticket)
-        alone = self.alone
-        waits_alone = alone is not None and alone.started_ms is None
-        if alone is not None and waits_alone and alone.deadline_ms <= now_ms:
-            dropped.append(alone)
-            self.alone = None
-        self.expired += len(dropped)
-        return tuple(dropped)
+        return dropped
 
     def _may_be_late(self) -> int:
         return max(1, self.limit.current // LATE_PART)
 
-    def _refuse(self, kind: ErrorKind, wait_ms: float) -> Refused:
-        self.refused += 1
-        return refusal(kind, wait_ms, self.seeded)
-
     def _decline(self, wait_ms: float) -> Refused:
         # The sender compares the waits of several targets, so it is told this
         # one as it is and not spread over the time in which callers return.
         self.declined += 1
         return Refused(ErrorKind.OVERLOADED, max(1, round(wait_ms)))
 
-    def _learn(
-        self, ticket: Ticket, result: WorkResult, now_ms: float, busy: int
+    def _learn_time(
+        self, ticket: Ticket, took_ms: float, now_ms: float
     ) -> None:
-        took_ms = now_ms - (ticket.started_ms or now_ms)
-        if result is WorkResult.ANSWERED:
-            self.times.add(ticket.route, took_ms, now_ms)
-            self.limit.answered(ticket.route, took_ms, busy)
-        elif result is WorkResult.SHED:
-            self.limit.shed()
-        elif result is WorkResult.LOST:
-            self.limit.restart()
+        self.times.add(ticket.route, took_ms, now_ms)
