Waits count what overtakes the queue

A queue's length alone said that the wait was short, while orders took two thirds of the slots and went first. Ruled out: the target's speed near full (78 ms with any number of busy slots), processor time (0.19 of a core on average, 0.37 at most, of 0.86), service times that differ by route. Change: the slot time of each rank over the last second stretches the wait of those behind it.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -132,6 +132,10 @@
         Standing,
         fingerprint,
     )
+    from pomelobank_core._rank_load import (
+        Rank,
+        RankLoad,
+    )
     from pomelobank_core._rendezvous import (
         rank_of,
         rendezvous_order,
@@ -272,6 +276,8 @@
     "QuarantineTable",
     "Queued",
     "Ramp",
+    "Rank",
+    "RankLoad",
     "ReadPlan",
     "Recovery",
     "Refused",
@@ -451,6 +457,10 @@
         "Standing",
         "fingerprint",
     ),
+    "_rank_load": (
+        "Rank",
+        "RankLoad",
+    ),
     "_rendezvous": (
         "rank_of",
         "rendezvous_order",
--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -8,6 +8,7 @@
 from pomelobank_core._base_admission import LONGEST_HOLD_MS, BaseAdmission
 from pomelobank_core._concurrency import ConcurrencyLimit, SlotLimit
 from pomelobank_core._errors import ErrorKind
+from pomelobank_core._rank_load import Rank, RankLoad
 from pomelobank_core._recent_work import RecentWork
 from pomelobank_core._tickets import (
     Queued,
@@ -51,6 +52,7 @@
         limit: Requests tried at once.
         seeded: Source of randomness.
         times: Measured service times.
+        taken: Slot time that each rank was given lately.
         running: Requests at the target.
         queue: Waiting requests.
     """
@@ -58,6 +60,7 @@
     limit: ConcurrencyLimit | SlotLimit
     seeded: random.Random = attrs.field(factory=random.Random)
     times: RecentWork = attrs.field(factory=RecentWork)
+    taken: RankLoad = attrs.field(factory=RankLoad)
     running: set[Ticket] = attrs.field(factory=set)
     queue: list[Ticket] = attrs.field(factory=list)
 
@@ -73,6 +76,7 @@
 
     def _offer_shared(self, ticket: Ticket, now_ms: float) -> Verdict:
         if self.alone is None and self._has_slot() and not self.queue:
+            self._take_in(ticket, now_ms)
             self._start(ticket, now_ms)
             return Started()
         wait_ms = self.wait_ms(ticket, now_ms)
@@ -80,9 +84,17 @@
             return self._decline(wait_ms)
         if not self._is_worth_waiting(ticket, wait_ms, now_ms):
             return self._refuse(ErrorKind.OVERLOADED, wait_ms)
+        self._take_in(ticket, now_ms)
         self.queue.append(ticket)
         return Queued()
 
+    def _take_in(self, ticket: Ticket, now_ms: float) -> None:
+        rank = self._shared_rank(ticket, now_ms)
+        self.taken.add(rank, self.usual_ms(ticket), now_ms)
+
+    def _shared_rank(self, ticket: Ticket, now_ms: float) -> Rank:
+        return Rank(ticket.priority, self._is_late(ticket, now_ms))
+
     def _is_worth_waiting(
         self, ticket: Ticket, wait_ms: float, now_ms: float
     ) -> bool:
@@ -130,7 +142,10 @@
         # Of n requests that end at any time up to twice their mean, the first
         # ends after 2 / (n + 1) of it.
         first_free_ms = left_ms / slots * 2 / (slots + 1)
-        return first_free_ms + ahead_ms / slots
+        rest = self.taken.rest(
+            self._shared_rank(ticket, now_ms), slots, now_ms
+        )
+        return (first_free_ms + ahead_ms / slots) / rest
 
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[int, bool, float]:
         spare_ms = ticket.aim_at_ms - now_ms - self.usual_ms(ticket)
