Callers that come back are known by the time they have left

A caller whose first attempt was refused comes back with the same claim to a slot as a newcomer, but its answer is late by then. What callers give, measured on a copy: newcomers 85 to 100% of their route's time, returning ones 60 to 75% for look-ups. So the time of a route that most callers give is learnt, and what is missing counts as spent on earlier attempts. Also: a refused caller is told when a late answer has room, at most a second ahead, since it will be late when it returns; and what has become late in the queue is refused beyond a third of the slots, not at half of its time. Ruled out: telling callers a longer time keeps them from coming back (it does not: they wait a third of their time at most).

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -119,6 +119,9 @@
         TargetResult,
         target_result,
     )
+    from pomelobank_core._patience import (
+        CallerPatience,
+    )
     from pomelobank_core._placing import (
         Ramp,
         TwoChoices,
@@ -228,6 +231,7 @@
     "AttemptState",
     "AttemptStep",
     "Budget",
+    "CallerPatience",
     "CandidateIndex",
     "Candidates",
     "Change",
@@ -444,6 +448,7 @@
         "TargetResult",
         "target_result",
     ),
+    "_patience": ("CallerPatience",),
     "_placing": (
         "Ramp",
         "TwoChoices",
--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -1,5 +1,6 @@
 """Admission by rank and by the time in which an answer is of use."""
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -33,6 +34,9 @@
 # enough to use what a burst leaves over, without holding hundreds of requests
 # to their deadlines while an overload lasts.
 LATE_PART = 3
+# Latest time to come back that a refused caller is told, before it is spread:
+# loads are measured over a second, and further ahead nothing is known.
+LONGEST_FORECAST_MS = 1000.0
 
 
 @attrs.define
@@ -83,7 +87,9 @@
         if wait_ms > ticket.max_wait_ms:
             return self._decline(wait_ms)
         if not self._is_worth_waiting(ticket, wait_ms, now_ms):
-            return self._refuse(ErrorKind.OVERLOADED, wait_ms)
+            return self._refuse(
+                ErrorKind.OVERLOADED, self._return_ms(ticket, now_ms)
+            )
         self._take_in(ticket, now_ms)
         self.queue.append(ticket)
         return Queued()
@@ -111,6 +117,12 @@
         room_ms = ticket.deadline_ms - now_ms - usual_ms
         return late < self._may_be_late() and wait_ms <= WAIT_PART * room_ms
 
+    def _return_ms(self, ticket: Ticket, now_ms: float) -> float:
+        # When it comes back it is late, and what is in time goes before it.
+        # Told the wait of a newcomer, it would meet the same refusal again.
+        late = (ticket.priority, True, math.inf)
+        return min(self._wait_ms(ticket, late, now_ms), LONGEST_FORECAST_MS)
+
     def usual_ms(self, ticket: Ticket) -> float:
         """Returns the time that a request usually takes at the target."""
         return self.times.of(ticket.route, ticket.offered_ms)
@@ -131,7 +143,11 @@
 
     def wait_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Returns how long a new request would wait for its slot."""
-        own = self._rank(ticket, now_ms)
+        return self._wait_ms(ticket, self._rank(ticket, now_ms), now_ms)
+
+    def _wait_ms(
+        self, ticket: Ticket, own: tuple[int, bool, float], now_ms: float
+    ) -> float:
         ahead_ms = sum(
             self.usual_ms(item)
             for item in self.queue
@@ -142,9 +158,7 @@
         # Of n requests that end at any time up to twice their mean, the first
         # ends after 2 / (n + 1) of it.
         first_free_ms = left_ms / slots * 2 / (slots + 1)
-        rest = self.taken.rest(
-            self._shared_rank(ticket, now_ms), slots, now_ms
-        )
+        rest = self.taken.rest(Rank(own[0], own[1]), slots, now_ms)
         return (first_free_ms + ahead_ms / slots) / rest
 
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[int, bool, float]:
@@ -200,7 +214,17 @@
         ]
         for ticket in dropped:
             self.queue.remove(ticket)
-        return dropped
+        surplus = self._surplus_late(now_ms)
+        for ticket in surplus:
+            self.queue.remove(ticket)
+        return dropped + surplus
+
+    def _surplus_late(self, now_ms: float) -> list[Ticket]:
+        # What was in time when it came and has become late since would be
+        # overtaken by every newcomer until its half time is over.
+        late = [item for item in self.queue if self._is_late(item, now_ms)]
+        late.sort(key=lambda item: self._rank(item, now_ms))
+        return late[self._may_be_late() :]
 
     def _may_be_late(self) -> int:
         return max(1, self.limit.current // LATE_PART)
--- a/packages/pomelobank-core/src/pomelobank_core/_rank_load.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_rank_load.py
@@ -11,7 +11,7 @@
 REMEMBER_MS = 1000.0
 # Part of the slots that overtaking requests leave at the least. At nothing at
 # all every wait would be endless and no measurement could correct that.
-LEAST_REST = 0.05
+LEAST_REST = 0.02
 
 
 class Rank(NamedTuple):
--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_patience.py
@@ -0,0 +1,63 @@
+"""What a caller has used on earlier attempts, told by the time it has left."""
+
+import random
+
+import pytest
+
+from pomelobank_core import CallerPatience
+
+FULL_MS = 800
+
+
+def _learnt(back_part: float) -> CallerPatience:
+    """Returns what is known after a thousand callers, some of them back."""
+    seeded = random.Random(1)
+    patience = CallerPatience()
+    for _ in range(1000):
+        given_ms = FULL_MS * seeded.uniform(0.85, 1.0)
+        if seeded.random() < back_part:
+            given_ms -= 260
+        patience.spent_ms("stock", round(given_ms))
+    return patience
+
+
+@pytest.mark.parametrize(
+    "back_part",
+    [
+        pytest.param(0.0, id="nobody was refused"),
+        pytest.param(0.2, id="some come back"),
+        pytest.param(0.45, id="nearly half come back"),
+    ],
+)
+def test_callers_that_come_back_are_told_apart(back_part: float) -> None:
+    """Callers are refused and come back with a part of their time.
+
+    Taken for newcomers, they get slots in which newcomers would have been in
+    time, and their own answers are late all the same.
+    """
+    patience = _learnt(back_part)
+    back = patience.spent_ms("stock", round(0.92 * FULL_MS - 260))
+    new = patience.spent_ms("stock", round(0.92 * FULL_MS))
+    assert back > 150
+    assert new < 80
+
+
+def test_a_few_patient_callers_change_nothing() -> None:
+    """One caller in twenty waits ten times as long as the others.
+
+    Measured against the most patient one, everybody else would seem to have
+    come back and nobody would be served first.
+    """
+    seeded = random.Random(1)
+    patience = CallerPatience()
+    for _ in range(2000):
+        given_ms = FULL_MS * (10 if seeded.random() < 0.05 else 1)
+        patience.spent_ms("stock", given_ms)
+    assert patience.spent_ms("stock", FULL_MS) < 0.1 * FULL_MS
+
+
+def test_routes_are_kept_apart() -> None:
+    patience = CallerPatience()
+    patience.spent_ms("slow", 20_000)
+    assert patience.spent_ms("fast", 200) == 0
+    assert patience.spent_ms("fast", 100) == pytest.approx(100, abs=5)
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -6,6 +6,7 @@
 import attrs
 
 from pomelobank_core import (
+    CallerPatience,
     Clock,
     ErrorKind,
     LastRequests,
@@ -94,6 +95,7 @@
         last_requests: Tells which requests a stopping node still takes.
         claims: Runs requests with an idempotency key, None where keys are left
             to the targets.
+        patience: Tells what callers have used on earlier attempts.
     """
 
     store: RoutesInForce
@@ -102,6 +104,7 @@
     exact_weights: bool = False
     last_requests: LastRequests = attrs.field(factory=LastRequests)
     claims: "ClaimService | None" = None
+    patience: CallerPatience = attrs.field(factory=CallerPatience)
 
     async def dispatch(self, caller: CallerRequest) -> ForwardReply:
         """Answers one request.
@@ -177,8 +180,10 @@
         self, route: RouteObject, caller: CallerRequest
     ) -> ForwardRequest:
         remaining_ms = route.timeout_ms
+        spent_ms = 0
         if caller.timeout_ms:
             remaining_ms = min(remaining_ms, caller.timeout_ms)
+            spent_ms = self.patience.spent_ms(route.name, caller.timeout_ms)
         return ForwardRequest(
             trace_id=caller.trace_id,
             sent_ms=self.clock.now_ms(),
@@ -197,4 +202,5 @@
             max_attempts=route.max_attempts,
             aim_ms=route.aim_ms,
             priority=route.priority,
+            spent_ms=spent_ms,
         )
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -269,7 +269,7 @@
         begun_ms = self.clock.now_ms()
         left_ms = journey.deadline_ms - begun_ms
         first = journey.request
-        spent_ms = first.remaining_ms - left_ms
+        spent_ms = first.spent_ms + first.remaining_ms - left_ms
         request = attrs.evolve(
             first,
             sent_ms=begun_ms,
