A stopping node serves its target until callers are routed away

Cause: a node that is told to stop waits 2.6 s for the platform to send callers elsewhere, but took its target out of the mesh at once. Change: the target stays for 2 s of these; the rest is for the news and what is under way. Ruled out: learning of the target sooner after a start (0.45 s on average over 19 starts).

--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -49,6 +49,12 @@
 # after two answers that they may not; the rest of a second is for calls that
 # are on their way.
 ROUTED_AWAY_MS = 2600
+# Until then a stopping node goes on serving its target to others. Callers are
+# sent here all that time, so the process has to stay; a target that is taken
+# out at once stands idle for these seconds, and when nodes are restarted one
+# after the other a third of all targets do so at any moment. What is left is
+# for the news and for requests under way.
+TARGET_LEAVES_MS = 2000
 # Kept from the platform's grace to end what is left in order.
 END_RESERVE_MS = 500
 # Longest wait for peers to take the last word of a node that has ended its
@@ -227,15 +233,16 @@
     async def stop(self) -> None:
         """Drains, then stops every part without cutting a request off.
 
-        First nobody sends new work here any more: peers are told, and the
-        platform hears that callers should go elsewhere. Only once that has
-        taken effect do connections end, each after the answers under way.
+        First the platform hears that callers should go elsewhere, and shortly
+        before that has taken effect peers are told to send no more work. Only
+        then do connections end, each after the answers under way.
         """
         begun_ms = self.clock.now_ms()
         end_ms = begun_ms + self.settings.stop.grace_s * _MS_PER_S
         end_ms -= END_RESERVE_MS
         self.stopping = True
         _logger.info("node.draining", extra=self._under_way())
+        await self._sleep_until(begun_ms + TARGET_LEAVES_MS)
         await self.target.close()
         await self._sleep_until(begun_ms + ROUTED_AWAY_MS)
         self.dispatcher.last_requests.ends_at_ms = end_ms
