What will be late waits behind all that can be in time

Cause: a request that could not be in time was let in as late, but stood in the queue as one in time until its objective had passed. So the count of late ones never reached its limit, the queue grew to twice its sense, and everybody in it was late. Ruled out: service times that are judged anew for each newcomer (same outcome).

--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -86,35 +86,41 @@
         wait_ms = self.wait_ms(ticket, now_ms)
         if wait_ms > ticket.max_wait_ms:
             return self._decline(wait_ms)
-        if not self._is_worth_waiting(ticket, wait_ms, now_ms):
-            return self._refuse(
-                ErrorKind.OVERLOADED, self._return_ms(ticket, now_ms)
-            )
+        if not self._can_be_in_time(ticket, wait_ms, now_ms):
+            # Behind everything that can be in time, from now on. Counted among
+            # that, it would be found late only after a third of a second, with
+            # hundreds of others, and be refused then.
+            ticket.late = True
+            if not self._may_wait_late(ticket, now_ms):
+                return self._refuse(
+                    ErrorKind.OVERLOADED, self._return_ms(ticket, now_ms)
+                )
         self._take_in(ticket, now_ms)
         self.queue.append(ticket)
         return Queued()
 
     def _take_in(self, ticket: Ticket, now_ms: float) -> None:
         rank = self._shared_rank(ticket, now_ms)
-        self.taken.add(rank, self.usual_ms(ticket), now_ms)
+        self.taken.add(rank, self.usual_ms(ticket, now_ms), now_ms)
 
     def _shared_rank(self, ticket: Ticket, now_ms: float) -> Rank:
         return Rank(ticket.priority, self._is_late(ticket, now_ms))
 
-    def _is_worth_waiting(
+    def _can_be_in_time(
         self, ticket: Ticket, wait_ms: float, now_ms: float
     ) -> bool:
-        usual_ms = self.usual_ms(ticket)
-        spare_ms = ticket.aim_at_ms - now_ms - SAFE_PART * usual_ms
-        if wait_ms <= spare_ms:
-            return True
-        # It would be late. Under a lasting overload only what is in time gets
-        # slots, and a long queue behind that would wait for its deadlines.
+        needed_ms = wait_ms + SAFE_PART * self.usual_ms(ticket, now_ms)
+        return now_ms + needed_ms <= ticket.aim_at_ms
+
+    def _may_wait_late(self, ticket: Ticket, now_ms: float) -> bool:
+        # Under a lasting overload only what is in time gets slots, and a long
+        # queue behind that would wait for its deadlines.
         late = sum(
             item.priority <= ticket.priority and self._is_late(item, now_ms)
             for item in self.queue
         )
-        room_ms = ticket.deadline_ms - now_ms - usual_ms
+        room_ms = ticket.deadline_ms - now_ms - self.usual_ms(ticket, now_ms)
+        wait_ms = self.wait_ms(ticket, now_ms)
         return late < self._may_be_late() and wait_ms <= WAIT_PART * room_ms
 
     def _return_ms(self, ticket: Ticket, now_ms: float) -> float:
@@ -123,9 +129,14 @@
         late = (ticket.priority, True, math.inf)
         return min(self._wait_ms(ticket, late, now_ms), LONGEST_FORECAST_MS)
 
-    def usual_ms(self, ticket: Ticket) -> float:
-        """Returns the time that a request usually takes at the target."""
-        return self.times.of(ticket.route, ticket.offered_ms)
+    def usual_ms(self, ticket: Ticket, now_ms: float) -> float:
+        """Returns the time that a request usually takes at the target.
+
+        Requests are compared by what is known now. By what was known when each
+        one came, all newcomers would overtake the queue whenever a measured
+        time has just grown, and each of them would see no queue before it.
+        """
+        return self.times.of(ticket.route, now_ms)
 
     def usual_ms_of(self, route: str, now_ms: float) -> float:
         """Returns the time that a route's requests usually take."""
@@ -137,7 +148,8 @@
         The target may stand still, and then nothing else ends the wait. A
         caller that is told at half its time can still go elsewhere.
         """
-        latest_ms = ticket.deadline_ms - self.usual_ms(ticket) / 2
+        usual_ms = self.usual_ms(ticket, ticket.offered_ms)
+        latest_ms = ticket.deadline_ms - usual_ms / 2
         half_ms = (ticket.deadline_ms + ticket.offered_ms) / 2
         return min(latest_ms, half_ms)
 
@@ -149,7 +161,7 @@
         self, ticket: Ticket, own: tuple[int, bool, float], now_ms: float
     ) -> float:
         ahead_ms = sum(
-            self.usual_ms(item)
+            self.usual_ms(item, now_ms)
             for item in self.queue
             if self._rank(item, now_ms) <= own
         )
@@ -162,16 +174,18 @@
         return (first_free_ms + ahead_ms / slots) / rest
 
     def _rank(self, ticket: Ticket, now_ms: float) -> tuple[int, bool, float]:
-        spare_ms = ticket.aim_at_ms - now_ms - self.usual_ms(ticket)
-        if spare_ms < 0:
+        if self._is_late(ticket, now_ms):
             return ticket.priority, True, ticket.deadline_ms
+        spare_ms = ticket.aim_at_ms - now_ms - self.usual_ms(ticket, now_ms)
         return ticket.priority, False, spare_ms
 
     def _is_late(self, ticket: Ticket, now_ms: float) -> bool:
-        return ticket.aim_at_ms - now_ms < self.usual_ms(ticket)
+        if ticket.late:
+            return True
+        return ticket.aim_at_ms - now_ms < self.usual_ms(ticket, now_ms)
 
     def _left_ms(self, ticket: Ticket, now_ms: float) -> float:
-        usual_ms = self.usual_ms(ticket)
+        usual_ms = self.usual_ms(ticket, now_ms)
         taken_ms = now_ms - (ticket.started_ms or now_ms)
         return max(usual_ms - taken_ms, LEAST_LEFT * usual_ms)
 
--- a/packages/pomelobank-core/src/pomelobank_core/_tickets.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_tickets.py
@@ -34,6 +34,7 @@
         priority: Its rank; 0 is the most urgent.
         aim_at_ms: Until when an answer is of full use.
         max_wait_ms: Longest expected wait with which it is taken.
+        late: Whether it was let in though its answer will be late.
         offered_ms: When it came.
         started_ms: When it went to the target; None before.
     """
@@ -45,6 +46,7 @@
     priority: int = 0
     aim_at_ms: float = math.inf
     max_wait_ms: float = math.inf
+    late: bool = False
     offered_ms: float = 0.0
     started_ms: float | None = None
 
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_deadline_admission.py
@@ -174,6 +174,36 @@
     assert target.part("look-up", "dropped") < 0.2
 
 
+def test_hardly_anything_waits_in_vain() -> None:
+    """Orders take two thirds of a target, look-ups ask for thrice the rest.
+
+    Each look-up that is taken in sees a short queue, but orders go before it
+    all the time. It is refused in the end all the same, a third of a second
+    later, when its caller has no time left to go elsewhere.
+    """
+    target = Target()
+    target.load(attrs.evolve(ORDER, per_s=100), 0, 6000)
+    target.load(attrs.evolve(LOOK_UP, per_s=200), 0, 6000)
+    target.events.run()
+    assert target.part("order", "in aim") > 0.97
+    assert target.part("look-up", "dropped") < 0.1
+    assert target.part("look-up", "late") < 0.1
+
+
+def test_a_caller_that_came_back_does_not_take_a_newcomers_slot() -> None:
+    """Half of the look-ups come for the second time and are late already.
+
+    Taken in turn with newcomers they fill half of the slots with answers that
+    are late; served after them, they get what newcomers leave over.
+    """
+    target = Target()
+    back = Work("look-up again", 150, 90, 1, 700)
+    target.load(attrs.evolve(LOOK_UP, per_s=190), 0, 6000)
+    target.load(back, 0, 6000)
+    target.events.run()
+    assert target.part("look-up", "in aim") > 0.85
+
+
 def test_calls_of_running_work_go_before_a_queue_of_reports() -> None:
     """Reports come at a rate that fills every slot and a queue.
 
