A model of loads drives forwarder, gate and admission in virtual time

Change: the product's own forwarder, gate, admission, placing, retries and hedging run in one process; streams are a pause, targets a model (slots, speeds, shedding, calls to another upstream), callers come back. Five typed load patterns with the bound that room allows. The experiment tool prints a pattern with mechanisms switched off.

--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -17,7 +17,7 @@
     SourceError,
 )
 from pomelobank_node.published.tests.test_published import decode, member
-from pomelobank_node.published.tests.virtual_time import (
+from pomelobank_node.tests.virtual_time import (
     VirtualClock,
     VirtualTime,
     run_virtually,
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -12,6 +12,7 @@
     "core-mass": "_core_mass",
     "core-members": "_core_members",
     "demo": "_demo",
+    "experiment": "_experiment",
     "goodput": "_goodput",
     "latency": "_latency",
     "light-target": "_light_target",
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_experiment.py
@@ -0,0 +1,66 @@
+"""Tries a policy: `python -m pomelobank_testing experiment PATTERN`."""
+
+import argparse
+import statistics
+
+from pomelobank_testing.experiment import (
+    MECHANISMS,
+    PATTERNS,
+    Outcomes,
+    play,
+    worth_bound,
+)
+
+_ROW = "{:<10} {:>6} {:>6} {:>6} {:>8} {:>7} {:>13} {:>9}"
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Replays a load with several seeds and prints what became of callers."""
+    parser = argparse.ArgumentParser(prog="experiment", description=__doc__)
+    parser.add_argument("pattern", choices=sorted(PATTERNS))
+    parser.add_argument(
+        "--without",
+        action="append",
+        default=[],
+        choices=sorted(MECHANISMS),
+        help="mechanism to switch off; may be given more than once",
+    )
+    parser.add_argument("--seeds", type=int, default=3, metavar="N")
+    options = parser.parse_args(arguments)
+    if options.seeds < 1:
+        parser.error("--seeds takes a whole number from 1 on")
+    pattern = PATTERNS[options.pattern]
+    without = frozenset(options.without)
+    runs = [play(pattern, seed, without) for seed in range(options.seeds)]
+    print(f"{options.pattern}: {pattern.purpose}")
+    _print_routes(runs)
+    worths = [run.worth for run in runs]
+    bound = statistics.fmean(
+        worth_bound(pattern, at_s + 0.5)
+        for at_s in range(int(pattern.length_s))
+    )
+    print(
+        f"worth {statistics.fmean(worths):.3f}"
+        f" ({min(worths):.3f} to {max(worths):.3f}),"
+        f" room for {bound:.3f}"
+    )
+    return 0
+
+
+def _print_routes(runs: list[Outcomes]) -> None:
+    heads = ("asked", "in aim", "late", "refused", "failed")
+    print(_ROW.format("route", *heads, "refused in ms", "arrivals"))
+    for route in runs[0].pattern.routes:
+        found = [run.of(route.name) for run in runs]
+        print(
+            _ROW.format(
+                route.name,
+                sum(item.asked for item in found),
+                sum(item.in_aim for item in found),
+                sum(item.late for item in found),
+                sum(item.refused for item in found),
+                sum(item.failed for item in found),
+                round(max(item.held_p95_ms for item in found)),
+                sum(item.arrivals for item in found),
+            )
+        )
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -0,0 +1,92 @@
+"""Mechanisms that an experiment can switch off, one by one."""
+
+from collections.abc import Callable
+
+import attrs
+
+from pomelobank_core import (
+    CallerPatience,
+    DeadlineAdmission,
+    Rank,
+    RankLoad,
+    SlotLimit,
+    Ticket,
+    Verdict,
+)
+from pomelobank_node._forwarder import Forwarder
+from pomelobank_node._owner import Owner
+
+
+@attrs.define(eq=False)
+class ModelNode:
+    """The parts of one node that decide about requests.
+
+    Attributes:
+        name: Its name.
+        forwarder: Places requests and sends them.
+        owner: Runs them on its target.
+        patience: Tells what callers have used on earlier attempts.
+    """
+
+    name: str
+    forwarder: Forwarder
+    owner: Owner
+    patience: CallerPatience = attrs.field(factory=CallerPatience)
+
+
+Switch = Callable[[ModelNode], None]
+
+
+class _NobodyOvertakes(RankLoad):
+    def rest(self, rank: Rank, slots: int, now_ms: float) -> float:
+        return 1.0
+
+
+class _AllAreNew(CallerPatience):
+    def spent_ms(self, route: str, given_ms: int) -> int:
+        return 0
+
+
+class _LateMayWait(DeadlineAdmission):
+    def _surplus_late(self, now_ms: float) -> list[Ticket]:
+        return []
+
+
+class _Unranked(DeadlineAdmission):
+    def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
+        ticket.priority = 0
+        return super().offer(ticket, now_ms)
+
+
+def _without_overtaking(node: ModelNode) -> None:
+    admission = node.owner.gate.admission
+    assert isinstance(admission, DeadlineAdmission)
+    admission.taken = _NobodyOvertakes()
+
+
+def _admit_by(node: ModelNode, kind: type[DeadlineAdmission]) -> None:
+    limit = node.owner.gate.admission.limit
+    assert isinstance(limit, SlotLimit)
+    node.owner.gate.admission = kind(limit)
+
+
+def _without_offers(node: ModelNode) -> None:
+    node.forwarder.retries.free_refusals = False
+
+
+def _without_patience(node: ModelNode) -> None:
+    node.patience = _AllAreNew()
+
+
+def _without_hedging(node: ModelNode) -> None:
+    node.forwarder.hedging = None
+
+
+MECHANISMS: dict[str, Switch] = {
+    "hedging": _without_hedging,
+    "late-limit": lambda node: _admit_by(node, _LateMayWait),
+    "offers": _without_offers,
+    "overtaking": _without_overtaking,
+    "patience": _without_patience,
+    "ranks": lambda node: _admit_by(node, _Unranked),
+}
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -0,0 +1,241 @@
+"""A mesh of nodes and targets in one process, in virtual time.
+
+Forwarder, gate, admission, placing, retries and hedging are the product's own;
+streams between nodes are replaced by a pause, targets by a model.
+"""
+
+import asyncio
+import random
+
+import attrs
+
+from pomelobank_core import (
+    ErrorKind,
+    Hedging,
+    MemberTable,
+    Ramp,
+    Retries,
+    SharedBudget,
+    TwoChoices,
+)
+from pomelobank_node._crash_reports import CrashReports
+from pomelobank_node._forwarder import Forwarder
+from pomelobank_node._owner import Owner, Target
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import (
+    ForwardReply,
+    ForwardRequest,
+    RequestError,
+    error_reply,
+)
+from pomelobank_node.tests.virtual_time import VirtualClock, VirtualTime
+from pomelobank_schema.generated.peer import MemberEntry
+from pomelobank_schema.generated.settings import RequestSettings
+from pomelobank_testing.experiment._mechanisms import MECHANISMS, ModelNode
+from pomelobank_testing.experiment._patterns import (
+    Pattern,
+    RouteLoad,
+    TargetGroup,
+)
+from pomelobank_testing.experiment._target import ModelTarget
+
+_MS_PER_S = 1000
+# One way between nodes of one data centre, and between two.
+_NEAR_MS = 0.4
+_FAR_MS = 1.6
+_DATA_CENTRES = ("a", "a", "b", "c")
+# An operator's bounds on tries beyond the first: part of the requests, tries
+# beside that for the whole mesh, window in ms.
+_RETRY_RATIO = 0.2
+_RETRY_SLACK = 56
+_RETRY_WINDOW_MS = 10_000
+_LEFT_CHECK_S = 0.05
+
+
+@attrs.define(eq=False)
+class _Link:
+    """The way to one node."""
+
+    node: ModelNode
+    pause_s: float
+
+    async def forward(self, request: ForwardRequest) -> ForwardReply:
+        await asyncio.sleep(self.pause_s)
+        reply = await self.node.owner.serve(request)
+        await asyncio.sleep(self.pause_s)
+        return reply
+
+    async def send(self, frame: object) -> None:
+        return
+
+
+@attrs.define(eq=False)
+class _Links:
+    """Stands in place of a node's streams to its peers."""
+
+    mesh: "ModelMesh"
+    own_centre: str
+
+    def to(self, address: str) -> _Link:
+        node = self.mesh.by_address[address]
+        centre = node.forwarder.members.own.data_centre
+        pause_ms = _NEAR_MS if centre == self.own_centre else _FAR_MS
+        return _Link(node, pause_ms / _MS_PER_S)
+
+
+@attrs.define(eq=False)
+class ModelMesh:
+    """Nodes, each beside a target.
+
+    Attributes:
+        pattern: The load.
+        time: The time of the run.
+        seeded: Source of randomness.
+        without: Mechanisms that are switched off.
+        nodes: The nodes.
+        by_address: The nodes, by address.
+        targets: Their targets.
+    """
+
+    pattern: Pattern
+    time: VirtualTime
+    seeded: random.Random
+    without: frozenset[str] = frozenset()
+    nodes: list[ModelNode] = attrs.field(factory=list)
+    by_address: dict[str, ModelNode] = attrs.field(factory=dict)
+    targets: list[ModelTarget] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self) -> None:
+        entries = [
+            self._entry(group, number)
+            for group in self.pattern.groups
+            for number in range(len(group.times))
+        ]
+        for entry in entries:
+            self._add_node(entry, entries)
+        for group in self.pattern.groups:
+            for number in range(len(group.times)):
+                self._add_target(group, number)
+
+    def _entry(self, group: TargetGroup, number: int) -> MemberEntry:
+        index = 1 + sum(
+            len(item.times)
+            for item in self.pattern.groups
+            if item.upstream < group.upstream
+        )
+        return MemberEntry(
+            node=f"{group.upstream}-{number}",
+            incarnation=1,
+            state="ready",
+            data_centre=_DATA_CENTRES[number % len(_DATA_CENTRES)],
+            peer_address=f"127.0.0.1:{index + number}",
+            upstream=group.upstream,
+            slots=group.slots,
+        )
+
+    def _add_node(self, own: MemberEntry, entries: list[MemberEntry]) -> None:
+        clock = VirtualClock(self.time)
+        table = MemberTable(own)
+        table.merge(entry for entry in entries if entry is not own)
+        links = _Links(self, own.data_centre)
+        assert isinstance(links, _Links)
+        streams: PeerLinks = links  # type: ignore[assignment]
+        reports = CrashReports(table, streams, clock)
+        settings = RequestSettings(admission="by_deadline", slots=own.slots)
+        owner = Owner(settings, clock, reports)
+        forwarder = Forwarder(
+            table,
+            owner,
+            streams,
+            clock,
+            TwoChoices(self.seeded, Ramp(0.5, 3000)),
+            retry_header=b"",
+            retries=Retries(
+                self.seeded, new_budget=self._budget, free_refusals=True
+            ),
+            hedging=Hedging(),
+        )
+        node = ModelNode(own.node, forwarder, owner)
+        for name in self.without:
+            MECHANISMS[name](node)
+        self.nodes.append(node)
+        self.by_address[own.peer_address] = node
+
+    def _budget(self) -> SharedBudget:
+        return SharedBudget(
+            _RETRY_RATIO,
+            _RETRY_SLACK,
+            _RETRY_WINDOW_MS,
+            lambda: len(self.nodes),
+        )
+
+    def _add_target(self, group: TargetGroup, number: int) -> None:
+        name = f"{group.upstream}-{number}"
+        node = next(item for item in self.nodes if item.name == name)
+
+        async def call(route: RouteLoad, deadline_s: float) -> bool:
+            now_s = asyncio.get_running_loop().time()
+            left_ms = min(route.deadline_ms, (deadline_s - now_s) * _MS_PER_S)
+            reply = await self.send(node, route, left_ms)
+            return not reply.error and reply.status == 200
+
+        target = ModelTarget(self.pattern, group, number, self.seeded, call)
+        self.targets.append(target)
+        node.owner.target = Target(group.upstream, name, group.slots)
+        node.owner.pool = target  # type: ignore[assignment]
+
+    async def send(
+        self, entry: ModelNode, route: RouteLoad, left_ms: float
+    ) -> ForwardReply:
+        """Sends a request in at a node.
+
+        Args:
+            entry: The node.
+            route: The request's route.
+            left_ms: How long the caller waits from now on.
+
+        Returns:
+            The target's answer or an error report.
+        """
+        request = ForwardRequest(
+            upstream=route.upstream,
+            route=route.name,
+            method="GET",
+            target=route.name.encode(),
+            remaining_ms=int(left_ms),
+            traffic_class="interactive",
+            idempotent=route.idempotent,
+            max_attempts=2,
+            aim_ms=route.aim_ms,
+            priority=route.priority,
+            spent_ms=entry.patience.spent_ms(route.name, int(left_ms)),
+        )
+        if request.remaining_ms <= 0:
+            return error_reply(0, RequestError(ErrorKind.DEADLINE_NOT_RUN))
+        try:
+            return await entry.forwarder.forward(request)
+        except RequestError as error:
+            return error_reply(0, error)
+
+    async def play_departures(self) -> None:
+        """Lets targets leave and return as the pattern says."""
+        while True:
+            for target in self.targets:
+                self._show(target)
+            await asyncio.sleep(_LEFT_CHECK_S)
+
+    def _show(self, target: ModelTarget) -> None:
+        node = next(
+            item
+            for item in self.nodes
+            if item.name == f"{target.group.upstream}-{target.number}"
+        )
+        gone = target.is_gone()
+        own = node.forwarder.members.own
+        if gone == (own.upstream == ""):
+            return
+        upstream = "" if gone else target.group.upstream
+        node.forwarder.members.update_own(upstream=upstream)
+        for other in self.nodes:
+            if other is not node:
+                other.forwarder.members.merge([node.forwarder.members.own])
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -0,0 +1,216 @@
+"""Load patterns: what callers ask for, and what goes wrong meanwhile."""
+
+import attrs
+from attrs import validators
+
+
+@attrs.frozen
+class InnerCalls:
+    """Calls that a request makes to another upstream while it runs.
+
+    Attributes:
+        route: Route of the calls.
+        count: Calls, all at once.
+        share: Part of the requests that make them.
+    """
+
+    route: str
+    count: int = 1
+    share: float = 1.0
+
+
+@attrs.frozen
+class RouteLoad:
+    """The requests of one route.
+
+    Attributes:
+        name: The route.
+        upstream: Its upstream.
+        per_s: Requests a second from callers; 0 for calls of other work.
+        work_ms: Mean time at a target of usual speed, without its calls.
+        aim_ms: Time in which an answer is of full use.
+        deadline_ms: How long a caller waits, earlier attempts included.
+        priority: Rank; 0 is the most urgent.
+        worth: Worth of an answer in time.
+        late_worth: Worth of a later one.
+        idempotent: Whether it may run more than once.
+        returns: How often a caller comes back after a refusal.
+        calls: Calls that it makes while it runs.
+    """
+
+    name: str
+    upstream: str
+    per_s: float
+    work_ms: float = attrs.field(validator=validators.gt(0))
+    aim_ms: int = attrs.field(validator=validators.gt(0))
+    deadline_ms: int = attrs.field(validator=validators.gt(0))
+    priority: int = 2
+    worth: float = 1.0
+    late_worth: float = 0.5
+    idempotent: bool = True
+    returns: int = 1
+    calls: InnerCalls | None = None
+
+
+@attrs.frozen
+class TargetGroup:
+    """The targets of one upstream.
+
+    Attributes:
+        upstream: Their upstream.
+        times: Time that each takes for work, next to the usual one.
+        slots: Requests that each runs at once.
+    """
+
+    upstream: str
+    times: tuple[float, ...]
+    slots: int = 12
+
+
+@attrs.frozen
+class Trouble:
+    """What happens to targets during the run.
+
+    Attributes:
+        upstream: Whose targets.
+        from_s: When it begins.
+        until_s: When it ends.
+        first: Number of targets that it hits; the first of the group.
+        times: Factor on the time of their work.
+        shed: Part of their requests that they turn away unrun.
+        gone: Whether they have left the mesh.
+    """
+
+    upstream: str
+    from_s: float
+    until_s: float
+    first: int
+    times: float = 1.0
+    shed: float = 0.0
+    gone: bool = False
+
+
+@attrs.frozen
+class Burst:
+    """More callers of all routes for a while.
+
+    Attributes:
+        from_s: When it begins.
+        until_s: When it ends.
+        times: Factor on the requests a second.
+    """
+
+    from_s: float
+    until_s: float
+    times: float
+
+
+@attrs.frozen
+class Pattern:
+    """One load to replay.
+
+    Attributes:
+        purpose: What it shows, in a sentence.
+        routes: What callers ask for.
+        groups: The targets.
+        troubles: What goes wrong.
+        bursts: When more callers come.
+        length_s: How long callers come.
+    """
+
+    purpose: str
+    routes: tuple[RouteLoad, ...]
+    groups: tuple[TargetGroup, ...]
+    troubles: tuple[Trouble, ...] = ()
+    bursts: tuple[Burst, ...] = ()
+    length_s: float = 8.0
+
+    def route(self, name: str) -> RouteLoad:
+        """Returns a route by its name."""
+        return next(item for item in self.routes if item.name == name)
+
+
+# A booking service beside a record service, each with a target that is slow
+# and one that is fast. Look-ups ask the record service while they run.
+_LOOK_UP = RouteLoad(
+    "look-up",
+    "booking",
+    per_s=300,
+    work_ms=60,
+    aim_ms=200,
+    deadline_ms=800,
+    calls=InnerCalls("roster", count=2, share=0.7),
+)
+_ORDER = RouteLoad(
+    "order",
+    "booking",
+    per_s=134,
+    work_ms=78,
+    aim_ms=250,
+    deadline_ms=1000,
+    priority=1,
+    worth=2.0,
+    late_worth=1.0,
+    idempotent=False,
+)
+_RECORD = RouteLoad(
+    "record", "records", per_s=98, work_ms=150, aim_ms=400, deadline_ms=1500
+)
+_HISTORY = RouteLoad(
+    "history", "records", per_s=57, work_ms=240, aim_ms=600, deadline_ms=2500
+)
+_ROSTER = RouteLoad(
+    "roster",
+    "records",
+    per_s=0,
+    work_ms=15,
+    aim_ms=60,
+    deadline_ms=200,
+    priority=1,
+    worth=0.0,
+    returns=0,
+)
+_ROUTES = (_LOOK_UP, _ORDER, _RECORD, _HISTORY, _ROSTER)
+_GROUPS = (
+    TargetGroup("booking", (0.6, 1.0, 1.0, 1.4)),
+    TargetGroup("records", (0.5, 1.0, 1.0, 1.5)),
+)
+_ALWAYS = 1_000.0
+
+
+def _busier(factor: float) -> tuple[RouteLoad, ...]:
+    return tuple(
+        attrs.evolve(route, per_s=route.per_s * factor) for route in _ROUTES
+    )
+
+
+PATTERNS: dict[str, Pattern] = {
+    "calm": Pattern("an ordinary load", _ROUTES, _GROUPS),
+    "shortage": Pattern(
+        "half of one upstream's targets have left for good",
+        _busier(1.25),
+        _GROUPS,
+        troubles=(Trouble("booking", 0, _ALWAYS, 2, gone=True),),
+    ),
+    "burst": Pattern(
+        "twice as many callers for three seconds",
+        _ROUTES,
+        _GROUPS,
+        bursts=(Burst(2.0, 5.0, 2.0),),
+    ),
+    "shedding": Pattern(
+        "targets turn half of their requests away unrun",
+        _ROUTES,
+        _GROUPS,
+        troubles=(Trouble("records", 2.0, 6.0, 4, shed=0.5),),
+    ),
+    "slow": Pattern(
+        "one target of each upstream takes six times as long",
+        _ROUTES,
+        _GROUPS,
+        troubles=(
+            Trouble("booking", 2.0, 6.0, 1, times=6.0),
+            Trouble("records", 2.0, 6.0, 1, times=6.0),
+        ),
+    ),
+}
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
@@ -0,0 +1,112 @@
+"""A target: slots, speed, what it turns away, and calls that its work makes."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from pomelobank_core import ErrorKind
+from pomelobank_node.parts import RequestError, UpstreamAnswer
+from pomelobank_testing.experiment._patterns import (
+    Pattern,
+    RouteLoad,
+    TargetGroup,
+    Trouble,
+)
+
+_MS_PER_S = 1000
+# Spread of the work of one route around its mean.
+_SPREAD = 0.4
+_TURNED_AWAY_MS = 1.0
+Call = Callable[[RouteLoad, float], Awaitable[bool]]
+
+
+@attrs.define(eq=False)
+class ModelTarget:
+    """Stands where a node has its connections to its target.
+
+    Attributes:
+        pattern: The load.
+        group: The targets that it belongs to.
+        number: Its number among them.
+        seeded: Source of randomness.
+        call: Makes a call through the mesh; tells whether it was answered.
+        busy: Requests that it runs.
+        arrivals: Requests that reached it, by route.
+    """
+
+    pattern: Pattern
+    group: TargetGroup
+    number: int
+    seeded: random.Random
+    call: Call
+    slots: asyncio.Semaphore = attrs.field(init=False)
+    arrivals: dict[str, int] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.slots = asyncio.Semaphore(self.group.slots)
+
+    async def request(
+        self, data: bytes, deadline_s: float, *_: object, **__: object
+    ) -> UpstreamAnswer:
+        """Runs one request.
+
+        Args:
+            data: Its bytes; the path names the route.
+            deadline_s: Loop time at which it is given up.
+
+        Returns:
+            The answer: 200, or 500 where a call that it needs failed.
+
+        Raises:
+            RequestError: TARGET_REFUSED or DEADLINE_UNKNOWN.
+        """
+        route = self.pattern.route(data.split(b" ", 2)[1].decode())
+        self.arrivals[route.name] = self.arrivals.get(route.name, 0) + 1
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await self._run(route, deadline_s)
+        except TimeoutError:
+            raise RequestError(ErrorKind.DEADLINE_UNKNOWN) from None
+
+    async def _run(self, route: RouteLoad, deadline_s: float) -> UpstreamAnswer:
+        trouble = self._trouble()
+        if trouble and self.seeded.random() < trouble.shed:
+            await asyncio.sleep(_TURNED_AWAY_MS / _MS_PER_S)
+            raise RequestError(ErrorKind.TARGET_REFUSED)
+        async with self.slots:
+            times = self.group.times[self.number]
+            times *= trouble.times if trouble else 1.0
+            spread = self.seeded.uniform(1 - _SPREAD, 1 + _SPREAD)
+            await asyncio.sleep(route.work_ms * times * spread / _MS_PER_S)
+            if await self._calls_succeed(route, deadline_s):
+                return UpstreamAnswer(200, [], b"")
+        return UpstreamAnswer(500, [], b"")
+
+    async def _calls_succeed(self, route: RouteLoad, deadline_s: float) -> bool:
+        calls = route.calls
+        if calls is None or self.seeded.random() >= calls.share:
+            return True
+        called = self.pattern.route(calls.route)
+        answered = await asyncio.gather(
+            *(self.call(called, deadline_s) for _ in range(calls.count))
+        )
+        return all(answered)
+
+    def is_gone(self) -> bool:
+        """Tells whether it has left the mesh."""
+        trouble = self._trouble()
+        return trouble is not None and trouble.gone
+
+    def _trouble(self) -> Trouble | None:
+        now_s = asyncio.get_running_loop().time()
+        for trouble in self.pattern.troubles:
+            same = trouble.upstream == self.group.upstream
+            lasts = trouble.from_s <= now_s < trouble.until_s
+            if same and lasts and self.number < trouble.first:
+                return trouble
+        return None
+
+    def close(self) -> None:
+        """Does nothing; there are no connections."""
--- /dev/null
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -0,0 +1,96 @@
+"""Loads at their worst, replayed against the product's decisions."""
+
+import attrs
+import pytest
+
+from pomelobank_testing.experiment import (
+    PATTERNS,
+    Outcomes,
+    Pattern,
+    play,
+    worth_bound,
+)
+
+SEED = 1
+SHORT_S = 4.0
+
+
+def _short(name: str) -> Pattern:
+    return attrs.evolve(PATTERNS[name], length_s=SHORT_S)
+
+
+def _shortage(*without: str) -> Outcomes:
+    return play(_short("shortage"), SEED, frozenset(without))
+
+
+def test_a_calm_load_is_served_in_time() -> None:
+    outcomes = play(_short("calm"), SEED)
+    assert outcomes.worth > 0.99
+
+
+def test_runs_of_one_seed_are_the_same() -> None:
+    pattern = attrs.evolve(PATTERNS["burst"], length_s=2.0)
+    first, second = play(pattern, SEED), play(pattern, SEED)
+    assert first.by_route == second.by_route
+
+
+def test_the_same_callers_come_whatever_is_switched_off() -> None:
+    pattern = attrs.evolve(PATTERNS["shortage"], length_s=2.0)
+    whole = play(pattern, SEED)
+    part = play(pattern, SEED, frozenset({"hedging", "ranks"}))
+    for route in ("look-up", "order", "record", "history"):
+        assert whole.of(route).asked == part.of(route).asked
+
+
+@pytest.mark.parametrize(
+    ("name", "at_s", "least", "most"),
+    [
+        pytest.param("calm", 1.0, 1.0, 1.0, id="room for all"),
+        pytest.param("shortage", 1.0, 0.6, 0.8, id="half of one upstream"),
+        pytest.param("burst", 3.0, 0.6, 0.95, id="during a burst"),
+    ],
+)
+def test_bound_of_what_targets_have_room_for(
+    name: str, at_s: float, least: float, most: float
+) -> None:
+    assert least <= worth_bound(PATTERNS[name], at_s) <= most
+
+
+@pytest.mark.parametrize("name", ["shortage", "burst"])
+def test_newcomers_are_served_before_callers_that_are_late(name: str) -> None:
+    """More callers come than targets can serve; the refused come back.
+
+    Told apart by nothing, both get slots alike, and half of the answers to
+    look-ups come too late to be of full use although every slot is busy.
+    """
+    known = play(PATTERNS[name], SEED)
+    unknown = play(PATTERNS[name], SEED, frozenset({"patience"}))
+    assert known.of("look-up").in_aim > unknown.of("look-up").in_aim
+    assert known.worth > unknown.worth
+
+
+@pytest.mark.parametrize("name", ["shortage", "burst"])
+def test_refusals_come_while_they_are_of_use(name: str) -> None:
+    """A queue holds requests that everything else overtakes.
+
+    They are refused after half of their time, and their callers, who could
+    have gone elsewhere, have no time left.
+    """
+    limited = play(PATTERNS[name], SEED)
+    unlimited = play(PATTERNS[name], SEED, frozenset({"late-limit"}))
+    aim_ms = limited.pattern.route("look-up").aim_ms
+    late = limited.of("look-up").refused_after(aim_ms)
+    assert limited.of("look-up").held_p95_ms < aim_ms
+    assert late < unlimited.of("look-up").refused_after(aim_ms)
+
+
+def test_orders_are_served_through_a_shortage() -> None:
+    """Half of one upstream's targets leave, and callers come on.
+
+    What is left has room for all orders and some look-ups. Without ranks,
+    orders wait and are refused like look-ups, and customers lose them.
+    """
+    order = _shortage().of("order")
+    assert order.in_aim > 0.95 * order.asked
+    unranked = _shortage("ranks").of("order")
+    assert unranked.in_aim < order.in_aim
