--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -13,6 +13,7 @@
     "core-members": "_core_members",
     "demo": "_demo",
     "experiment": "_experiment",
+    "journal": "_journal",
     "goodput": "_goodput",
     "latency": "_latency",
     "light-target": "_light_target",
