Members look for one that went lately

Nodes were restarted in turn while the store was away; without the log of first contacts a restarted node found nobody for two seconds (a-4: 23.1 to 25.1 s, b-2: 24.1 to 26.1 s), and its target stood idle. Ruled out: targets without room (5.6 to 7.9 of 12 slots in use), the configuration (a node serves its target without one).

--- a/packages/pomelobank-core/src/pomelobank_core/_swim.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -13,6 +13,7 @@
 from pomelobank_core._member_digest import TableDigest, bucket_of
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._probing import Prober
+from pomelobank_core._rendezvous import rank_of
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     Gossip,
@@ -42,6 +43,12 @@
 # about 120 KB and is sent once in a second at most.
 SYNC_BYTES_PER_S = 60_000
 _MS_PER_S = 1000
+# Most restarts take less. After that a member that has not come back is tried
+# once in a while only, since most likely it was replaced.
+LATELY_GONE_MS = 15_000
+# Members that look for one that went lately. Two, so that the loss of one does
+# not matter; with all of 1,000, a restart would meet a thousand handshakes.
+LOOKERS = 2
 
 
 @attrs.frozen
@@ -138,6 +145,7 @@
                 self.settings.period_ms
             )
             actions += self._probe_next(now_ms)
+            actions += self._look_for_lately_gone(now_ms)
         if now_ms >= self.next_sync_ms:
             self.next_sync_ms = now_ms + self._jittered(
                 self.settings.sync_period_ms
@@ -391,6 +399,21 @@
     def _sync_with_one(self) -> list[Action]:
         return [self.compare(entry.peer_address) for entry in self.choose(1)]
 
+    def _look_for_lately_gone(self, now_ms: int) -> list[Action]:
+        # A node that is restarted while the log is away finds nobody, and a
+        # target that works stands idle beside it until the log is back. When
+        # nodes are restarted in turn meanwhile, callers are refused because no
+        # target of their upstream is left. Its former peers know its address.
+        present = [entry.node for entry in self.table.present()]
+        return [
+            self.compare(entry.peer_address)
+            for node, gone_ms in self.gone_ms.items()
+            if now_ms - gone_ms < LATELY_GONE_MS
+            and (entry := self.table.others.get(node))
+            and entry.peer_address
+            and rank_of(self.table.own.node, present, node) < LOOKERS
+        ]
+
     def _try_a_gone_one(self) -> list[Action]:
         # Two sides of a cut hold each other to be gone and would never meet
         # again after it has healed, because nobody probes the gone.
