--- a/packages/pomelobank-core/src/pomelobank_core/_patience.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_patience.py
@@ -11,6 +11,10 @@
 # Step by which what is usual follows the callers, as a part of itself. A
 # hundred callers of a route move it from a quarter of the true time to it.
 STEP = 0.02
+# Part of the usual time by which newcomers of one route differ. Less than that
+# says nothing: with objectives of a quarter of the deadline, a newcomer who is
+# a little less patient would be taken for one that is late already.
+SPREAD = 0.2
 
 
 @attrs.define
@@ -53,4 +57,5 @@
             return 0
         part = USUAL_PART if given_ms >= usual_ms else USUAL_PART - 1
         self.usual_ms[route] = usual_ms * (1 + STEP * part)
-        return max(0, round(usual_ms - given_ms))
+        missing_ms = usual_ms - given_ms
+        return round(missing_ms) if missing_ms > SPREAD * usual_ms else 0
