--- a/packages/pomelobank-testing/src/pomelobank_testing/_journal.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_journal.py
@@ -32,6 +32,7 @@
         worth: What it was worth to callers, prices taken off.
         served: Part of the requests that were served.
         rules: Names of broken rules.
+        has_fault: Whether a program did not start or ended by itself.
         prices: Part of the worth that each price took.
     """
 
@@ -45,6 +46,7 @@
     worth: float
     served: float
     rules: tuple[str, ...]
+    has_fault: bool
     prices: dict[str, float]
 
 
@@ -69,6 +71,7 @@
         worth=item["G"],
         served=item["served"],
         rules=tuple(item["rules"]),
+        has_fault=bool(item.get("fault")),
         # The bench leaves out what it could not charge.
         prices={name: part or 0.0 for name, _, part in item["prices"]},
     )
@@ -102,11 +105,14 @@
     troubled = []
     for day in sorted(days, key=lambda item: (item.name, item.seed, item.at)):
         lines.append(_row(day))
-        if day.slot != "quiet":
+        if day.slot != "quiet" and not day.has_fault:
             troubled.append(day.worth)
     if troubled:
         mean = statistics.fmean(troubled)
-        lines.append(f"| mean of days with trouble | | {mean:.3f} | | | | |")
+        lines.append(
+            "| mean of days with trouble, faults left out | |"
+            f" {mean:.3f} | | | | |"
+        )
     return lines
 
 
@@ -116,6 +122,8 @@
         f"{name} {part:.3f}" for name, part in prices if part >= _LEAST_PRICE
     )
     rules = ", ".join(day.rules) or "none"
+    if day.has_fault:
+        rules = "fault"
     return (
         f"| {day.name} | {day.seed} | {day.worth:.3f} | {day.served:.3f}"
         f" | {rules} | {dear} | {day.run} |"
