A stop ends within the grace, whatever is open

A stop waits for requests until half a second before the end, and then without a bound for each part; a stream to a peer that hangs takes seconds. Change: all parts together have until 150 ms before the end; what is cut off is logged by name. A grace shorter than the usual time in which callers are routed away is halved. Shown by a part that never stops: the stop hung before, it ends now.

--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -49,14 +49,17 @@
 # after two answers that they may not; the rest of a second is for calls that
 # are on their way.
 ROUTED_AWAY_MS = 2600
-# Until then a stopping node goes on serving its target to others. Callers are
-# sent here all that time, so the process has to stay; a target that is taken
-# out at once stands idle for these seconds, and when nodes are restarted one
-# after the other a third of all targets do so at any moment. What is left is
-# for the news and for requests under way.
-TARGET_LEAVES_MS = 2000
+# For the news that a stopping node's target takes no more work. Until then the
+# node goes on serving it to others: callers are sent here all that time, so the
+# process has to stay, and a target that is taken out at once stands idle. When
+# nodes are restarted one after the other, that is a third of all targets.
+NEWS_MS = 600
 # Kept from the platform's grace to end what is left in order.
 END_RESERVE_MS = 500
+# Left of the grace when the process has to be done. A stream that does not
+# close can take seconds; a process that is killed meanwhile logs nothing of its
+# end and breaks off what it was still writing.
+LAST_MOMENT_MS = 150
 # Longest wait for peers to take the last word of a node that has ended its
 # work; whoever misses it notices by its probes.
 LEAVE_MS = 200
@@ -238,22 +241,35 @@
         then do connections end, each after the answers under way.
         """
         begun_ms = self.clock.now_ms()
-        end_ms = begun_ms + self.settings.stop.grace_s * _MS_PER_S
-        end_ms -= END_RESERVE_MS
+        grace_ms = self.settings.stop.grace_s * _MS_PER_S
+        end_ms = begun_ms + grace_ms - END_RESERVE_MS
         self.stopping = True
         _logger.info("node.draining", extra=self._under_way())
-        await self._sleep_until(begun_ms + TARGET_LEAVES_MS)
+        # A short grace has to leave time for the requests under way as well.
+        routed_ms = min(ROUTED_AWAY_MS, grace_ms // 2)
+        news_ms = min(NEWS_MS, routed_ms // 4)
+        await self._sleep_until(begun_ms + routed_ms - news_ms)
         await self.target.close()
-        await self._sleep_until(begun_ms + ROUTED_AWAY_MS)
+        await self._sleep_until(begun_ms + routed_ms)
         self.dispatcher.last_requests.ends_at_ms = end_ms
         self.http.drain()
         await self._wait_for_requests(end_ms)
         _logger.info("node.drained", extra=self._under_way())
         await self._leave()
-        for part in reversed(self.started):
-            await part.stop()
+        await self._stop_parts(begun_ms + grace_ms - LAST_MOMENT_MS)
         _logger.info("node.stopped")
 
+    async def _stop_parts(self, until_ms: int) -> None:
+        for part in reversed(self.started):
+            left_ms = max(0, until_ms - self.clock.now_ms())
+            try:
+                async with asyncio.timeout(left_ms / _MS_PER_S):
+                    await part.stop()
+            except TimeoutError:
+                _logger.warning(
+                    "node.part_cut_off", extra={"part": type(part).__name__}
+                )
+
     async def _leave(self) -> None:
         try:
             async with asyncio.timeout(LEAVE_MS / _MS_PER_S):
