What is known of one target's load is a module of its own

Cause: _placing.py had 466 lines and two jobs, to know the load of a target and to choose one. Change: _target_load.py has the hint of a refusal, the ramp of a new target and the load; no behaviour changes.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -123,7 +123,6 @@
         CallerPatience,
     )
     from pomelobank_core._placing import (
-        Ramp,
         TwoChoices,
         isolation_target,
     )
@@ -199,6 +198,9 @@
         TargetChange,
         TargetLease,
     )
+    from pomelobank_core._target_load import (
+        Ramp,
+    )
     from pomelobank_core._tickets import (
         Change,
         Queued,
@@ -450,7 +452,6 @@
     ),
     "_patience": ("CallerPatience",),
     "_placing": (
-        "Ramp",
         "TwoChoices",
         "isolation_target",
     ),
@@ -522,6 +523,7 @@
         "TargetChange",
         "TargetLease",
     ),
+    "_target_load": ("Ramp",),
     "_tickets": (
         "Change",
         "Queued",
--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -9,14 +9,12 @@
 import xxhash
 
 from pomelobank_core._candidates import Candidates
-from pomelobank_core._ejection import Ejection, may_eject
+from pomelobank_core._ejection import may_eject
 from pomelobank_core._observation import Observation, TargetResult
 from pomelobank_core._pace import RELAXED, Objectives, Pace
+from pomelobank_core._target_load import FullHint, Ramp, TargetLoad
 from pomelobank_schema.generated.peer import MemberEntry
 
-# What a target's node said of its load half a second ago says nothing now: at
-# 20 slots and 10 ms a request it has served a thousand since.
-REPORT_LIFE_MS = 500
 # A refusal for want of room keeps requests away this long at most, because a
 # queue of 200 ms is gone by then and nothing else would end the hint.
 FULL_HINT_MS = 250
@@ -25,10 +23,6 @@
 JUST_REFUSED_MS = 20
 # A target that drains is kept out until its membership entry must have come.
 LEAVING_HINT_MS = 5000
-# A target that is new or comes back gets its full part after ten seconds: long
-# enough for the cold starts of most services, short against a rush.
-RAMP_MS = 10_000
-RAMP_START = 0.1
 # Work leaves the data centre when that saves this part of the objective of its
 # answer: a third of a relaxed answer's time. Targets differ in speed by half;
 # with less, this difference alone would move work, and its bytes, to and fro.
@@ -38,98 +32,6 @@
 _CHOICES = 2
 
 
-@attrs.frozen
-class FullHint:
-    """What a target's refusal of one class tells.
-
-    Attributes:
-        at_ms: When it came.
-        until_ms: Until when the target is held to be full.
-        retry_after_ms: When it expected to have room, counted from then.
-    """
-
-    at_ms: float
-    until_ms: float
-    retry_after_ms: int
-
-
-@attrs.frozen
-class Ramp:
-    """How fast a target that is new gets its full part of the work.
-
-    Attributes:
-        start: Part of its slots at once.
-        length_ms: Time until it gets all of them.
-    """
-
-    start: float = RAMP_START
-    length_ms: float = RAMP_MS
-
-    def part(self, age_ms: float) -> float:
-        """Returns the part of its slots that it is trusted with.
-
-        >>> Ramp(start=0.1, length_ms=1000).part(500)
-        0.5
-        """
-        return min(1.0, max(self.start, age_ms / self.length_ms))
-
-
-@attrs.define(eq=False)
-class TargetLoad:
-    """What this node knows of one target's load.
-
-    Attributes:
-        incarnation: Incarnation of its node that this is about.
-        own: Requests of this node that are there.
-        others: Requests of other nodes that were there at the last report.
-        reported_ms: When that was.
-        pace: Recent time to an answer, as a part of the objective.
-        full: Its last refusal of each class; batch work that finds no room
-            says nothing about the slots kept for look-ups.
-        leaving_until_ms: Until when it is held to take no more requests.
-        ramp_from_ms: When it came, or came back.
-        ramp: How fast it gets its full part then.
-        ejection: What failed there.
-    """
-
-    incarnation: int
-    own: int = 0
-    others: int = 0
-    reported_ms: float = -math.inf
-    pace: Pace = attrs.field(factory=Pace)
-    full: dict[str, FullHint] = attrs.field(factory=dict)
-    leaving_until_ms: float = 0.0
-    ramp_from_ms: float = -math.inf
-    ramp: "Ramp" = attrs.field(factory=lambda: Ramp())
-    ejection: Ejection = attrs.field(factory=Ejection)
-
-    def load(self, now_ms: float) -> float:
-        """Returns the requests that are probably there; reports fade."""
-        age_ms = now_ms - self.reported_ms
-        fresh = max(0.0, 1.0 - age_ms / REPORT_LIFE_MS)
-        return self.own + self.others * fresh
-
-    def is_full(self, traffic_class: str, now_ms: float) -> bool:
-        """Tells whether it refused a class lately, or takes nothing more."""
-        if now_ms < self.leaving_until_ms:
-            return True
-        hint = self.full.get(traffic_class)
-        return hint is not None and now_ms < hint.until_ms
-
-    def room(self, slots: int, now_ms: float) -> float:
-        """Returns the slots that it is trusted with after its start."""
-        return max(1.0, slots * self.ramp.part(now_ms - self.ramp_from_ms))
-
-    def score(self, slots: int, pace: float, now_ms: float) -> float:
-        """Returns how unattractive it is.
-
-        Of a target that many nodes use, each node knows a small part of the
-        load only; its pace tells the rest.
-        """
-        used = (self.load(now_ms) + 1) / self.room(slots, now_ms)
-        return used * pace
-
-
 @attrs.define(eq=False)
 class TwoChoices:
     """Draws two targets and takes the one with less to do.
