The model of loads tells a success in one place

Cause: found by reading the whole change: the same test of a reply stood three times in the model, once with a bare 200. Change: is_success; no behaviour changes, the played code is untouched.

--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_callers.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_callers.py
@@ -9,7 +9,7 @@
 from pomelobank_node._requests import ForwardReply, reply_error
 from pomelobank_node.tests.virtual_time import VirtualTime, run_virtually
 from pomelobank_testing.experiment._mechanisms import ModelNode
-from pomelobank_testing.experiment._mesh import ModelMesh
+from pomelobank_testing.experiment._mesh import ModelMesh, is_success
 from pomelobank_testing.experiment._outcomes import Outcomes
 from pomelobank_testing.experiment._patterns import Pattern, RouteLoad
 
@@ -20,7 +20,6 @@
 _MOST_PAUSE_PART = 1 / 3
 # Callers of one route differ in their patience by so much.
 _IMPATIENCE = 0.15
-_SUCCESS = 200
 
 
 @attrs.define(eq=False)
@@ -88,7 +87,7 @@
     def _comes_back(
         self, route: RouteLoad, reply: ForwardReply, attempt: int
     ) -> bool:
-        if not reply.error and reply.status == _SUCCESS:
+        if is_success(reply):
             return False
         if attempt >= route.returns:
             return False
@@ -99,7 +98,7 @@
     ) -> None:
         outcome = self.outcomes.of(route.name)
         outcome.asked += 1
-        if not reply.error and reply.status == _SUCCESS:
+        if is_success(reply):
             if took_s * _MS_PER_S <= route.aim_ms:
                 outcome.in_aim += 1
             else:
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -52,6 +52,12 @@
 _RETRY_SLACK = 56
 _RETRY_WINDOW_MS = 10_000
 _LEFT_CHECK_S = 0.05
+_SUCCESS = 200
+
+
+def is_success(reply: ForwardReply) -> bool:
+    """Tells whether a target has answered with success."""
+    return not reply.error and reply.status == _SUCCESS
 
 
 @attrs.define(eq=False)
@@ -169,7 +175,7 @@
             now_s = asyncio.get_running_loop().time()
             left_ms = min(route.deadline_ms, (deadline_s - now_s) * _MS_PER_S)
             reply = await self.send(node, route, left_ms)
-            return not reply.error and reply.status == 200
+            return is_success(reply)
 
         target = ModelTarget(self.pattern, group, number, self.seeded, call)
         self.targets.append(target)
