Bounds of the platform may be fractions

Cause: slack, window, grace and drain time were whole numbers in the schema, while the platform fills them in as whole numbers or fractions. A mesh with a slack of 30.71 did not start at all: every process ended with "retries.slack: expected a whole number". Ruled out: rounding in the template, which has no arithmetic; an operator of another platform would meet the same refusal. The other fields filled from the platform are texts or were numbers already (line speed, ratio).

--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -136,7 +136,7 @@
             self.clock,
             DepartureLog(ports.log),
             TargetLease(settings.membership.target_lease_ms),
-            min(REFUSE_AFTER_MS, settings.target.drain_ms // 2),
+            int(min(REFUSE_AFTER_MS, settings.target.drain_ms / 2)),
         )
         self._build_request_path()
         self._build_servers()
@@ -243,7 +243,7 @@
         then do connections end, each after the answers under way.
         """
         begun_ms = self.clock.now_ms()
-        grace_ms = self.settings.stop.grace_s * _MS_PER_S
+        grace_ms = int(self.settings.stop.grace_s * _MS_PER_S)
         end_ms = begun_ms + grace_ms - END_RESERVE_MS
         self.stopping = True
         _logger.info("node.draining", extra=self._under_way())
