A stopping node takes late requests only if their deadline fits

Cause: late in a stop a request was taken by its route's usual time. No time that was seen before bounds what comes next; only the deadline does, by which the node answers in any case. Ruled out: an answer of our own at the end of the grace (the request has run, 503 would be untrue); a shorter deadline for the target (it would break off work that its caller waits for). Change: what may outlast the grace is refused at once as not run and goes to another node.

--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -123,9 +123,9 @@
         route = self.store.routes.match(caller.service, caller.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
-        if not self.last_requests.takes(route.name, self.clock.now_ms()):
-            raise RequestError(ErrorKind.DRAINING)
         request = with_rest(self._request(route, caller), caller.rest)
+        if not self.last_requests.takes(request.remaining_ms, request.sent_ms):
+            raise RequestError(ErrorKind.DRAINING)
         trace = current_trace()
         trace.route = route.name
         trace.version = request.version
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
@@ -203,9 +203,7 @@
     ) -> None:
         if answer.rest is None:
             self.outcomes[ANSWERED] += 1
-        took_ms = self.clock.now_ms() - begun_ms
-        self.latency.add(took_ms)
-        self.dispatcher.last_requests.learn(trace.route, took_ms)
+        self.latency.add(self.clock.now_ms() - begun_ms)
         if self.lines.may_tell_success(self.clock.now_ms()):
             self._log("request.answered", trace, begun_ms, answer.status)
 
