Membership mostly stays within a data centre, and long frames are packed

Cause: partners of probes and comparisons were drawn from the whole mesh, so with six data centres five frames in six crossed, each node had a stream to 80 others, and in a start each node passed each entry on 16 times, 3 KB a frame. Ruled out: fewer times that an entry is passed on alone (24 MB at half, and some nodes wait for a comparison); digests alone (whole tables both ways in each round of a start). Change: partners are neighbours but for an eighth of the exchanges (a half while a far member is in doubt, more where neighbours are few); an own change goes to one member of each data centre instead of three at random; what a peer tells and is known counts as passed on; frames of members are packed from 400 bytes on, four times as many entries to a frame; tables that differ much are compared again after a period instead of ten seconds. Three of the five new tests fail before. A node of the version before drops packed frames; short news and comparisons still pass, so a mixed mesh learns large changes more slowly.

--- a/packages/pomelobank-core/src/pomelobank_core/_gossip_queue.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_gossip_queue.py
@@ -42,6 +42,16 @@
         if node not in self.entries:
             self.versions[node] = 0
 
+    def heard(self, node: str, members: int) -> None:
+        """Counts an entry that a peer told as passed on.
+
+        Args:
+            node: The member told of.
+            members: Size of the mesh.
+        """
+        if node in self.entries:
+            _count(self.entries, node, _ENTRY_FACTOR * spread_rounds(members))
+
     def take(
         self,
         table: MemberTable,
--- a/packages/pomelobank-core/src/pomelobank_core/_probing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_probing.py
@@ -1,11 +1,29 @@
 """Keeps track of the probes that a node has under way."""
 
 import random
+from collections.abc import Iterable, Mapping
 
 import attrs
 
 from pomelobank_schema.generated.peer import MemberEntry
 
+# Part of the exchanges that goes to other data centres where there are many
+# neighbours. A data centre of 30 nodes then makes seven of them a second, in
+# which news leave it and the loss of another one shows.
+FAR_SHARE = 1 / 8
+# The same while a member of another data centre is in doubt: all of that data
+# centre may be lost, and nobody in it is left to notice.
+DOUBTED_FAR_SHARE = 1 / 2
+
+
+def far_share(neighbours: int) -> float:
+    """Returns the part of the exchanges that goes to other data centres.
+
+    >>> far_share(0), far_share(1), far_share(100)
+    (1.0, 0.5, 0.125)
+    """
+    return max(FAR_SHARE, 1 / (1 + neighbours))
+
 
 @attrs.define
 class Probe:
@@ -38,8 +56,8 @@
 
 
 @attrs.define
-class Prober:
-    """Probes every member once in a random order, then again in another.
+class Pass:
+    """Chooses every member once in a random order, then again in another.
 
     Purely random choice would leave a member out for long stretches; this
     bounds the time to the first probe of a dead member by one pass.
@@ -47,20 +65,13 @@
     Attributes:
         random: Source of randomness.
         order: Members that are still to come in this pass.
-        pending: Own probes by number.
-        relayed: Probes made for others by number.
-        next_sequence: Next number; never used again.
     """
 
     random: random.Random
     order: list[str] = attrs.field(factory=list)
-    pending: dict[int, Probe] = attrs.field(factory=dict)
-    relayed: dict[int, RelayedProbe] = attrs.field(factory=dict)
-    next_sequence: int = 1
 
-    def choose(self, present: list[MemberEntry]) -> MemberEntry | None:
-        """Returns the member to probe next, None where there is none."""
-        members = {entry.node: entry for entry in present}
+    def choose(self, members: Mapping[str, MemberEntry]) -> MemberEntry | None:
+        """Returns the next member, None where there is none."""
         while self.order:
             entry = members.get(self.order.pop())
             if entry is not None:
@@ -74,6 +85,67 @@
         place = self.random.randrange(len(self.order) + 1)
         self.order.insert(place, node)
 
+
+@attrs.define
+class Prober:
+    """Probes members, mostly those of the own data centre.
+
+    Attributes:
+        random: Source of randomness.
+        data_centre: The own data centre.
+        near: Members of the own data centre that are still to come.
+        far: Those of the others.
+        pending: Own probes by number.
+        relayed: Probes made for others by number.
+        next_sequence: Next number; never used again.
+    """
+
+    random: random.Random
+    data_centre: str = ""
+    near: Pass = attrs.field(init=False)
+    far: Pass = attrs.field(init=False)
+    pending: dict[int, Probe] = attrs.field(factory=dict)
+    relayed: dict[int, RelayedProbe] = attrs.field(factory=dict)
+    next_sequence: int = 1
+
+    def __attrs_post_init__(self) -> None:
+        self.near = Pass(self.random)
+        self.far = Pass(self.random)
+
+    def choose(
+        self,
+        present: Iterable[MemberEntry],
+        doubted: Iterable[MemberEntry] = (),
+    ) -> MemberEntry | None:
+        """Returns the member to exchange with next, None where there is none.
+
+        Five members in six are far in a mesh of six data centres. Chosen
+        evenly, nearly all of what membership sends crosses between them, and
+        each node has a stream to everybody.
+
+        Args:
+            present: The members that are not gone.
+            doubted: Those of them that are suspected.
+        """
+        near: dict[str, MemberEntry] = {}
+        far: dict[str, MemberEntry] = {}
+        for entry in present:
+            (near if self._is_near(entry) else far)[entry.node] = entry
+        share = far_share(len(near))
+        if not all(map(self._is_near, doubted)):
+            share = max(share, DOUBTED_FAR_SHARE)
+        if far and self.random.random() < share:
+            return self.far.choose(far)
+        return self.near.choose(near) or self.far.choose(far)
+
+    def insert(self, entry: MemberEntry) -> None:
+        """Puts a new member somewhere into the current pass."""
+        members = self.near if self._is_near(entry) else self.far
+        members.insert(entry.node)
+
+    def _is_near(self, entry: MemberEntry) -> bool:
+        return entry.data_centre == self.data_centre
+
     def start(self, node: str, now_ms: int) -> int:
         """Notes a probe of a member and returns its number."""
         sequence = self.take_sequence()
--- a/packages/pomelobank-core/src/pomelobank_core/_swim.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -10,7 +10,7 @@
 import attrs
 
 from pomelobank_core._gossip_queue import GossipQueue
-from pomelobank_core._member_digest import TableDigest, bucket_of
+from pomelobank_core._member_digest import BUCKETS, TableDigest, bucket_of
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._probing import Prober
 from pomelobank_core._rendezvous import rank_of
@@ -28,11 +28,13 @@
 # Members asked to try a probe that was not answered. With one in ten streams
 # broken at random, three at once fail for 1 probe in 1,000.
 INDIRECT_PROBES = 3
-# Members told of an own change at once, ahead of the next probe.
-URGENT_FANOUT = 3
-# Largest gossip in one probe or answer. Four of them are sent a second, so a
-# burst of news costs at most 12 KB a second of the 30 KB that a node may use.
-FRAME_BYTES = 3000
+# Part of the buckets that differ from which on two tables are compared again
+# soon: one of them has just started or was cut off.
+_BULK_PART = 1 / 8
+# Largest gossip in one probe or answer, before it is packed to a quarter. Four
+# of them are sent a second, so a burst of news costs at most 12 KB a second of
+# the 30 KB that a node may use.
+FRAME_BYTES = 12000
 # The indirect way takes two further trips, each with its own time-out.
 _PROBE_TIMEOUTS = 3
 # A tick that is so many periods late means that the process stood still.
@@ -116,7 +118,7 @@
     prober: Prober = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.prober = Prober(self.random)
+        self.prober = Prober(self.random, self.table.own.data_centre)
 
     @property
     def spreads_versions(self) -> bool:
@@ -179,7 +181,7 @@
             self.suspicions[node] += late_ms
 
     def _probe_next(self, now_ms: int) -> list[Action]:
-        entry = self.prober.choose(self.table.present())
+        entry = self._next_partner()
         if entry is None or not entry.peer_address:
             return []
         sequence = self.prober.start(entry.node, now_ms)
@@ -188,6 +190,11 @@
         )
         return [Send(entry.peer_address, request)]
 
+    def _next_partner(self) -> MemberEntry | None:
+        others = self.table.others
+        doubted = [others[item] for item in self.suspicions if item in others]
+        return self.prober.choose(self.table.present(), doubted)
+
     def news_for(self, node: str = "") -> Gossip:
         """Returns the next news to pass on.
 
@@ -307,7 +314,8 @@
         news = self.table.merge(heard)
         for entry in news:
             if entry.node not in known:
-                self.prober.insert(entry.node)
+                self.prober.insert(entry)
+        self._count_heard(heard, news)
         self._take_entries(news, now_ms)
         for version in self.table.merge_versions(gossip.versions):
             if self.spreads_versions:
@@ -315,6 +323,17 @@
         if sequence != (self.table.own.sequence, self.table.own.incarnation):
             self.queue.add(self.table.own.node)
 
+    def _count_heard(
+        self, heard: list[MemberEntry], news: list[MemberEntry]
+    ) -> None:
+        # Whoever tells what is known here knows it too, so it needs to be told
+        # once less. In a herd's start everybody has news of everybody.
+        fresh = {entry.node for entry in news}
+        for entry in heard:
+            known = self.table.others.get(entry.node)
+            if entry.node not in fresh and entry == known:
+                self.queue.heard(entry.node, len(self.table.others) + 1)
+
     def _as_heard(self, entry: MemberEntry, now_ms: int) -> MemberEntry:
         # When a cut heals, each side tells the other that its members are
         # gone. Taken at its word this would stop the service everywhere until
@@ -357,13 +376,21 @@
         return changes
 
     def own_changed(self) -> list[Action]:
-        """Tells a few members of a change of the own entry at once."""
+        """Tells a member of each data centre of a change of the own entry."""
         self.queue.add(self.table.own.node)
         return [
             Send(entry.peer_address, self.news_for(entry.node))
-            for entry in self.choose(URGENT_FANOUT)
+            for entry in self._one_of_each_data_centre()
         ]
 
+    def _one_of_each_data_centre(self) -> list[MemberEntry]:
+        present = self.table.present()
+        self.random.shuffle(present)
+        chosen = {
+            entry.data_centre: entry for entry in present if entry.peer_address
+        }
+        return list(chosen.values())
+
     def tell_all(self) -> list[Action]:
         """Tells every member of the own entry, as when it starts to drain.
 
@@ -397,7 +424,24 @@
         return Send(address, request)
 
     def _sync_with_one(self) -> list[Action]:
-        return [self.compare(entry.peer_address) for entry in self.choose(1)]
+        entry = self._next_partner()
+        if entry is None or not entry.peer_address:
+            return []
+        return [self.compare(entry.peer_address)]
+
+    def note_compared(self, differing: int, now_ms: int) -> None:
+        """Takes the result of a comparison with a peer's table.
+
+        Gossip takes a node that has just started through the whole mesh, a
+        frame at a time; a few comparisons with neighbours do it in a second.
+
+        Args:
+            differing: Buckets that differed.
+            now_ms: Current time.
+        """
+        if differing >= BUCKETS * _BULK_PART:
+            soon_ms = now_ms + self._jittered(self.settings.period_ms)
+            self.next_sync_ms = min(self.next_sync_ms, soon_ms)
 
     def _look_for_lately_gone(self, now_ms: int) -> list[Action]:
         # A node that is restarted while the log is away finds nobody, and a
--- a/packages/pomelobank-core/src/pomelobank_core/_swim_frames.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim_frames.py
@@ -117,6 +117,7 @@
     _learn(frame.gossip, swim, now_ms)
     wanted = set(frame.entry_buckets)
     versions = set(frame.version_buckets)
+    swim.note_compared(len(wanted), now_ms)
     if not wanted and not versions:
         return []
     answer = Gossip(
--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -14,9 +14,9 @@
     SchemaErrorKind,
     WireMessage,
     decode_values,
-    encode,
 )
 from pomelobank_schema.generated import peer
+from pomelobank_schema.packed_frames import encode_frame, open_frame
 
 _logger = logging.getLogger(__name__)
 
@@ -135,7 +135,7 @@
         """
         if self.closed or self.said_all:
             return
-        data = encode(message)
+        data = encode_frame(message)
         if not self.paused and not self.queue:
             self._write(data, tag)
             return
@@ -209,7 +209,8 @@
 
     def _decode(self, values: object) -> None:
         try:
-            self.frames.append(decode_values(values, peer.KINDS))
+            frame = decode_values(values, peer.KINDS)
+            self.frames.append(open_frame(frame, peer.KINDS))
         except SchemaError as error:
             if error.kind is not SchemaErrorKind.UNKNOWN_KIND:
                 raise
--- a/packages/pomelobank-testing/src/pomelobank_testing/_member_fleet.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_member_fleet.py
@@ -8,10 +8,11 @@
 
 from pomelobank_core import Action, MemberState, MemberTable, Send, Swim
 from pomelobank_core import take_frame as take_member_frame
-from pomelobank_schema import WireMessage, decode, encode
+from pomelobank_schema import decode
 from pomelobank_schema.generated import peer
 from pomelobank_schema.generated.peer import MemberEntry
 from pomelobank_schema.generated.settings import MembershipSettings
+from pomelobank_schema.packed_frames import encode_frame, open_frame
 
 STEP_MS = 100
 
@@ -43,6 +44,8 @@
         frozen: Addresses of machines that stand still; their frames wait.
         reachable: Tells whether a frame gets from one address to another.
         sent_bytes: Bytes that each address sent.
+        far_bytes: Bytes sent between data centres.
+        partners: Addresses that each address sent frames to.
         frames: Frames that were delivered.
     """
 
@@ -53,7 +56,10 @@
     frozen: set[str] = attrs.field(factory=set)
     reachable: Callable[[str, str], bool] = lambda source, destination: True
     sent_bytes: dict[str, int] = attrs.field(factory=dict)
+    far_bytes: int = 0
+    partners: dict[str, set[str]] = attrs.field(factory=dict)
     frames: int = 0
+    data_centres: dict[str, str] = attrs.field(factory=dict)
     queue: deque[Envelope] = attrs.field(factory=deque)
 
     @classmethod
@@ -88,6 +94,8 @@
         swim = Swim(MemberTable(entry), self.settings, source)
         self.members[entry.peer_address] = swim
         self.sent_bytes.setdefault(entry.peer_address, 0)
+        self.partners.setdefault(entry.peer_address, set())
+        self.data_centres[entry.peer_address] = entry.data_centre
         return swim
 
     def join(self, address: str, contact: str) -> None:
@@ -102,10 +110,16 @@
         """Sends what a machine asks for."""
         for action in actions:
             to = action.address if isinstance(action, Send) else reply_to
-            data = encode(action.frame)
-            self.sent_bytes[address] += len(data)
+            data = encode_frame(action.frame)
+            self._count(address, to, len(data))
             self.queue.append(Envelope(address, to, data))
 
+    def _count(self, source: str, destination: str, size: int) -> None:
+        self.sent_bytes[source] += size
+        self.partners[source].add(destination)
+        if self.data_centres[source] != self.data_centres[destination]:
+            self.far_bytes += size
+
     def step(self) -> None:
         """Moves the time on, lets every member act and delivers all frames."""
         self.now_ms += STEP_MS
@@ -128,7 +142,8 @@
         ):
             return
         self.frames += 1
-        frame: WireMessage = decode(envelope.data, peer.KINDS)
+        frame = decode(envelope.data, peer.KINDS)
+        frame = open_frame(frame, peer.KINDS)
         actions = take_member_frame(frame, swim, self.now_ms)
         self.act(envelope.destination, envelope.source, actions)
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_member_fleet.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_member_fleet.py
@@ -12,6 +12,13 @@
 DRAINING = MemberState.DRAINING.value
 GONE = MemberState.GONE.value
 MINUTE_MS = 60_000
+DATA_CENTRES = 6
+LARGE = 194
+# Callers come so long after the machines have started.
+UNTIL_CALLERS_MS = 12_000
+# A tenth of what a node may spend for control in all.
+FAR_BYTES_PER_S = 3_000
+IDLE_LINK_MS = MembershipSettings().idle_link_ms
 
 
 def address(index: int) -> str:
@@ -166,6 +173,67 @@
     assert fleet.members[address(0)].sync_refusals > 0
 
 
+def herd(count: int) -> MemberFleet:
+    """Returns members that start together and know one contact."""
+    fleet = MemberFleet(MembershipSettings(version_gossip="own"))
+    for index in range(count):
+        fleet.add(fleet.entry(index))
+    for index in range(1, count):
+        fleet.join(address(index), address(0))
+    return fleet
+
+
+def test_a_large_herd_knows_itself_before_callers_come() -> None:
+    """Guards against nodes that serve while they know a part of the mesh."""
+    fleet = herd(LARGE)
+    fleet.run_until(fleet.all_ready, UNTIL_CALLERS_MS)
+
+
+def test_the_start_of_a_large_mesh_crosses_data_centres_little() -> None:
+    """Guards against gossip that fills the lines between data centres."""
+    fleet = herd(LARGE)
+    fleet.run(UNTIL_CALLERS_MS)
+    seconds = UNTIL_CALLERS_MS / 1000
+    assert fleet.far_bytes / seconds / LARGE < FAR_BYTES_PER_S
+
+
+def test_at_rest_a_node_keeps_few_streams() -> None:
+    """Guards against probes that open a stream from each node to each."""
+    fleet = MemberFleet.of(LARGE)
+    fleet.run(IDLE_LINK_MS)
+    partners = [len(item) for item in fleet.partners.values()]
+    assert sum(partners) / LARGE < LARGE / 3
+
+
+def test_a_lost_data_centre_is_noticed_by_all_others() -> None:
+    """Guards against a data centre that nobody outside it watches."""
+    fleet = MemberFleet.of(60)
+    fleet.run(5_000)
+    lost = range(5, 60, 6)
+    for index in lost:
+        fleet.remove(address(index))
+    fleet.run_until(
+        lambda: all(fleet.all_see(node(index), GONE) for index in lost),
+        MINUTE_MS,
+    )
+
+
+def test_a_change_reaches_each_data_centre_at_once() -> None:
+    """Guards against a new target that far nodes hear of late."""
+    fleet = MemberFleet.of(60)
+    changed = fleet.members[address(7)]
+    changed.table.update_own(state=DRAINING)
+    fleet.act(address(7), address(7), changed.own_changed())
+    fleet.step()
+    told = {
+        swim.table.own.data_centre
+        for swim in fleet.members.values()
+        if swim.table is not changed.table
+        and swim.table.others[node(7)].state == DRAINING
+    }
+    assert len(told) == DATA_CENTRES
+
+
 def test_a_restarted_member_replaces_its_old_incarnation() -> None:
     """A node is killed and started again under its old id.
 
