Starting nodes wait for contacts within one read of the log

The node that looks after the contacts read twice every three seconds. Ruled out: asking neighbours instead (a starting node knows no address). Change: one read from the start of the stream, which is a few records long, holds the answer back for the random time that a node waits before it announces itself; where the stream is long, a second read takes its tail. Where the log was slow, the wait is drawn once more in proportion. Looking after contacts is one held-back read every five seconds.

--- a/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -18,6 +18,7 @@
     MEMBERS_STREAM,
     Log,
     LogError,
+    LogPage,
     read_kept,
 )
 from pomelobank_node._peer_links import PeerLinks
@@ -27,14 +28,17 @@
 
 _logger = logging.getLogger(__name__)
 _MS_PER_S = 1000
-# An offset past the end of any stream: the answer tells where the end is.
-_PAST_THE_END = 1 << 62
+# Twice the way there and back between data centres; more means a slow log.
+_USUAL_READ_MS = 20
 # Time that a member gets to answer a first contact.
 _ANSWER_S = 1.0
 _FIRST_RETRY_MS = 100
 _MAX_RETRY_MS = 5000
-# One node of the fleet looks: two reads of a few records every three seconds.
+# Pause of the nodes that do not look after the contacts, before they see
+# whether it has become their turn.
 _REFRESH_CHECK_S = 3.0
+# One node of the fleet looks, and hears of new records while it waits.
+_LOOK_MS = 5000
 
 
 @attrs.define(eq=False)
@@ -49,6 +53,7 @@
         clock: Tells the time.
         joined: Set while another member is known to be present.
         announced: Whether this start of the node announced itself.
+        next_offset: Offset after the last record that was read.
         announcements: Records appended, for the metrics.
     """
 
@@ -59,6 +64,7 @@
     clock: Clock
     joined: asyncio.Event = attrs.field(factory=asyncio.Event)
     announced: bool = False
+    next_offset: int = 0
     announcements: int = 0
 
     async def run(self) -> None:
@@ -70,9 +76,15 @@
             await _sleep_ms(random.uniform(0, retry_ms))
             retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
         while True:
-            pause_s = _REFRESH_CHECK_S * random.uniform(0.5, 1.5)
-            await asyncio.sleep(pause_s)
+            if not is_announcer(self.swim.table):
+                pause_s = _REFRESH_CHECK_S * random.uniform(0.5, 1.5)
+                await asyncio.sleep(pause_s)
+                continue
+            begun_ms = self.clock.now_ms()
             await self._look_after_contacts()
+            left_ms = begun_ms + _LOOK_MS - self.clock.now_ms()
+            # A log that fails, or knows no such stream, does not wait.
+            await _sleep_ms(max(0, left_ms))
 
     async def _join(self) -> bool:
         try:
@@ -104,41 +116,66 @@
             return
 
     async def _join_by_log(self) -> bool:
-        read_ms = await self._read_tail()
+        late_ms = await self._await_contacts(_USUAL_READ_MS)
         if await self._join_by_new_contacts():
             return True
         if self.announced:
             return False
-        await self._wait_joined(
-            self.contact.announce_wait_ms(read_ms) / _MS_PER_S
-        )
-        if self.joined.is_set():
-            return True
-        # Somebody else may have announced itself meanwhile; one record is
-        # enough for all that start together.
-        await self._read_tail()
-        if await self._join_by_new_contacts():
-            return True
+        if late_ms > _USUAL_READ_MS:
+            # What others append shows late as well.
+            await self._await_contacts(late_ms)
+            if await self._join_by_new_contacts():
+                return True
         await self._announce()
         # Two nodes may both have read before the other's append; the later
         # one finds the earlier one's record now.
-        await self._read_tail()
+        await self._read_contacts(0)
         return await self._join_by_new_contacts()
 
+    async def _await_contacts(self, read_ms: int) -> int:
+        """Reads contacts, and waits for the first one where there is none.
+
+        One record is enough for all that start together: each waits for a
+        random time, in the read itself, before it announces itself.
+
+        Args:
+            read_ms: Time that a read of the log takes.
+
+        Returns:
+            How much longer the read took than it was meant to wait.
+        """
+        wait_ms = self.contact.announce_wait_ms(read_ms)
+        begun_ms = self.clock.now_ms()
+        await self._read_contacts(wait_ms)
+        left_ms = begun_ms + wait_ms - self.clock.now_ms()
+        if self.next_offset or left_ms <= 0:
+            return max(0, -left_ms)
+        # A stream without any record yet may be answered at once.
+        await self._wait_joined(left_ms / _MS_PER_S)
+        if not self.joined.is_set():
+            await self._read_contacts(0)
+        return 0
+
     async def _join_by_new_contacts(self) -> bool:
         own = self.swim.table.own.peer_address
         while not self.joined.is_set() and self.contact.untried(own):
             await self._join_by_contacts()
         return self.joined.is_set()
 
-    async def _read_tail(self) -> int:
-        start_ms = self.clock.now_ms()
-        end = await self.log.read(MEMBERS_STREAM, _PAST_THE_END, 1, 0)
-        read_ms = self.clock.now_ms() - start_ms
-        offset = max(0, end.end_offset - TAIL_RECORDS)
-        page = await read_kept(self.log, MEMBERS_STREAM, offset, TAIL_RECORDS)
+    async def _read_contacts(self, wait_ms: int) -> None:
+        page = await self._read_on(wait_ms)
+        if page.end_offset > page.next_offset + TAIL_RECORDS:
+            # Old records name members that were most likely replaced.
+            self.next_offset = page.end_offset - TAIL_RECORDS
+            page = await self._read_on(0)
         self.contact.take_records(page.records)
-        return read_ms
+
+    async def _read_on(self, wait_ms: int) -> LogPage:
+        page = await read_kept(
+            self.log, MEMBERS_STREAM, self.next_offset, TAIL_RECORDS, wait_ms
+        )
+        self.next_offset = page.next_offset
+        return page
 
     async def _announce(self) -> None:
         own = self.swim.table.own
@@ -154,10 +191,8 @@
         self.announced = True
 
     async def _look_after_contacts(self) -> None:
-        if not is_announcer(self.swim.table):
-            return
         try:
-            await self._read_tail()
+            await self._read_contacts(_LOOK_MS)
             known = self._present_addresses()
             strangers = self.contact.strangers(known)
             await asyncio.gather(*(self._try(item) for item in strangers))
--- a/packages/pomelobank-node/src/pomelobank_node/_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log.py
@@ -100,14 +100,24 @@
         """
 
 
-async def read_kept(log: Log, stream: str, offset: int, limit: int) -> LogPage:
+async def read_kept(
+    log: Log, stream: str, offset: int, limit: int, wait_ms: int = 0
+) -> LogPage:
     """Reads from an offset on, or from the oldest record that is kept.
 
+    Args:
+        log: The log.
+        stream: Name of the stream.
+        offset: First offset wanted.
+        limit: Most records wanted.
+        wait_ms: How long the log may hold the answer back while there is no
+            record yet.
+
     Raises:
         LogError: If the log does not answer.
     """
     try:
-        return await log.read(stream, offset, limit, 0)
+        return await log.read(stream, offset, limit, wait_ms)
     except LogError as error:
         if error.kind is not LogErrorKind.TRIMMED:
             raise
