Three nodes read the source for the whole mesh, and one timer wakes a node

Cause: one node of each data centre asked the source once a second, so calls grew with data centres; every node read at its start before it knew anybody. Ruled out: a poll of 30 s (an answer that was lost shows only when its time is over; a node has three seconds to be in step again), keep-alives in its place (a store that swallows one answer still acknowledges packets). Change: the first node of each data centre is its relay, the first three relays read, two seconds at a time, and tell relays, who tell neighbours (ReadingOrder, in core). A relay asks for a version from afar at once. Nobody reads at its start while others can; slow lines wait 0.8 s for them. Membership wakes when something is due, and leases, versions, heartbeats and caller time-outs are looked at in that tick. Members present and the order of readers are kept until the table changes. Weaker than before: a node whose answer is swallowed without a word notices after 2.5 s instead of 1.5; the other two readers cover for it unless all three are hit. The test of calls at rest asked for one a second and data centre; it now asks for three nodes every two seconds, without the allowance for starts.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -142,6 +142,11 @@
         Rank,
         RankLoad,
     )
+    from pomelobank_core._reading_order import (
+        READERS,
+        ReadingOrder,
+        ReadingRole,
+    )
     from pomelobank_core._rendezvous import (
         rank_of,
         rendezvous_order,
@@ -226,6 +231,7 @@
     "MAX_TRIES",
     "POINTS_NODE_LOST",
     "POINTS_TARGET_LOST",
+    "READERS",
     "SHARDS",
     "TAIL_RECORDS",
     "Action",
@@ -290,6 +296,8 @@
     "Rank",
     "RankLoad",
     "ReadPlan",
+    "ReadingOrder",
+    "ReadingRole",
     "Recovery",
     "Refused",
     "Reply",
@@ -481,6 +489,11 @@
         "rank_of",
         "rendezvous_order",
     ),
+    "_reading_order": (
+        "READERS",
+        "ReadingOrder",
+        "ReadingRole",
+    ),
     "_replay": (
         "ChangeVerdict",
         "ConfigState",
--- a/packages/pomelobank-core/src/pomelobank_core/_members.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_members.py
@@ -97,6 +97,7 @@
         refutations: How often others held this node to be suspect or gone.
         stale_entries: Entries of forgotten members that were passed over.
         serving_changes: Grows whenever it changes who serves what, and where.
+        revision: Grows with every change.
     """
 
     own: MemberEntry
@@ -105,9 +106,13 @@
     refutations: int = 0
     stale_entries: int = 0
     serving_changes: int = 0
+    revision: int = 0
     candidates: dict[str, list[MemberEntry]] = attrs.field(
         factory=dict, init=False, repr=False
     )
+    known_present: list[MemberEntry] | None = attrs.field(
+        default=None, init=False, repr=False
+    )
 
     def update_own(self, **changes: Any) -> None:
         """Changes the own entry so that others take the change.
@@ -144,7 +149,7 @@
     def _set_own(self, entry: MemberEntry) -> None:
         self._note(self.own, entry)
         self.own = entry
-        self.candidates.clear()
+        self._changed()
 
     def _note(self, before: MemberEntry | None, after: MemberEntry) -> None:
         if before is None or _serving(before) != _serving(after):
@@ -174,7 +179,7 @@
         self._note(known, joined)
         self.others[entry.node] = joined
         self.forgotten.pop(entry.node, None)
-        self.candidates.clear()
+        self._changed()
         return known is None or is_newer(joined, known)
 
     def _is_stale(self, entry: MemberEntry) -> bool:
@@ -201,7 +206,7 @@
         if item.version <= known.version:
             return False
         self.others[item.node] = attrs.evolve(known, version=item.version)
-        self.candidates.clear()
+        self._changed()
         return True
 
     def _refute(self, entry: MemberEntry) -> None:
@@ -220,7 +225,7 @@
         """Drops the entry of a gone member and remembers its rank."""
         entry = self.others.pop(node)
         self.serving_changes += 1
-        self.candidates.clear()
+        self._changed()
         self.forgotten[node] = EntryRank.of(entry)
         while len(self.forgotten) > FORGOTTEN_LIMIT:
             self.forgotten.pop(next(iter(self.forgotten)))
@@ -244,8 +249,18 @@
 
     def present(self) -> list[MemberEntry]:
         """Returns the other members that are not gone."""
-        gone = MemberState.GONE.value
-        return [entry for entry in self.others.values() if entry.state != gone]
+        # Asked with each frame and each tick, changed now and then.
+        if self.known_present is None:
+            gone = MemberState.GONE.value
+            self.known_present = [
+                entry for entry in self.others.values() if entry.state != gone
+            ]
+        return list(self.known_present)
+
+    def _changed(self) -> None:
+        self.revision += 1
+        self.candidates.clear()
+        self.known_present = None
 
     def ready_for(self, upstream: str) -> list[MemberEntry]:
         """Returns the members whose target serves an upstream.
--- a/packages/pomelobank-core/src/pomelobank_core/_probing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_probing.py
@@ -190,6 +190,24 @@
                 del self.relayed[sequence]
         return [self.pending.pop(sequence).node for sequence in ended]
 
+    def next_timeout_ms(
+        self, direct_ms: int, whole_ms: int, none_ms: int
+    ) -> int:
+        """Returns when the next probe is overdue or has failed.
+
+        Args:
+            direct_ms: Time that a direct answer may take.
+            whole_ms: Time that any answer may take.
+            none_ms: Returned where no probe is under way.
+        """
+        return min(
+            (
+                probe.sent_ms + (whole_ms if probe.indirect else direct_ms)
+                for probe in self.pending.values()
+            ),
+            default=none_ms,
+        )
+
     def clear(self) -> None:
         """Drops every probe under way."""
         self.pending.clear()
--- a/packages/pomelobank-core/src/pomelobank_core/_swim.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -133,7 +133,7 @@
         """Does what is due.
 
         Args:
-            now_ms: Current time; called several times in a period.
+            now_ms: Current time; called when something is due, or earlier.
 
         Returns:
             What to send.
@@ -160,6 +160,19 @@
             actions += self._try_a_gone_one()
         return actions
 
+    def due_ms(self) -> int:
+        """Returns when the next tick has something to do."""
+        timeout_ms = self.settings.probe_timeout_ms
+        return min(
+            self.prober.next_timeout_ms(
+                timeout_ms, _PROBE_TIMEOUTS * timeout_ms, self.next_probe_ms
+            ),
+            self.next_probe_ms,
+            self.next_sync_ms,
+            self.next_rejoin_ms,
+            *self.suspicions.values(),
+        )
+
     def _jittered(self, period_ms: int) -> int:
         # Members that started together would otherwise probe in step and meet
         # every member that they share with a burst.
--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -28,8 +28,8 @@
 
 _logger = logging.getLogger(__name__)
 _MS_PER_S = 1000
-# Time-outs are a few tenths of a second and have to be noticed in time.
-_TICKS_PER_PERIOD = 5
+# Shortest pause between two ticks.
+_SHORTEST_PAUSE_MS = 10
 # Everybody who may send work hears of a drain within this time, or by gossip.
 _TELL_ALL_S = 1.5
 # Frames that wait for a stream. At rest there are a handful; when a data
@@ -63,7 +63,9 @@
         links: Streams to peers.
         store: Tells the version in force.
         clock: Tells the time.
-        on_tick: Called at every tick, for parts with leases of their own.
+        on_tick: Called with the time at every tick, about twice in a period.
+            Parts that have to look at something now and then do so here, so
+            that the process wakes up once for all of them.
         swim: Decides.
         finder: Finds a first member.
         dropped_frames: Frames that found no room, for the metrics.
@@ -76,9 +78,11 @@
     links: PeerLinks
     store: Versioned
     clock: Clock
-    on_tick: Callable[[int], None] | None = None
+    on_tick: list[Callable[[int], None]] = attrs.field(factory=list)
     dropped_frames: int = 0
     failed_sends: int = 0
+    woken: asyncio.Event = attrs.field(factory=asyncio.Event)
+    timer: asyncio.TimerHandle | None = None
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     deliveries: set[asyncio.Task[None]] = attrs.field(factory=set)
     swim: Swim = attrs.field(init=False)
@@ -107,6 +111,8 @@
 
     async def stop(self) -> None:
         """Ends the tasks."""
+        if self.timer is not None:
+            self.timer.cancel()
         tasks = [*self.tasks, *self.deliveries]
         for task in tasks:
             task.cancel()
@@ -124,6 +130,7 @@
         actions = take_frame(frame, self.swim, self.clock.now_ms())
         self._act(actions, reply)
         self._note_changes()
+        self._plan()
 
     def _take_from_link(
         self, frame: WireMessage, reply: Callable[[WireMessage], None]
@@ -153,18 +160,28 @@
         await self.tell_all()
 
     async def _run(self) -> None:
-        pause_s = self.settings.period_ms / _TICKS_PER_PERIOD / _MS_PER_S
         while True:
+            self.woken.clear()
             self._tick()
             self.links.close_idle(self.settings.idle_link_ms)
-            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+            self._plan()
+            await self.woken.wait()
+
+    def _plan(self) -> None:
+        """Sets the timer to what is due next."""
+        if self.timer is not None:
+            self.timer.cancel()
+        pause_ms = self.swim.due_ms() - self.clock.now_ms()
+        self.timer = asyncio.get_running_loop().call_later(
+            max(_SHORTEST_PAUSE_MS, pause_ms) / _MS_PER_S, self.woken.set
+        )
 
     def _tick(self) -> None:
         now_ms = self.clock.now_ms()
         if self.table.own.version != self.store.version:
             self.table.update_version(self.store.version)
-        if self.on_tick is not None:
-            self.on_tick(now_ms)
+        for look in self.on_tick:
+            look(now_ms)
         self._act(self.swim.tick(now_ms))
         self._note_changes()
 
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -171,13 +171,24 @@
 
     def _build_servers(self) -> None:
         listen, ports = self.settings.listen, self.ports
-        self.http = CallerServer(listen.http, self.ingress, ports.dialect)
-        self.ready = CallerServer(listen.ready, ports.ready_page(self))
-        self.control = CallerServer(listen.control, ports.control_page(self))
+        self.http = CallerServer(
+            listen.http, self.ingress, ports.dialect, sweeps=False
+        )
+        self.ready = CallerServer(
+            listen.ready, ports.ready_page(self), sweeps=False
+        )
+        self.control = CallerServer(
+            listen.control, ports.control_page(self), sweeps=False
+        )
         self.peers = PeerServer(
             listen.peer, self.owner, self.membership, self.feed, None
         )
         self.limits = LimitsWatch(self.store, self.http)
+        self.membership.on_tick += [self.feed.tend, self._sweep]
+
+    def _sweep(self, _: int) -> None:
+        for server in (self.http, self.ready, self.control):
+            server.sweep()
 
     async def serve_metrics(self, output: BoundedOutput) -> None:
         """Serves the metrics, where the settings name an address for them."""
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -55,7 +55,7 @@
 
     async def start(self) -> None:
         """Begins to watch the lease."""
-        self.membership.on_tick = self._check
+        self.membership.on_tick.append(self._check)
         await self.departures.start()
         self._begin(self._drain_departed())
 
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -33,6 +33,8 @@
         dialect: How errors are told.
         limits: What callers may send; replaced with the configuration.
         stop_timeout_ms: Longest wait at a stop for requests under way.
+        sweeps: Whether it looks for time-outs by itself; else its owner calls
+            `sweep` now and then.
         address: Address that is really used, once it listens.
         draining: Whether connections end after the answers under way.
         connections: Open connections.
@@ -44,6 +46,7 @@
     dialect: Dialect = attrs.field(factory=Dialect)
     limits: HttpLimits = attrs.field(factory=HttpLimits)
     stop_timeout_ms: int = 1000
+    sweeps: bool = True
     address: str = ""
     draining: bool = False
     connections: set[HttpConnection] = attrs.field(factory=set)
@@ -59,15 +62,19 @@
         )
         bound = self.server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
-        self.sweeper = asyncio.create_task(self._sweep())
+        if self.sweeps:
+            self.sweeper = asyncio.create_task(self._sweep())
 
     async def _sweep(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             await asyncio.sleep(_SWEEP_S)
-            now_s = loop.time()
-            for connection in list(self.connections):
-                connection.check_timeouts(now_s)
+            self.sweep()
+
+    def sweep(self) -> None:
+        """Ends connections that are idle or slow for too long."""
+        now_s = asyncio.get_running_loop().time()
+        for connection in list(self.connections):
+            connection.check_timeouts(now_s)
 
     @property
     def under_way(self) -> int:
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -8,12 +8,15 @@
 from collections.abc import Iterable
 
 import attrs
-import xxhash
 
-from pomelobank_core import Clock, MemberTable
+from pomelobank_core import Clock, MemberTable, ReadingOrder, ReadingRole
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node.published._packing import PackingError, unpack
-from pomelobank_node.published._source import PublishedSource, SourceError
+from pomelobank_node.published._source import (
+    Document,
+    PublishedSource,
+    SourceError,
+)
 from pomelobank_node.published._store import PublishedStore
 from pomelobank_node.published._telling import UNREAD, Telling
 from pomelobank_schema import WireMessage
@@ -26,18 +29,17 @@
 
 _logger = logging.getLogger(__name__)
 
-# Nodes of a data centre that read the source. One is enough, because the
-# others notice its silence and read themselves.
-READERS = 1
 # Longest wait of one read. A source that went silent for this node is noticed
-# after this and the time-out of a call; both together leave time to hand over
-# within the two seconds in which operators expect a change to be in force.
-LONG_POLL_MS = 1000
+# after this and the time-out of a call, within the three seconds that a node
+# has to be in step again after a disturbance.
+LONG_POLL_MS = 2000
+# Pause between two words of a reader or relay that somebody reads.
+HEARTBEAT_MS = 1000
 # Shortest time between two reads that brought news. In a quick succession of
 # changes each read would cost a call, and only the last one counts.
 SETTLE_MS = 200
 # A node that has heard of no read of the source for so long reads itself: two
-# long polls whose news did not arrive.
+# heartbeats that did not arrive.
 SILENCE_MS = 2500
 # The further down a node is in the order of readers, the longer it waits, up to
 # four steps. Else all neighbours of a reader that went silent fetch a document
@@ -45,17 +47,12 @@
 # waiting for a second.
 SILENCE_STEP_MS = 250
 _MOST_SILENCE_STEPS = 4
-# Pause between two words of a reader whose answer is still on its way.
-PROGRESS_TOLD_MS = 500
 # At its start a node on a slow line leaves the first read to others: a document
 # of 470 KB takes a second and a half on a line of 2.5 Mbit/s, from a neighbour
 # it comes packed in a tenth of that. The pause is this time on a line of
 # 1 Mbit/s, and shorter on faster ones.
-FIRST_PAUSE_MS = 2000
+FIRST_PAUSE_MS = 8000
 _MOST_FIRST_PAUSE_MS = 800
-# How long a neighbour that cannot read the source is passed over. It tells so
-# with every try, at least once a second.
-UNABLE_MS = 2500
 # How long a node whose read failed leaves reading to a neighbour that can read.
 # Else each neighbour that the source turns away would go on asking it.
 REST_MS = 10_000
@@ -65,15 +62,14 @@
 # Pause before a peer that knows a newer version is asked for it; mostly the
 # document is on its way already.
 ASK_AFTER_MS = 120
-# Pause before a peer of another data centre is asked, so that one node brings
-# the document into a data centre and the others have it from there. It grows by
-# as much with each neighbour that comes before this node. Of two seconds in
-# which operators expect a change to be in force, the last one stays for that.
+# Pause before a peer of another data centre is asked, for each neighbour that
+# comes before this node: one node brings the document into a data centre and
+# the others have it from there. Of two seconds in which operators expect a
+# change to be in force, the last one stays for that.
 # When every node that heard of a version from afar asked there, 15 versions of
 # 350 KB took 28 MB between five data centres of 63 nodes.
 ASK_FAR_AFTER_MS = 250
 _MOST_FAR_PAUSES = 4
-_TICK_S = 0.1
 _FIRST_RETRY_MS = 50
 _MAX_RETRY_MS = 1000
 _MS_PER_S = 1000
@@ -85,11 +81,11 @@
 
     Made for a source whose calls are dear and may fail for some nodes only.
     With every node reading by itself, each change costs a call per node; with
-    one reader in all, its loss stops all news. So one node of each data centre
-    reads and hands the document to the others there, digests tell the rest,
-    and whoever knows less asks whoever knows more. A reader that the source
-    turns away says so at once, and the next one takes over: the source may
-    refuse just the nodes that read it, and nobody else would notice in time.
+    one reader in all, its loss stops all news. So a few nodes read and tell one
+    relay in each data centre, which tells its neighbours; whoever knows less
+    asks whoever knows more. A reader that the source turns away says so at
+    once, and the next one takes over: the source may refuse just the nodes that
+    read it, and nobody else would notice in time.
 
     Attributes:
         source: Where configurations are published.
@@ -99,13 +95,13 @@
         clock: Tells the time.
         seeded: Source of randomness.
         position: Place in the source up to which everything is known.
-        read_ms: When the source was last read, here or by the reader.
-        neighbour_read_ms: When a neighbour read the source last.
+        read_ms: When the source was last read, as far as this node knows.
+        heard_ms: When another node read the source last.
+        reading: Whether a read is under way.
         source_up: Whether the last own read was answered.
-        unable: Until when neighbours are passed over as readers, by address.
-        progress_told_ms: When neighbours were last told of an answer that is
-            still on its way.
-        rests_until_ms: Until when reading is left to a neighbour that can.
+        told_ms: When others were last told that somebody reads.
+        rests_until_ms: Until when reading is left to a node that can.
+        turn: Set when this node has to read.
         reads: Reads of the source, for the metrics.
         pulls_sent: Documents asked for, for the metrics.
         pushes_sent: Documents sent, for the metrics.
@@ -114,6 +110,7 @@
             None while there is none.
         far_news: Newest version that a node of another data centre told of,
             and that node's address.
+        order: Decides who reads.
     """
 
     source: PublishedSource
@@ -124,41 +121,54 @@
     seeded: random.Random = attrs.field(factory=random.Random)
     position: int | None = None
     read_ms: int = 0
-    neighbour_read_ms: float = -math.inf
+    heard_ms: float = -math.inf
+    reading: bool = False
     source_up: bool = True
-    unable: dict[str, int] = attrs.field(factory=dict)
-    progress_told_ms: int = 0
+    told_ms: int = 0
     rests_until_ms: int = 0
+    turn: asyncio.Event = attrs.field(factory=asyncio.Event)
     reads: int = 0
     pulls_sent: int = 0
     pushes_sent: int = 0
     asked_version: int = 0
     behind_since_ms: int | None = None
     far_news: tuple[int, str] = (0, "")
-    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+    look_timer: asyncio.TimerHandle | None = None
+    task: asyncio.Task[None] | None = None
+    order: ReadingOrder = attrs.field(init=False)
     telling: Telling = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.order = ReadingOrder(self.members)
         self.telling = Telling(
             self.store, self.members, self.links, self.seeded
         )
 
     async def start(self) -> None:
-        """Starts reading the source and watching the peers' versions."""
+        """Starts reading the source."""
         self.read_ms = self.clock.now_ms()
         self.source.on_progress = self._note_progress
-        self.tasks = [
-            asyncio.create_task(self._read(), name="published-reader"),
-            asyncio.create_task(self._watch(), name="published-watch"),
-        ]
+        self.task = asyncio.create_task(self._read(), name="published-reader")
 
     async def stop(self) -> None:
-        """Ends the tasks."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        """Ends what is under way."""
+        if self.look_timer is not None:
+            self.look_timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
         await self.telling.stop()
 
+    def tend(self, now_ms: int) -> None:
+        """Does what is due; called once or twice a second."""
+        role = self.order.role(now_ms)
+        is_informed = role is not ReadingRole.FOLLOWER
+        if is_informed and now_ms - self.told_ms >= HEARTBEAT_MS:
+            self._tell(role, self._read_age_ms())
+        if self._has_to_read():
+            self.turn.set()
+        self._look_for_newer()
+
     # Reading the source.
 
     async def _read(self) -> None:
@@ -166,10 +176,10 @@
         retry_ms = _FIRST_RETRY_MS
         while True:
             if not self._has_to_read():
-                await asyncio.sleep(_TICK_S)
+                await self._wait_for_turn()
                 continue
             if self._may_rest():
-                self._tell_near(UNREAD)
+                self._tell_unread()
                 await asyncio.sleep(REST_TOLD_MS / _MS_PER_S)
                 continue
             try:
@@ -177,7 +187,7 @@
             except SourceError as error:
                 self._note_source(up=False, reason=error.message)
                 self.rests_until_ms = self.clock.now_ms() + REST_MS
-                self._tell_near(UNREAD)
+                self._tell_unread()
                 # Full jitter: nodes that lost the source together would
                 # otherwise come back to it in the same instant.
                 pause_ms = self.seeded.uniform(retry_ms / 2, retry_ms)
@@ -186,9 +196,7 @@
                 continue
             retry_ms = _FIRST_RETRY_MS
             self._note_source(up=True)
-            if not news:
-                self._tell_near(self._read_age_ms())
-            else:
+            if news:
                 await asyncio.sleep(SETTLE_MS / _MS_PER_S)
 
     async def _let_faster_ones_read(self) -> None:
@@ -201,51 +209,51 @@
         except TimeoutError:
             return
 
+    async def _wait_for_turn(self) -> None:
+        self.turn.clear()
+        silent_ms = self.clock.now_ms() - self.read_ms
+        left_ms = max(1, self._silence_ms() - silent_ms)
+        try:
+            async with asyncio.timeout(left_ms / _MS_PER_S):
+                await self.turn.wait()
+        except TimeoutError:
+            return
+
     def _has_to_read(self) -> bool:
-        if self.position is None and not self.store.ready:
+        if self.is_reader():
             return True
-        ahead = self._ahead()
-        if ahead < READERS:
-            return True
-        steps = min(ahead - READERS, _MOST_SILENCE_STEPS)
-        silence_ms = SILENCE_MS + steps * SILENCE_STEP_MS
-        return self.clock.now_ms() - self.read_ms > silence_ms
+        silent_ms = self.clock.now_ms() - self.read_ms
+        return silent_ms >= self._silence_ms()
+
+    def _silence_ms(self) -> int:
+        ahead = self.order.ahead(self.clock.now_ms())
+        steps = min(max(0, ahead - 1), _MOST_SILENCE_STEPS)
+        return SILENCE_MS + steps * SILENCE_STEP_MS
 
     def _note_progress(self) -> None:
         # Without a word, neighbours would take a long answer for silence.
         now_ms = self.clock.now_ms()
         self.read_ms = now_ms
-        if now_ms - self.progress_told_ms >= PROGRESS_TOLD_MS:
-            self.progress_told_ms = now_ms
-            self._tell_near(0)
+        if now_ms - self.told_ms >= HEARTBEAT_MS:
+            self._tell(ReadingRole.READER, 0)
 
     def _may_rest(self) -> bool:
         now_ms = self.clock.now_ms()
         if not self.store.ready or now_ms >= self.rests_until_ms:
             return False
-        return now_ms - self.neighbour_read_ms <= SILENCE_MS
+        return now_ms - self.heard_ms <= SILENCE_MS
 
     def is_reader(self) -> bool:
-        """Tells whether this node reads the source for its data centre."""
-        return self._ahead() < READERS
-
-    def _ahead(self) -> int:
-        own = _rank(self.members.own)
-        return sum(
-            _rank(entry) < own and self._is_able(entry)
-            for entry in self.telling.near()
-        )
-
-    def _is_able(self, entry: MemberEntry) -> bool:
-        until_ms = self.unable.get(entry.peer_address, 0)
-        return self.clock.now_ms() >= until_ms
+        """Tells whether this node reads the source for the others."""
+        return self.order.role(self.clock.now_ms()) is ReadingRole.READER
 
     async def _read_once(self) -> bool:
         self.reads += 1
-        if self.position is None:
-            document = await self.source.newest()
-        else:
-            document = await self.source.following(self.position, LONG_POLL_MS)
+        self.reading = True
+        try:
+            document = await self._next_document()
+        finally:
+            self.reading = False
         self.read_ms = self.clock.now_ms()
         if document is None:
             # Nothing was published yet, or nothing new.
@@ -255,9 +263,15 @@
         before = self.store.version
         if not document.data or not self.store.offer(document.data, "source"):
             return False
-        self.telling.news(self._read_age_ms(), before)
+        relays = self.order.far_relays(self.clock.now_ms())
+        self.telling.news(self._read_age_ms(), before, relays)
         return True
 
+    async def _next_document(self) -> Document | None:
+        if self.position is None:
+            return await self.source.newest()
+        return await self.source.following(self.position, LONG_POLL_MS)
+
     def _note_source(self, up: bool, reason: str = "") -> None:
         if not up:
             # What was published meanwhile may have left the history.
@@ -271,11 +285,18 @@
         )
 
     def _read_age_ms(self) -> int:
-        return self.clock.now_ms() - self.read_ms
+        # A read that is under way ends in time, or says that it has failed.
+        return 0 if self.reading else self.clock.now_ms() - self.read_ms
 
-    def _tell_near(self, read_age_ms: int) -> None:
-        digest = self.telling.digest(read_age_ms, heartbeat=True)
-        self.telling.send(self.telling.near(), digest)
+    def _tell(self, role: ReadingRole, read_age_ms: int) -> None:
+        now_ms = self.told_ms = self.clock.now_ms()
+        to = self.telling.near()
+        if role is ReadingRole.READER:
+            to += self.order.far_relays(now_ms)
+        self.telling.send(to, self.telling.digest(read_age_ms, heartbeat=True))
+
+    def _tell_unread(self) -> None:
+        self._tell(ReadingRole.READER, UNREAD)
 
     # Hearing from peers.
 
@@ -307,21 +328,34 @@
 
     def take_digest(self, frame: VersionDigest) -> None:
         """Takes a peer's version."""
-        if frame.heartbeat and frame.log_age_ms == UNREAD:
-            self.unable[frame.address] = self.clock.now_ms() + UNABLE_MS
-        elif frame.heartbeat:
-            self.unable.pop(frame.address, None)
-            read_ms = self.clock.now_ms() - frame.log_age_ms
-            self.neighbour_read_ms = max(self.neighbour_read_ms, read_ms)
-            self.read_ms = max(self.read_ms, read_ms)
+        if frame.heartbeat:
+            self._take_heartbeat(frame)
         if frame.version <= self.store.version:
             return
-        far = {entry.peer_address for entry in self.telling.far()}
-        if frame.address in far:
+        if self._is_far(frame.address):
             self.far_news = max(self.far_news, (frame.version, frame.address))
+            self._look_for_newer()
         else:
             self._ask(frame.address, frame.version)
 
+    def _take_heartbeat(self, frame: VersionDigest) -> None:
+        now_ms = self.clock.now_ms()
+        if frame.log_age_ms == UNREAD:
+            self.order.note_unable(frame.address, now_ms)
+            self.turn.set()
+            return
+        self.order.note_able(frame.address)
+        self.heard_ms = max(self.heard_ms, now_ms - frame.log_age_ms)
+        self.read_ms = max(self.read_ms, now_ms - frame.log_age_ms)
+        is_due = now_ms - self.told_ms >= HEARTBEAT_MS
+        if is_due and self.order.role(now_ms) is ReadingRole.RELAY:
+            self._tell(ReadingRole.RELAY, self._read_age_ms())
+
+    def _is_far(self, address: str) -> bool:
+        return any(
+            entry.peer_address == address for entry in self.telling.far()
+        )
+
     def take_pull(self, frame: RecordsPull) -> None:
         """Sends the document to a peer that lacks it."""
         if frame.from_offset < self.store.version:
@@ -342,11 +376,6 @@
             ),
         )
 
-    async def _watch(self) -> None:
-        while True:
-            await asyncio.sleep(_TICK_S)
-            self._look_for_newer()
-
     def _look_for_newer(self) -> None:
         # Gossip tells every member's version. A digest or an answer that was
         # lost would else leave this node behind until the next change.
@@ -357,23 +386,33 @@
             return
         near = _newest(e for e in newer if self.telling.is_near(e))
         far = _newest(e for e in newer if not self.telling.is_near(e))
-        far = max(far, self.far_news)
+        is_near = near[0] > version
         now_ms = self.clock.now_ms()
         if self.behind_since_ms is None:
             self.behind_since_ms = now_ms
-        age_ms = now_ms - self.behind_since_ms
-        if near[0] > version:
-            if age_ms >= ASK_AFTER_MS:
-                self._ask_again(near, now_ms)
-        elif age_ms >= self._far_pause_ms():
-            self._ask_again(far, now_ms)
+        pause_ms = ASK_AFTER_MS if is_near else self._far_pause_ms()
+        left_ms = self.behind_since_ms + pause_ms - now_ms
+        if left_ms > 0:
+            self._look_again(left_ms)
+        else:
+            self._ask_again(near if is_near else max(far, self.far_news))
+
+    def _look_again(self, after_ms: int) -> None:
+        if self.look_timer is not None:
+            self.look_timer.cancel()
+        self.look_timer = asyncio.get_running_loop().call_later(
+            after_ms / _MS_PER_S, self._look_for_newer
+        )
 
     def _far_pause_ms(self) -> int:
-        return ASK_FAR_AFTER_MS * min(1 + self._ahead(), _MOST_FAR_PAUSES)
+        now_ms = self.clock.now_ms()
+        # A node that reads will have it from the source any moment.
+        pauses = self.order.ahead(now_ms) + self.order.is_read_here(now_ms)
+        return ASK_FAR_AFTER_MS * min(pauses, _MOST_FAR_PAUSES)
 
-    def _ask_again(self, newest: tuple[int, str], now_ms: int) -> None:
+    def _ask_again(self, newest: tuple[int, str]) -> None:
         version, address = newest
-        self.behind_since_ms = now_ms
+        self.behind_since_ms = self.clock.now_ms()
         self.far_news = (0, "")
         self.asked_version = 0
         self._ask(address, version)
@@ -385,12 +424,6 @@
     return max(found, default=(0, ""))
 
 
-def _rank(entry: MemberEntry) -> tuple[int, int]:
-    # The fastest lines first: a reader fetches whole documents.
-    chance = xxhash.xxh3_64_intdigest(entry.node.encode())
-    return -entry.line_mbps, chance
-
-
 @functools.singledispatch
 def take_frame(frame: WireMessage, feed: PublishedFeed) -> None:
     """Hands a frame to the feed; others are ignored."""
--- a/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_telling.py
@@ -21,9 +21,6 @@
 
 _logger = logging.getLogger(__name__)
 
-# Members of other data centres that are told of a new version at once. The
-# others hear of it by gossip or from their own reader.
-FAR_TOLD = 6
 # Neighbours that the reader sends the document to. Each of them tells all
 # others, who ask whoever told them first. The reader may be on a line of
 # 2.5 Mbit/s, which takes a quarter of a second for a document of 350 KB that
@@ -80,21 +77,30 @@
             item for item in self.members.present() if item.state != suspect
         ]
 
-    def news(self, read_age_ms: int, before: int) -> None:
+    def news(
+        self, read_age_ms: int, before: int, relays: Iterable[MemberEntry]
+    ) -> None:
         """Tells of a version that was just read from the source.
 
         Args:
             read_age_ms: Age of the newest read.
             before: The version that was in force until then; most neighbours
                 have it too.
+            relays: The members that inform the other data centres.
         """
-        far = self.far()
-        told = self.seeded.sample(far, min(FAR_TOLD, len(far)))
-        self.send(told, self.digest(read_age_ms, heartbeat=False))
+        told = {entry.node: entry for entry in (*relays, *self._some_far())}
+        digest = self.digest(read_age_ms, heartbeat=False)
+        self.send(told.values(), digest)
         near = self.near()
         pushed = self.seeded.sample(near, min(NEAR_PUSHED, len(near)))
         self.send(pushed, self.document(before))
 
+    def _some_far(self) -> list[MemberEntry]:
+        # A relay may have just died, so one more of each data centre is told.
+        far = self.far()
+        self.seeded.shuffle(far)
+        return list({entry.data_centre: entry for entry in far}.values())
+
     def digest(self, read_age_ms: int, heartbeat: bool) -> VersionDigest:
         """Returns the own version and the age of the newest read."""
         return VersionDigest(
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -9,13 +9,18 @@
 import attrs
 import pytest
 
-from pomelobank_core import MemberTable
+from pomelobank_core import READERS, MemberTable
 from pomelobank_node.published import (
     Document,
     PublishedFeed,
     PublishedStore,
     SourceError,
 )
+from pomelobank_node.published._feed import (
+    HEARTBEAT_MS,
+    LONG_POLL_MS,
+    SILENCE_MS,
+)
 from pomelobank_node.published.tests.test_published import decode, member
 from pomelobank_node.tests.virtual_time import (
     VirtualClock,
@@ -26,6 +31,8 @@
 from pomelobank_schema.generated.peer import MemberEntry, MemberVersion
 
 NODES = {"hobart": 5, "burnie": 4, "launceston": 1}
+# More data centres than read.
+MANY = {f"data-centre-{number}": 4 for number in range(6)}
 LENGTH_S = 30.0
 # The store answers in 4 ms, and a lost answer is given up after half a second.
 ANSWER_S = 0.004
@@ -41,6 +48,7 @@
 
     seeded: random.Random
     time: VirtualTime
+    nodes: dict[str, int] = attrs.field(factory=lambda: NODES)
     version: int = 1
     published: asyncio.Event = attrs.field(factory=asyncio.Event)
     refused: set[str] = attrs.field(factory=set)
@@ -101,7 +109,9 @@
         )
 
     def _arrive(self, frame: WireMessage) -> None:
-        self.world.feeds[self.address].receive(frame)
+        feed = self.world.feeds.get(self.address)
+        if feed is not None:
+            feed.receive(frame)
 
 
 @attrs.define(eq=False)
@@ -117,7 +127,7 @@
 def build(world: World) -> None:
     entries = [
         member(f"{centre}-{number}", centre)
-        for centre, count in NODES.items()
+        for centre, count in world.nodes.items()
         for number in range(count)
     ]
     for entry in entries:
@@ -148,6 +158,14 @@
             world.seeded.choice(feeds).members.merge_versions([told])
 
 
+async def tend(world: World) -> None:
+    """Each node does what is due about twice a second, as membership asks."""
+    while True:
+        for feed in world.feeds.values():
+            feed.tend(feed.clock.now_ms())
+            await asyncio.sleep(world.seeded.uniform(0, 1 / len(world.feeds)))
+
+
 async def trouble(world: World, kinds: list[set[str]]) -> None:
     """The source leaves some nodes out for a while, now these, now those."""
     nodes = [feed.members.own.node for feed in world.feeds.values()]
@@ -180,7 +198,10 @@
     build(world)
     for feed in world.feeds.values():
         await feed.start()
-    tasks = [asyncio.create_task(gossip(world))]
+    tasks = [
+        asyncio.create_task(gossip(world)),
+        asyncio.create_task(tend(world)),
+    ]
     if troubled:
         kinds = [world.refused, world.silent]
         tasks.append(asyncio.create_task(trouble(world, kinds)))
@@ -196,22 +217,63 @@
 
 
 @pytest.mark.parametrize("seed", range(10))
+@pytest.mark.parametrize(
+    "nodes", [pytest.param(NODES, id="few"), pytest.param(MANY, id="many")]
+)
 def test_what_is_published_is_in_force_wherever_the_source_is_read(
-    seed: int,
+    nodes: dict[str, int], seed: int
 ) -> None:
-    """The source refuses some nodes and leaves others without an answer.
-
-    If nobody who can read took over in time, callers of a whole data centre
-    would be routed by the configuration before.
-    """
+    """Guards against readers that nobody relieves when they are turned away."""
     time = VirtualTime()
-    run_virtually(time, play(World(random.Random(seed), time), troubled=True))
+    world = World(random.Random(seed), time, nodes)
+    run_virtually(time, play(world, troubled=True))
 
 
-def test_a_calm_source_is_asked_once_a_second_by_each_data_centre() -> None:
+@pytest.mark.parametrize(
+    "nodes", [pytest.param(NODES, id="few"), pytest.param(MANY, id="many")]
+)
+def test_a_calm_source_is_asked_by_three_nodes_every_two_seconds(
+    nodes: dict[str, int],
+) -> None:
+    """Guards against calls that grow with nodes or data centres."""
     time = VirtualTime()
-    world = World(random.Random(1), time)
+    world = World(random.Random(1), time, nodes)
     run_virtually(time, play(world, troubled=False))
-    readers = len(NODES)
-    starts = sum(NODES.values())
-    assert world.calls < starts + readers * (1.1 * time.now_s + world.version)
+    for_changes = READERS * world.version
+    at_rest = READERS * time.now_s * 1000 / LONG_POLL_MS
+    assert world.calls <= READERS + for_changes + at_rest
+
+
+async def publish_while_silent(world: World, killed: set[str]) -> None:
+    build(world)
+    for feed in world.feeds.values():
+        await feed.start()
+    tasks = [
+        asyncio.create_task(gossip(world)),
+        asyncio.create_task(tend(world)),
+    ]
+    await asyncio.sleep(4)
+    readers = [feed for feed in world.feeds.values() if feed.is_reader()]
+    killed.update(feed.members.own.node for feed in readers)
+    for feed in readers:
+        await feed.stop()
+        del world.feeds[feed.members.own.peer_address]
+    await asyncio.sleep((SILENCE_MS + HEARTBEAT_MS) / 1000)
+    world.publish()
+    await asyncio.sleep(IN_FORCE_S)
+    late = [f for f in world.feeds.values() if f.store.version < world.version]
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    for feed in world.feeds.values():
+        await feed.stop()
+    assert not late
+
+
+def test_readers_that_die_together_are_relieved() -> None:
+    """Guards against a mesh that waits for readers which are gone."""
+    time = VirtualTime()
+    killed: set[str] = set()
+    world = World(random.Random(1), time, MANY)
+    run_virtually(time, publish_while_silent(world, killed))
+    assert len(killed) == READERS
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -283,8 +283,8 @@
 
 async def test_a_failed_read_is_told_at_once() -> None:
     source = Source(SourceError("refused"))
-    near = member("near", "hobart")
-    item = feed(source, near, member("far", "burnie"))
+    near, far = member("near", "hobart"), member("far", "burnie")
+    item = feed(source, near, far)
     await item.start()
     async with asyncio.timeout(GUARD_S):
         await source.idle.wait()
@@ -294,7 +294,7 @@
         for address, frame in sent(item)
         if isinstance(frame, VersionDigest) and frame.log_age_ms == -1
     ]
-    assert told == [near.peer_address]
+    assert told == [near.peer_address, far.peer_address]
 
 
 @pytest.mark.parametrize(
@@ -312,7 +312,7 @@
     near = [member(f"n{number}", "hobart") for number in range(neighbours)]
     item = feed(Source(), *near)
     item.store.offer(b"7", "test")
-    item.telling.news(read_age_ms=0, before=0)
+    item.telling.news(read_age_ms=0, before=0, relays=[])
     await asyncio.sleep(0)
     documents = [f for _, f in sent(item) if isinstance(f, DocumentPush)]
     assert len(documents) == pushed
