--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -51,6 +51,7 @@
     whether any byte of it may have left.
 
     Attributes:
+        loop: The event loop, once there is a connection.
         bytes_sent: Bytes of all frames sent, for the metrics.
         bytes_received: Bytes that came in, for the metrics.
         unknown_frames: Frames of a kind this version does not know.
@@ -66,6 +67,7 @@
         self.on_connected = on_connected
         self.on_written: Callable[[int], None] = _ignore
         self.transport: asyncio.Transport | None = None
+        self.loop: asyncio.AbstractEventLoop
         self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self.frames: deque[WireMessage] = deque()
         self.error: SchemaError | None = None
@@ -86,6 +88,7 @@
         """Keeps the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.loop = asyncio.get_running_loop()
         # Be told as soon as the kernel did not take all of a frame.
         transport.set_write_buffer_limits(high=0)
         notice_dead_peer(transport)
@@ -173,7 +176,7 @@
             Whether the stream is still open.
         """
         if self.paused or self.queue or self.turns:
-            waiting = asyncio.get_running_loop().create_future()
+            waiting = self.loop.create_future()
             self.turns.append(waiting)
             try:
                 await waiting
@@ -238,7 +241,7 @@
             if self.closed:
                 return None
             self._resume_reading()
-            self.reader = asyncio.get_running_loop().create_future()
+            self.reader = self.loop.create_future()
             await self.reader
         return self.frames.popleft()
 
--- a/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
@@ -122,7 +122,7 @@
             return _error(request, ErrorKind.OVERLOADED)
         if request.remaining_ms <= 0:
             return _error(request, ErrorKind.DEADLINE_NOT_RUN)
-        loop = asyncio.get_running_loop()
+        loop = self.stream.loop
         request_id = self.table.open()
         allowance_ms = min(
             _RETURN_ALLOWANCE_MS, request.remaining_ms // _ALLOWANCE_PART
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -43,6 +43,7 @@
         current: The open stream, None while there is none.
         ended_late_frames: Late and unknown frames of streams that are closed.
         tasks: Tasks of the streams that are not closed yet.
+        loop: The event loop.
         links: All links of the node, with what they share.
         used_s: Time of the event loop when the link was last used.
         failed_s: Time of the event loop when the peer was last unreachable.
@@ -57,6 +58,9 @@
     failed_s: float = -math.inf
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     connecting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    loop: asyncio.AbstractEventLoop = attrs.field(
+        factory=asyncio.get_running_loop
+    )
 
     @property
     def late_replies(self) -> int:
@@ -72,13 +76,13 @@
         Raises:
             RequestError: PEER_UNREACHABLE.
         """
-        self.used_s = asyncio.get_running_loop().time()
+        self.used_s = self.loop.time()
         if self.current is not None and not self.current.closing:
             return self.current
         async with self.connecting:
             if self.current is not None and not self.current.closing:
                 return self.current
-            now_s = asyncio.get_running_loop().time()
+            now_s = self.loop.time()
             if now_s - self.failed_s < UNREACHABLE_S:
                 raise RequestError(ErrorKind.PEER_UNREACHABLE)
             self.current = await self._open()
@@ -86,17 +90,16 @@
 
     async def _open(self) -> OutgoingStream:
         host, port = parse_address(self.address)
-        loop = asyncio.get_running_loop()
         try:
             async with (
                 self.links.handshakes,
                 asyncio.timeout(CONNECT_TIMEOUT_S),
             ):
-                _, stream = await loop.create_connection(
+                _, stream = await self.loop.create_connection(
                     FrameStream, host, port
                 )
         except TimeoutError:
-            self.failed_s = loop.time()
+            self.failed_s = self.loop.time()
             raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
         except OSError:
             raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
@@ -142,7 +145,7 @@
             The reply; PEER_UNREACHABLE where no byte of the request was sent
             and PEER_LOST where the stream broke after that.
         """
-        self.used_s = asyncio.get_running_loop().time()
+        self.used_s = self.loop.time()
         current = self.current
         if current is None or current.closing:
             try:
@@ -154,14 +157,13 @@
     async def _connect_for(
         self, request: ForwardRequest
     ) -> tuple[OutgoingStream, ForwardRequest]:
-        loop = asyncio.get_running_loop()
-        begun_s = loop.time()
+        begun_s = self.loop.time()
         try:
             async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
                 current = await self.connect()
         except TimeoutError:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN) from None
-        taken_ms = int((loop.time() - begun_s) * _MS_PER_S)
+        taken_ms = int((self.loop.time() - begun_s) * _MS_PER_S)
         return current, attrs.evolve(
             request,
             sent_ms=request.sent_ms + taken_ms,
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_client.py
@@ -42,6 +42,8 @@
             stopped in the middle, so it is only for targets known to do so.
         idle: Connections without a request, the one used last at the end.
         closed: Set once connections are not kept any more.
+        known_loop: The event loop, once a request has come; to ask for it
+            costs a system call.
         stale_connections: Pooled connections that were found unusable.
         connects: Connections that were opened.
     """
@@ -52,9 +54,17 @@
     open_ends: bool = False
     idle: deque[UpstreamConnection] = attrs.field(factory=deque)
     closed: bool = False
+    known_loop: asyncio.AbstractEventLoop | None = None
     stale_connections: int = 0
     connects: int = 0
 
+    @property
+    def loop(self) -> asyncio.AbstractEventLoop:
+        """The event loop."""
+        if self.known_loop is None:
+            self.known_loop = asyncio.get_running_loop()
+        return self.known_loop
+
     async def request(
         self,
         data: bytes,
@@ -84,9 +94,8 @@
                 byte was sent; any other kind after.
         """
         connection = await self._take(deadline_s, longest_idle_s)
-        loop = asyncio.get_running_loop()
         # A process that was paused finds its deadline passed only now.
-        if deadline_s is not None and loop.time() >= deadline_s:
+        if deadline_s is not None and self.loop.time() >= deadline_s:
             self.give_back(connection)
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
         future = connection.send(data, deadline_s, expected_id)
@@ -102,8 +111,7 @@
     async def _take(
         self, deadline_s: float | None, longest_idle_s: float
     ) -> UpstreamConnection:
-        loop = asyncio.get_running_loop()
-        now_s = loop.time()
+        now_s = self.loop.time()
         # The one used last is at the end; where it was idle for too long, so
         # were all others, which may still serve less careful requests.
         while self.idle and now_s - self.idle[-1].idle_since_s < longest_idle_s:
@@ -113,21 +121,19 @@
             self.stale_connections += 1
             connection.close()
         self._close_stale(now_s)
-        return await self._connect(loop, deadline_s)
+        return await self._connect(deadline_s)
 
     def _close_stale(self, now_s: float) -> None:
         while self.idle and now_s - self.idle[0].idle_since_s > LONGEST_IDLE_S:
             self.stale_connections += 1
             self.idle.popleft().close()
 
-    async def _connect(
-        self, loop: asyncio.AbstractEventLoop, deadline_s: float | None
-    ) -> UpstreamConnection:
-        limit_s = loop.time() + _CONNECT_TIMEOUT_S
+    async def _connect(self, deadline_s: float | None) -> UpstreamConnection:
+        limit_s = self.loop.time() + _CONNECT_TIMEOUT_S
         self.connects += 1
         try:
             async with asyncio.timeout_at(min(limit_s, deadline_s or limit_s)):
-                _, connection = await loop.create_connection(
+                _, connection = await self.loop.create_connection(
                     lambda: UpstreamConnection(self), self.host, self.port
                 )
         except TimeoutError:
@@ -144,7 +150,7 @@
         if self.closed:
             connection.close()
         elif connection.open:
-            connection.idle_since_s = asyncio.get_running_loop().time()
+            connection.idle_since_s = self.loop.time()
             self.idle.append(connection)
 
     def forget(self, connection: UpstreamConnection) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -98,6 +98,7 @@
     def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
+        self.loop: asyncio.AbstractEventLoop
         self.open = False
         self.idle_since_s = 0.0
         self.future: asyncio.Future[UpstreamAnswer] | None = None
@@ -126,6 +127,7 @@
         """Keeps the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.loop = asyncio.get_running_loop()
         self.open = True
         notice_dead_peer(transport)
         sock = transport.get_extra_info("socket")
@@ -161,10 +163,9 @@
         assert self.transport is not None
         self.expected_id = expected_id
         self.met_foreign = False
-        loop = asyncio.get_running_loop()
-        self.future = loop.create_future()
+        self.future = self.loop.create_future()
         if deadline_s is not None:
-            self.timer = loop.call_at(
+            self.timer = self.loop.call_at(
                 deadline_s, self.fail, ErrorKind.DEADLINE_UNKNOWN
             )
         self.head_only = data.startswith(_HEAD)
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -69,6 +69,8 @@
 
     Attributes:
         server: Whose connection it is.
+        loop: The event loop; asked for once, since each answer costs a system
+            call.
         exchanges: Requests without a written answer, the oldest first.
         reading: The request whose body is being read.
         seen_s: Loop time at which bytes last came or an answer was written.
@@ -80,6 +82,7 @@
     def __init__(self, server: ConnectionHost) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
+        self.loop: asyncio.AbstractEventLoop
         self.parser = httptools.HttpRequestParser(self)
         self.exchanges: deque[Exchange] = deque()
         self.reading: Exchange | None = None
@@ -100,7 +103,8 @@
         """Keeps the transport, unless there are too many."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.seen_s = asyncio.get_running_loop().time()
+        self.loop = asyncio.get_running_loop()
+        self.seen_s = self.loop.time()
         if not self.server.opened(self):
             transport.abort()
 
@@ -133,7 +137,7 @@
         """Parses what came in."""
         if self.ended:
             return
-        self.seen_s = asyncio.get_running_loop().time()
+        self.seen_s = self.loop.time()
         in_head = self.head_since_s is not None
         try:
             self.parser.feed_data(data)
@@ -271,7 +275,7 @@
         self._start(exchange)
 
     def _start(self, exchange: Exchange) -> None:
-        exchange.task = asyncio.create_task(self._serve(exchange))
+        exchange.task = self.loop.create_task(self._serve(exchange))
 
     def _adjust_reading(self) -> None:
         transport = self.transport
@@ -336,7 +340,7 @@
 
     def _done(self, closes: bool) -> None:
         self.exchanges.popleft()
-        self.seen_s = asyncio.get_running_loop().time()
+        self.seen_s = self.loop.time()
         if closes:
             self._close()
         else:
