A first start of the mesh reads no departures; contacts are written at once

Cause: every process asked the log what its predecessor has acknowledged, also when there was none: 194 calls of a first start. Ruled out: asking neighbours for departures (after a loss of all there are none); a shorter wait (calls). The record with contacts is refreshed before the first wait.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -78,7 +78,7 @@
             self.owner,
             self.membership,
             self.clock,
-            DepartureLog(self.log),
+            DepartureLog(self.log, settings.first_start),
             TargetLease(settings.membership.target_lease_ms),
         )
         self._build_servers()
--- a/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -36,7 +36,7 @@
 _MAX_RETRY_MS = 5000
 # Pause of the nodes that do not look after the contacts, before they see
 # whether it has become their turn.
-_REFRESH_CHECK_S = 3.0
+_REFRESH_CHECK_S = 1.5
 # One node of the fleet looks, and hears of new records while it waits.
 _LOOK_MS = 5000
 
@@ -192,11 +192,13 @@
 
     async def _look_after_contacts(self) -> None:
         try:
+            # First of all: whoever starts again meanwhile finds nobody by a
+            # record that names itself only.
+            await self._refresh()
             await self._read_contacts(_LOOK_MS)
             known = self._present_addresses()
             strangers = self.contact.strangers(known)
             await asyncio.gather(*(self._try(item) for item in strangers))
-            await self._refresh()
         except LogError as error:
             _logger.warning("members.log_failed", extra={"error": str(error)})
 
--- a/packages/pomelobank-node/src/pomelobank_node/_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_departure_log.py
@@ -35,12 +35,15 @@
 
     Attributes:
         log: Where they are kept.
+        first_start: Whether there was no earlier process, so that nothing is
+            to be read.
         departures: Those that are known.
         read: Set once those in the log are known.
         opened: Set when nobody waits for the log any more.
     """
 
     log: Log
+    first_start: bool = False
     departures: Departures = attrs.field(factory=Departures)
     read: asyncio.Event = attrs.field(factory=asyncio.Event)
     opened: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -48,6 +51,10 @@
 
     async def start(self) -> None:
         """Begins to read what an earlier process has acknowledged."""
+        if self.first_start:
+            self.read.set()
+            self.opened.set()
+            return
         self.tasks = [
             asyncio.create_task(self._read_until_done()),
             asyncio.create_task(self._open_in_time()),
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -134,7 +134,7 @@
             self.owner,
             self.membership,
             self.clock,
-            DepartureLog(ports.log),
+            DepartureLog(ports.log, settings.first_start),
             TargetLease(settings.membership.target_lease_ms),
             int(min(REFUSE_AFTER_MS, settings.target.drain_ms / 2)),
         )
@@ -234,6 +234,7 @@
                 "peers": self.peers.address,
                 "control": self.control.address,
                 "incarnation": self.table.own.incarnation,
+                "first_start": self.settings.first_start,
             },
         )
 
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_departure_log.py
@@ -0,0 +1,59 @@
+"""Departures that a process finds in the log."""
+
+import attrs
+import pytest
+
+from pomelobank_node._departure_log import DepartureLog
+from pomelobank_node._log import LogPage
+from pomelobank_schema import encode
+from pomelobank_schema.generated.records import (
+    DepartureRecord,
+    TargetAnnouncement,
+)
+
+LEFT = DepartureRecord(instance="i-1", started_at_ms=7)
+
+
+@attrs.define(eq=False)
+class ScriptedLog:
+    """A log that holds one departure."""
+
+    long_poll_ms: int = 0
+    reads: int = 0
+    appends: int = 0
+
+    async def append(self, stream: str, record: bytes) -> int:
+        raise NotImplementedError
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_ms: int
+    ) -> LogPage:
+        self.reads += 1
+        records = (encode(LEFT),) if offset == 0 else ()
+        return LogPage(offset, records, 1)
+
+
+@pytest.mark.parametrize(
+    ("first_start", "reads", "known"),
+    [
+        pytest.param(True, 0, False, id="first start of the mesh"),
+        pytest.param(False, 1, True, id="later start"),
+    ],
+)
+async def test_departures_are_read_where_there_may_be_some(
+    first_start: bool, reads: int, known: bool
+) -> None:
+    """Guards against a call for each of many nodes that start together."""
+    log = ScriptedLog()
+    departures = DepartureLog(log, first_start)
+    await departures.start()
+    await departures.opened.wait()
+    await departures.stop()
+    target = TargetAnnouncement(
+        upstream="stock",
+        address="127.0.0.1:1",
+        slots=1,
+        instance=LEFT.instance,
+        started_at_ms=LEFT.started_at_ms,
+    )
+    assert (log.reads, departures.departures.cover(target)) == (reads, known)
