--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -45,8 +45,6 @@
         completion_record,
         rank_claimants,
         request_digest,
-        scoped_key,
-        service_of,
         shard_of,
     )
     from pomelobank_core._clock import (
@@ -179,6 +177,10 @@
         is_idempotent,
         pick_upstream,
     )
+    from pomelobank_core._scoped_keys import (
+        scoped_key,
+        service_of,
+    )
     from pomelobank_core._slot_sharing import (
         AdmissionPolicy,
         FirstCome,
@@ -398,8 +400,6 @@
         "completion_record",
         "rank_claimants",
         "request_digest",
-        "scoped_key",
-        "service_of",
         "shard_of",
     ),
     "_clock": (
@@ -520,6 +520,10 @@
         "is_idempotent",
         "pick_upstream",
     ),
+    "_scoped_keys": (
+        "scoped_key",
+        "service_of",
+    ),
     "_slot_sharing": (
         "AdmissionPolicy",
         "FirstCome",
--- a/packages/pomelobank-node/src/pomelobank_node/_crash_reports.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_crash_reports.py
@@ -1,8 +1,8 @@
 """Tells every node about requests that were in flight at a crash."""
 
 import asyncio
+import os
 import random
-import secrets
 from collections.abc import Iterable
 
 import attrs
@@ -113,7 +113,7 @@
 
     def _report(self, evidence: Iterable[Evidence]) -> None:
         report = CrashReport(
-            report_id=secrets.token_bytes(_ID_BYTES),
+            report_id=os.urandom(_ID_BYTES),
             evidence=tuple(
                 CrashEvidence(
                     fingerprint=item.fingerprint,
