Departures are asked for at their log; tests of failures say it in one line

The target's watch reached through the log of departures into their table; the log offers both calls now.

--- a/packages/pomelobank-node/src/pomelobank_node/_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_departure_log.py
@@ -15,7 +15,11 @@
     read_kept,
 )
 from pomelobank_schema import SchemaError, decode, encode
-from pomelobank_schema.generated.records import KINDS, DepartureRecord
+from pomelobank_schema.generated.records import (
+    KINDS,
+    DepartureRecord,
+    TargetAnnouncement,
+)
 
 _logger = logging.getLogger(__name__)
 _MS_PER_S = 1000
@@ -66,6 +70,14 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def add(self, departure: DepartureRecord) -> None:
+        """Takes note of a departure in this process."""
+        self.departures.add(departure)
+
+    def cover(self, target: TargetAnnouncement) -> bool:
+        """Tells whether a target has said that it leaves."""
+        return self.departures.cover(target)
+
     async def keep(self, departure: DepartureRecord) -> None:
         """Returns once a departure is in the log.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -11,9 +11,9 @@
 # wait for that at most.
 MOST_SKIPPED = 16
 
-# Objects that are made before the youngest are looked at. Each closed connection
-# leaves a cycle of its parser, protocol and transport; ten times as many are
-# five megabytes of them in a node that callers open connections to.
+# Objects that are made before the youngest are looked at. Each closed
+# connection leaves a cycle of its parser, protocol and transport; with ten times
+# as many, five megabytes of them stay.
 _YOUNG_OBJECTS = 2_000
 _YOUNG_ROUNDS = 10
 
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -101,15 +101,15 @@
             # Without a name only a silence tells a new start, and the lease
             # has noticed it.
             return False
-        return self.departures.departures.cover(target)
+        return self.departures.cover(target)
 
     def _note_return(self, target: TargetAnnouncement) -> None:
         # The departure of a target without a name is that of its next start
         # too; left in the log it would drain that one with each restart of
         # this node.
-        if self.departures.departures.cover(target):
+        if self.departures.cover(target):
             departure = attrs.evolve(_departure_of(target), returned=True)
-            self.departures.departures.add(departure)
+            self.departures.add(departure)
             self._begin(self._keep_return(departure))
 
     async def _keep_return(self, departure: DepartureRecord) -> None:
@@ -172,7 +172,7 @@
             # Without a time of start it is the one that is here.
             started_at_ms = departure.started_at_ms or target.started_at_ms
             departure = attrs.evolve(departure, started_at_ms=started_at_ms)
-        self.departures.departures.add(departure)
+        self.departures.add(departure)
         if target is not None and is_departure_of(departure, target):
             # Telling every peer may take longer than the target waits.
             self._begin(self._drain())
@@ -197,7 +197,7 @@
     async def _drain_departed(self) -> None:
         await self.departures.read.wait()
         target = self.lease.announcement
-        if target is not None and self.departures.departures.cover(target):
+        if target is not None and self.departures.cover(target):
             await self._drain()
 
     async def close(self) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -205,11 +205,7 @@
 
 
 async def test_a_version_known_by_gossip_alone_is_asked_for() -> None:
-    """Every digest and every answer to this node was lost.
-
-    Without a look at the members' versions it would stay behind until the
-    operator's next change.
-    """
+    """Guards against a node left behind when each digest is lost."""
     item = feed(Source(), member("far", "burnie", version=8))
     clock = item.clock
     assert isinstance(clock, ManualClock)
@@ -222,11 +218,7 @@
 
 
 async def test_a_version_from_afar_is_asked_for_by_one_neighbour() -> None:
-    """Nodes of other data centres tell of a large new configuration first.
-
-    If each of sixty nodes fetched it from there, the lines between the data
-    centres would carry it sixty times, and callers' requests wait behind it.
-    """
+    """Guards against a document fetched from afar by each neighbour."""
     far = member("far", "burnie")
     asked = []
     for number in range(4):
@@ -260,11 +252,7 @@
 
 
 def test_a_reader_that_is_turned_away_is_passed_over() -> None:
-    """The source refuses just the node that reads for a data centre.
-
-    Its neighbours believe that it reads. Waiting for its silence, they would
-    route by the old configuration for seconds after the operator's change.
-    """
+    """Guards against neighbours that wait for a refused reader."""
     others = [member(f"n{number}", "hobart") for number in range(9)]
     item = feed(Source(), *others)
     clock = item.clock
@@ -304,11 +292,7 @@
 async def test_a_reader_is_not_run_over_by_its_neighbours(
     neighbours: int, pushed: int
 ) -> None:
-    """A data centre of 167 nodes gets a new configuration from one of them.
-
-    Sent to each by that one, the document would keep its line busy for most of
-    a minute, and the last node would route by the old one meanwhile.
-    """
+    """Guards against a line filled by one document for each node."""
     near = [member(f"n{number}", "hobart") for number in range(neighbours)]
     item = feed(Source(), *near)
     item.store.offer(b"7", "test")
@@ -328,11 +312,7 @@
 def test_a_node_that_cannot_read_leaves_it_to_a_neighbour(
     told_ms: int, rests: bool
 ) -> None:
-    """The source turns away most nodes of a data centre but serves one.
-
-    Each of the others holds itself for the reader. If all went on asking once
-    a second, the source would spend its allowance on refusals.
-    """
+    """Guards against refused nodes that all go on asking."""
     near = member("near", "hobart")
     item = feed(Source(), near)
     item.store.offer(b"7", "test")
@@ -429,11 +409,7 @@
 
 
 def test_the_node_on_the_fastest_line_reads() -> None:
-    """Half of the machines of a data centre are on lines of 2.5 Mbit/s.
-
-    If one of these read for the others, a change of the configuration would
-    come a second or more after the operator published it.
-    """
+    """Guards against a reader on a slow line."""
     slow = [
         attrs.evolve(member(f"n{number}", "hobart"), line_mbps=3)
         for number in range(9)
@@ -444,11 +420,7 @@
 
 
 async def test_a_reader_that_is_still_loading_is_not_taken_for_silent() -> None:
-    """A large document is on its way to the reader for several seconds.
-
-    If its neighbours took that for its end, each would load it as well, and
-    their callers would wait behind it.
-    """
+    """Guards against a long answer taken for a dead reader."""
     source = Source(Document(b"7", 4))
     near = member("near", "hobart")
     item = feed(source, near)
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_departure_log.py
@@ -56,4 +56,4 @@
         instance=LEFT.instance,
         started_at_ms=LEFT.started_at_ms,
     )
-    assert (log.reads, departures.departures.cover(target)) == (reads, known)
+    assert (log.reads, departures.cover(target)) == (reads, known)
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_member_fleet.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_member_fleet.py
@@ -49,22 +49,14 @@
     [pytest.param(3, id="small"), pytest.param(60, id="many")],
 )
 def test_a_dead_member_is_found_gone_by_all(count: int) -> None:
-    """An instance loses its power and says nothing.
-
-    Until the others notice, a part of the callers' requests goes to it in
-    vain.
-    """
+    """Guards against work that is sent to a dead instance for long."""
     fleet = MemberFleet.of(count)
     fleet.remove(address(0))
     fleet.run_until(lambda: fleet.all_see(node(0), GONE), MINUTE_MS)
 
 
 def test_most_members_dying_at_once_leaves_the_others_ready() -> None:
-    """A rack and its neighbours go down together.
-
-    Those that are left must neither lose each other nor go on sending work to
-    the dead.
-    """
+    """Guards against survivors that lose each other with the dead."""
     fleet = MemberFleet.of(20)
     for index in range(4, 20):
         fleet.remove(address(index))
@@ -76,11 +68,7 @@
 
 
 def test_a_paused_member_is_gone_and_comes_back() -> None:
-    """The machine under a node stands still past every time-out.
-
-    The others rightly hold it to be gone; once it runs again it must get work
-    as before, and it must not take its own pause for the death of the others.
-    """
+    """Guards against a paused member that gets no work again."""
     fleet = MemberFleet.of(12)
     fleet.run(5_000)
     fleet.frozen = {address(3)}
@@ -94,11 +82,7 @@
 
 
 def test_one_broken_way_harms_nobody() -> None:
-    """A switch drops what one member sends to another.
-
-    Both reach everybody else. A member that trusts only its own probes would
-    hold a healthy one to be gone, and its callers would lose a target.
-    """
+    """Guards against a healthy member lost by one broken way."""
     fleet = MemberFleet.of(6)
     broken = (address(0), address(1))
     fleet.reachable = lambda source, destination: (
@@ -109,12 +93,7 @@
 
 
 def test_both_sides_of_a_cut_serve_and_meet_again() -> None:
-    """Regions lose each other for a while.
-
-    Inside each, callers must be served by its own members throughout;
-    afterwards the two become one mesh again, and the rumours of each other's
-    death must not take members out of work.
-    """
+    """Guards against members taken out when a cut heals."""
     fleet = MemberFleet.of(24)
     halves(fleet, 12)
     fleet.run_until(
@@ -144,10 +123,7 @@
 
 
 def test_a_drain_reaches_all_at_once_and_is_never_taken_back() -> None:
-    """A target is about to leave.
-
-    Any member that has not heard of it sends it work that it cannot finish.
-    """
+    """Guards against work sent to a target that is about to leave."""
     fleet = MemberFleet.of(40)
     drained = fleet.members[address(7)]
     drained.table.update_own(state=DRAINING)
@@ -159,11 +135,7 @@
 
 
 def test_a_herd_of_new_members_is_taken_in() -> None:
-    """After a power cut all nodes start together and know one contact.
-
-    Unless it may send some of them on, it spends its core on whole tables and
-    looks dead itself.
-    """
+    """Guards against a contact that a whole fleet overloads."""
     fleet = MemberFleet()
     for index in range(60):
         fleet.add(fleet.entry(index))
@@ -235,10 +207,7 @@
 
 
 def test_a_restarted_member_replaces_its_old_incarnation() -> None:
-    """A node is killed and started again under its old id.
-
-    Held back by what was known of the old one, it would get no work.
-    """
+    """Guards against a restarted node held for the old one."""
     fleet = MemberFleet.of(10)
     fleet.run(5_000)
     fleet.remove(address(2))
@@ -250,11 +219,7 @@
 
 
 def test_a_forgotten_member_is_not_brought_back_by_old_gossip() -> None:
-    """A member that was paused for a day gossips one that died meanwhile.
-
-    The others have forgotten it. Callers' requests would be sent to a target
-    that has not existed for hours.
-    """
+    """Guards against a long dead target that is sent work again."""
     fleet = MemberFleet.of(4, MembershipSettings(gone_kept_ms=MINUTE_MS))
     dead = MemberFleet.entry(3)
     fleet.remove(dead.peer_address)
@@ -291,11 +256,7 @@
 
 
 def test_own_pause_is_not_taken_for_the_death_of_others() -> None:
-    """A node stands still with a probe under way and wakes up much later.
-
-    The answer waits unread. Unless the node notices its own pause, it tells
-    everybody that a healthy member is suspect.
-    """
+    """Guards against a paused node that suspects healthy ones."""
     swim = MemberFleet.of(3).members[address(0)]
     assert swim.tick(0)
     swim.tick(MINUTE_MS)
