--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -12,8 +12,8 @@
 MOST_SKIPPED = 16
 
 # Objects that are made before the youngest are looked at. Each closed
-# connection leaves a cycle of its parser, protocol and transport; with ten times
-# as many, five megabytes of them stay.
+# connection leaves a cycle of its parser, protocol and transport; with ten
+# times as many, five megabytes of them stay.
 _YOUNG_OBJECTS = 2_000
 _YOUNG_ROUNDS = 10
 
