--- /dev/null
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_reading_order.py
@@ -0,0 +1,97 @@
+"""Who reads the source of configurations for the others."""
+
+from collections import Counter
+
+import attrs
+import pytest
+
+from pomelobank_core import (
+    READERS,
+    MemberTable,
+    ReadingOrder,
+    ReadingRole,
+)
+from pomelobank_schema.generated.peer import MemberEntry
+
+NOW_MS = 10_000
+
+
+def fleet(data_centres: int, nodes: int) -> list[MemberEntry]:
+    return [
+        MemberEntry(
+            node=f"n-{centre}-{number}",
+            state="ready",
+            data_centre=f"data-centre-{centre}",
+            peer_address=f"n-{centre}-{number}:1",
+        )
+        for centre in range(data_centres)
+        for number in range(nodes)
+    ]
+
+
+def orders(entries: list[MemberEntry]) -> dict[str, ReadingOrder]:
+    found = {}
+    for entry in entries:
+        table = MemberTable(entry)
+        table.merge(item for item in entries if item is not entry)
+        found[entry.peer_address] = ReadingOrder(table)
+    return found
+
+
+def roles(found: dict[str, ReadingOrder]) -> Counter[ReadingRole]:
+    return Counter(order.role(NOW_MS) for order in found.values())
+
+
+@pytest.mark.parametrize(
+    ("data_centres", "nodes"),
+    [
+        pytest.param(1, 8, id="one data centre"),
+        pytest.param(3, 3, id="as many as readers"),
+        pytest.param(6, 32, id="large"),
+        pytest.param(20, 50, id="as designed for"),
+    ],
+)
+def test_reads_grow_neither_with_nodes_nor_with_data_centres(
+    data_centres: int, nodes: int
+) -> None:
+    """Guards against a source that each data centre or node asks."""
+    found = roles(orders(fleet(data_centres, nodes)))
+    readers = min(READERS, data_centres)
+    assert found[ReadingRole.READER] == readers
+    assert found[ReadingRole.RELAY] == data_centres - readers
+
+
+def test_a_reader_that_cannot_read_is_relieved_within_its_data_centre() -> None:
+    """Guards against a mesh whose readers have all been turned away."""
+    found = orders(fleet(6, 4))
+    refused = [
+        address
+        for address, order in found.items()
+        if order.role(NOW_MS) is ReadingRole.READER
+    ]
+    for address, order in found.items():
+        for other in refused:
+            if other != address:
+                order.note_unable(other, NOW_MS)
+    others = {a: o for a, o in found.items() if a not in refused}
+    assert roles(others)[ReadingRole.READER] == READERS
+
+
+def test_a_suspect_neither_reads_nor_informs() -> None:
+    """Guards against neighbours that wait for a dead relay."""
+    entries = fleet(1, 2)
+    found = orders(entries)
+    first, second = sorted(
+        found.values(), key=lambda order: order.ahead(NOW_MS)
+    )
+    doubted = attrs.evolve(first.members.own, state="suspect")
+    second.members.merge([doubted])
+    assert second.role(NOW_MS) is ReadingRole.READER
+
+
+def test_fast_lines_read_first() -> None:
+    """Guards against whole documents that a slow line carries for all."""
+    entries = fleet(1, 9)
+    entries[4] = attrs.evolve(entries[4], line_mbps=50)
+    found = orders(entries)
+    assert found[entries[4].peer_address].role(NOW_MS) is ReadingRole.READER
