--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -84,6 +84,14 @@
     assert late < unlimited.of("look-up").refused_after(aim_ms)
 
 
+def test_refusals_in_a_burst_come_within_the_objective() -> None:
+    """Guards against look-ups that wait past their use and are refused then."""
+    for seed in (2, 6, 8):
+        outcome = play(PATTERNS["burst"], seed)
+        aim_ms = outcome.pattern.route("look-up").aim_ms
+        assert outcome.of("look-up").held_p95_ms < aim_ms
+
+
 def test_orders_are_served_through_a_shortage() -> None:
     """Half of one upstream's targets leave, and callers come on.
 
