What is late when it comes waits a fifth of its time, not half of it

Cause: a target lets up to a third of its slots' number of late requests wait for what a burst leaves over; everything in time overtakes them, and they were refused after half of their time, past any use to their callers. Change: give-up time of requests that were late when they came.

--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -34,6 +34,10 @@
 # enough to use what a burst leaves over, without holding hundreds of requests
 # to their deadlines while an overload lasts.
 LATE_PART = 3
+# Part of its time that a request waits at most, and one that was late already
+# when it came: what is in time overtakes it all the while.
+FULL_WAIT_PART = 1 / 2
+LATE_WAIT_PART = 1 / 5
 # Latest time to come back that a refused caller is told, before it is spread:
 # loads are measured over a second, and further ahead nothing is known.
 LONGEST_FORECAST_MS = 1000.0
@@ -142,12 +146,15 @@
         """Returns when a waiting request is better refused after all.
 
         The target may stand still, and then nothing else ends the wait. A
-        caller that is told at half its time can still go elsewhere.
+        caller that is told at half its time can still go elsewhere; one that
+        is late already waits for what a burst leaves over, which is soon there
+        or not at all.
         """
         usual_ms = self.usual_ms(ticket, ticket.offered_ms)
         latest_ms = ticket.deadline_ms - usual_ms / 2
-        half_ms = (ticket.deadline_ms + ticket.offered_ms) / 2
-        return min(latest_ms, half_ms)
+        part = LATE_WAIT_PART if ticket.late else FULL_WAIT_PART
+        room_ms = ticket.deadline_ms - ticket.offered_ms
+        return min(latest_ms, ticket.offered_ms + part * room_ms)
 
     def wait_ms(self, ticket: Ticket, now_ms: float) -> float:
         """Returns how long a new request would wait for its slot."""
