A stop that has to end answers what hangs, so that ready answers get out

Cause: answers on one connection keep the order of their requests. Ruled out: a longer wait (the grace is over); closing without answers, as before, which promises nothing either. Change: shortly before connections are closed for good, what still runs is answered as unknown (504, stopped_unknown), so that what is ready behind it leaves, in order. Test: two requests on one connection, the first hangs; before, both are lost.

--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -35,6 +35,7 @@
     QUARANTINED = "quarantined"
     DEADLINE_NOT_RUN = "deadline_not_run"
     DEADLINE_UNKNOWN = "deadline_unknown"
+    STOPPED_UNKNOWN = "stopped_unknown"
     PEER_UNREACHABLE = "peer_unreachable"
     PEER_LOST = "peer_lost"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
@@ -125,6 +126,12 @@
         1000,
         "The deadline passed while the request was at a target.",
     ),
+    ErrorKind.STOPPED_UNKNOWN: Answer(
+        504,
+        _UNKNOWN,
+        200,
+        "The node has to end while the request is at a target.",
+    ),
     ErrorKind.PEER_UNREACHABLE: Answer(
         503, _NOT_RUN, 500, "The target's node could not be reached."
     ),
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -417,6 +417,21 @@
             self.ended = True
             self.transport.close()
 
+    def give_up_rest(self) -> None:
+        """Ends what is under way, so that answers behind it get out.
+
+        Answers keep the order of their requests; one that is ready would
+        otherwise be lost with a connection whose oldest request hangs.
+        """
+        error = RequestError(ErrorKind.STOPPED_UNKNOWN)
+        for exchange in self.exchanges:
+            if exchange.answer is None:
+                exchange.abandon()
+                exchange.answer = error_answer(error, self.server.dialect)
+                exchange.keep_alive = exchange is not self.exchanges[-1]
+        self.ended = True
+        self._flush()
+
     def abort(self) -> None:
         """Closes the connection at once."""
         if self.transport is not None:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -21,6 +21,8 @@
 # Time-outs of seconds are noticed in time.
 _SWEEP_S = 0.5
 _MS_PER_S = 1000
+# For the last answers to leave before connections are closed.
+_LAST_WRITE_MS = 50
 
 
 @attrs.define(eq=False)
@@ -103,13 +105,16 @@
         if self.sweeper is not None:
             self.sweeper.cancel()
             await asyncio.gather(self.sweeper, return_exceptions=True)
-        await self._wait_ended()
+        await self._wait_ended(self.stop_timeout_ms)
+        for connection in list(self.connections):
+            connection.give_up_rest()
+        await self._wait_ended(_LAST_WRITE_MS)
         for connection in list(self.connections):
             connection.abort()
 
-    async def _wait_ended(self) -> None:
+    async def _wait_ended(self, timeout_ms: int) -> None:
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + self.stop_timeout_ms / _MS_PER_S
+        until_s = loop.time() + timeout_ms / _MS_PER_S
         while self.connections and loop.time() < until_s:
             await asyncio.sleep(0.01)
             self.drain()
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -1,6 +1,7 @@
 """Callers' connections: order, limits, and ends at the wrong moment."""
 
 import asyncio
+import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -205,6 +206,28 @@
     assert gate.bodies == [body]
 
 
+async def test_a_ready_answer_leaves_before_a_stop_cuts_the_one_before_it() -> (
+    None
+):
+    """Guards against a ready answer lost behind a request that hangs."""
+    gate = Gate()
+    async with served(gate) as server:
+        server.stop_timeout_ms = 50
+        reader, writer = await asyncio.open_connection(
+            *parse_address(server.address)
+        )
+        writer.write(FIRST + SECOND)
+        await gate.until([b"/first", b"/second"], gate.arrived)
+        gate.gate(b"/second").set()
+        async with asyncio.timeout(GUARD_S):
+            await server.stop()
+            received = await reader.read()
+        writer.close()
+    statuses = re.findall(rb"HTTP/1.1 (\d+) ", received)
+    assert statuses == [b"504", b"200"]
+    assert received.endswith(b"/second")
+
+
 async def test_a_drain_ends_connections_after_their_answers() -> None:
     """A node is told to stop with one caller idle and one being served.
 
