--- a/packages/pomelobank-core/src/pomelobank_core/_probing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_probing.py
@@ -11,8 +11,8 @@
 # neighbours. A data centre of 30 nodes then makes seven of them a second, in
 # which news leave it and the loss of another one shows.
 FAR_SHARE = 1 / 8
-# The same while a member of another data centre is in doubt: all of that data
-# centre may be lost, and nobody in it is left to notice.
+# The same while a member of another data centre is suspected: that whole data
+# centre may be lost, with every neighbour who would notice.
 DOUBTED_FAR_SHARE = 1 / 2
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -192,8 +192,8 @@
 
     async def _look_after_contacts(self) -> None:
         try:
-            # First of all: whoever starts again meanwhile finds nobody by a
-            # record that names itself only.
+            # First of all: a node that restarts meanwhile finds nobody through
+            # a record that names only itself.
             await self._refresh()
             await self._read_contacts(_LOOK_MS)
             known = self._present_addresses()
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -417,7 +417,7 @@
             self.ended = True
             self.transport.close()
 
-    def give_up_rest(self) -> None:
+    def abandon_pending(self) -> None:
         """Ends what is under way, so that answers behind it get out.
 
         Answers keep the order of their requests; one that is ready would
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -107,7 +107,7 @@
             await asyncio.gather(self.sweeper, return_exceptions=True)
         await self._wait_ended(self.stop_timeout_ms)
         for connection in list(self.connections):
-            connection.give_up_rest()
+            connection.abandon_pending()
         await self._wait_ended(_LAST_WRITE_MS)
         for connection in list(self.connections):
             connection.abort()
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -33,7 +33,7 @@
 # after this and the time-out of a call, within the three seconds that a node
 # has to be in step again after a disturbance.
 LONG_POLL_MS = 2000
-# Pause between two words of a reader or relay that somebody reads.
+# Shortest pause between two heartbeats of a reader or relay.
 HEARTBEAT_MS = 1000
 # Shortest time between two reads that brought news. In a quick succession of
 # changes each read would cost a call, and only the last one counts.
@@ -99,7 +99,7 @@
         heard_ms: When another node read the source last.
         reading: Whether a read is under way.
         source_up: Whether the last own read was answered.
-        told_ms: When others were last told that somebody reads.
+        told_ms: When the last heartbeat was sent.
         rests_until_ms: Until when reading is left to a node that can.
         turn: Set when this node has to read.
         reads: Reads of the source, for the metrics.
@@ -231,7 +231,7 @@
         return SILENCE_MS + steps * SILENCE_STEP_MS
 
     def _note_progress(self) -> None:
-        # Without a word, neighbours would take a long answer for silence.
+        # Without a heartbeat, neighbours would take a long answer for silence.
         now_ms = self.clock.now_ms()
         self.read_ms = now_ms
         if now_ms - self.told_ms >= HEARTBEAT_MS:
