The plays of readers that hand over share how a world is run and ended

Start and end of the nodes and of what goes on beside them stood twice in the tests; one of the two left the nodes running where its check failed early.

--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -5,6 +5,8 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import attrs
 import pytest
@@ -194,20 +196,18 @@
         assert not late, f"{wanted} at {world.time.now_s:.1f} s: {late}"
 
 
-async def play(world: World, troubled: bool) -> None:
+@asynccontextmanager
+async def running(world: World) -> AsyncIterator[set[asyncio.Task[None]]]:
+    """Starts every node and what goes on beside them; ends all of it."""
     build(world)
     for feed in world.feeds.values():
         await feed.start()
-    tasks = [
+    tasks = {
         asyncio.create_task(gossip(world)),
         asyncio.create_task(tend(world)),
-    ]
-    if troubled:
-        kinds = [world.refused, world.silent]
-        tasks.append(asyncio.create_task(trouble(world, kinds)))
+    }
     try:
-        await asyncio.sleep(2)
-        await check(world)
+        yield tasks
     finally:
         for task in tasks:
             task.cancel()
@@ -216,6 +216,15 @@
             await feed.stop()
 
 
+async def play(world: World, troubled: bool) -> None:
+    async with running(world) as tasks:
+        if troubled:
+            kinds = [world.refused, world.silent]
+            tasks.add(asyncio.create_task(trouble(world, kinds)))
+        await asyncio.sleep(2)
+        await check(world)
+
+
 @pytest.mark.parametrize("seed", range(10))
 @pytest.mark.parametrize(
     "nodes", [pytest.param(NODES, id="few"), pytest.param(MANY, id="many")]
@@ -245,28 +254,21 @@
 
 
 async def publish_while_silent(world: World, killed: set[str]) -> None:
-    build(world)
-    for feed in world.feeds.values():
-        await feed.start()
-    tasks = [
-        asyncio.create_task(gossip(world)),
-        asyncio.create_task(tend(world)),
-    ]
-    await asyncio.sleep(4)
-    readers = [feed for feed in world.feeds.values() if feed.is_reader()]
-    killed.update(feed.members.own.node for feed in readers)
-    for feed in readers:
-        await feed.stop()
-        del world.feeds[feed.members.own.peer_address]
-    await asyncio.sleep((SILENCE_MS + HEARTBEAT_MS) / 1000)
-    world.publish()
-    await asyncio.sleep(IN_FORCE_S)
-    late = [f for f in world.feeds.values() if f.store.version < world.version]
-    for task in tasks:
-        task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
-    for feed in world.feeds.values():
-        await feed.stop()
+    async with running(world):
+        await asyncio.sleep(4)
+        readers = [feed for feed in world.feeds.values() if feed.is_reader()]
+        killed.update(feed.members.own.node for feed in readers)
+        for feed in readers:
+            await feed.stop()
+            del world.feeds[feed.members.own.peer_address]
+        await asyncio.sleep((SILENCE_MS + HEARTBEAT_MS) / 1000)
+        world.publish()
+        await asyncio.sleep(IN_FORCE_S)
+        late = [
+            feed
+            for feed in world.feeds.values()
+            if feed.store.version < world.version
+        ]
     assert not late
 
 
