Answer pipelined requests before closing a connection

Problem: on a connection with several requests in progress, an answer that requires the connection to close closed it immediately. The requests behind it were abandoned, including those still running and those whose answers were ready. A caller resends the requests behind such an answer, whatever their kind, so an order that had already been executed could be executed again.

An answer closes the connection in two cases: when the node of the product's own interface is stopping (every answer from then on), and when the handler failed with an internal error.

Fix: writing a closing answer sets a flag, after which no new requests are accepted. Requests already in progress on the connection, including those whose body is still being read, are answered in order, and the last answer closes the connection. A request whose head is still incomplete when the last answer is written is not answered.

Reviewed and left unchanged: - A body that breaks off midway resets the connection, since HTTP/1.1 has no other way to signal it. - Timeouts and malformed requests are answered after all other requests. - Connections above the limit are closed before anything is read.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -77,6 +77,8 @@
         head_since_s: Loop time at which an incomplete head began, None where
             there is none.
         ended: Whether nothing further is read.
+        closing: Whether an answer requires the connection to close. New
+            requests are then ignored, and pending ones are still answered.
     """
 
     def __init__(self, server: ConnectionHost) -> None:
@@ -95,6 +97,7 @@
         self.seen_s = 0.0
         self.head_since_s: float | None = None
         self.ended = False
+        self.closing = False
         self.paused = False
 
     # The transport's side.
@@ -172,7 +175,7 @@
     def on_headers_complete(self) -> None:
         """Begins the exchange, unless its head breaks a limit."""
         self.head_since_s = None
-        if self.ended:
+        if self.ended or self.closing:
             return
         exchange = Exchange(
             self.parser.get_method().decode("latin-1"),
@@ -332,11 +335,13 @@
 
     def _closes(self, exchange: Exchange) -> bool:
         assert exchange.answer is not None
-        if exchange.answer.closes or not exchange.keep_alive:
+        if not exchange.keep_alive:
             return True
+        self.closing = self.closing or exchange.answer.closes
         # Requests behind this one are under way; only the last answer may end
         # the connection, or they would be sent again elsewhere.
-        return self.server.draining and not self._behind()
+        must_close = self.closing or self.server.draining
+        return must_close and not self._behind()
 
     def _done(self, closes: bool) -> None:
         self.exchanges.popleft()
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+import attrs
 import pytest
 
 from pomelobank_node.callers import (
@@ -228,6 +229,48 @@
     assert received.endswith(b"/second")
 
 
+class ClosingGate(Gate):
+    """Marks every answer as closing the connection."""
+
+    async def __call__(self, request: HttpRequest) -> HttpAnswer:
+        return attrs.evolve(await super().__call__(request), closes=True)
+
+
+async def test_a_closing_answer_does_not_drop_pipelined_requests() -> None:
+    """Guards against closing before later pipelined requests are answered."""
+    gate = ClosingGate()
+    async with served(gate) as server:
+        reader, writer = await connect(server)
+        writer.write(FIRST + SECOND)
+        await gate.until([b"/first", b"/second"], gate.arrived)
+        gate.gate(b"/second").set()
+        gate.gate(b"/first").set()
+        async with asyncio.timeout(GUARD_S):
+            received = await reader.read()
+        writer.close()
+    assert re.findall(rb"x-path: (\S+)", received) == [b"/first", b"/second"]
+    assert received.count(b"connection: close") == 1
+    assert gate.cancelled == []
+
+
+async def test_a_body_is_read_to_its_end_after_a_closing_answer() -> None:
+    """Guards against a hang when the last body ends after a closing answer."""
+    gate = ClosingGate()
+    for path in (b"/first", b"/second"):
+        gate.gate(path).set()
+    async with served(gate) as server:
+        reader, writer = await connect(server)
+        head = b"POST /second HTTP/1.1\r\nhost: shop\r\ncontent-length: 4\r\n"
+        writer.write(FIRST + head + b"\r\nab")
+        async with asyncio.timeout(GUARD_S):
+            await reader.readuntil(b"/first\r\n")
+            writer.write(b"cd")
+            received = await reader.read()
+        writer.close()
+    assert received.endswith(b"/second")
+    assert gate.bodies == [b"", b"abcd"]
+
+
 async def test_a_drain_ends_connections_after_their_answers() -> None:
     """A node is told to stop with one caller idle and one being served.
 
