Stop the nodes of a data centre in two groups

Cause: every node removed its target from the mesh two seconds after SIGTERM and ended 2.6 s after it, all within the same tenths of a second. The next process listens 0.8 s later (41 restarts, 0.79 to 0.83 s).

A connection reset is immediate, so all three attempts of a caller fell into the same 0.8 s and no further attempt followed. - Seconds 9 and 10 alone have 1,129 lines of no_target: no target was left in the mesh before the nodes ended.

Change: the nodes of each data centre are split into two groups by the hash of their names. The second group keeps serving its targets while at least half of the first is not ready, as long as the grace period leaves time to inform peers and for twice the usual request time of the slowest route. During this time, callers' requests whose deadline lies after the end of the node are refused, as they are late in any stop. A node of the second group checks the state of its peers 0.2 s after they were due to announce their stop; if it stops alone, it is delayed only by these 0.2 s.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -196,6 +196,7 @@
         snapshot_record,
         usable_snapshot,
     )
+    from pomelobank_core._stop_order import WORK_RESERVE_FACTOR, StopOrder
     from pomelobank_core._swim import (
         Action,
         Reply,
@@ -236,6 +237,7 @@
     "READERS",
     "SHARDS",
     "TAIL_RECORDS",
+    "WORK_RESERVE_FACTOR",
     "Action",
     "Admission",
     "AdmissionPolicy",
@@ -317,6 +319,7 @@
     "SnapshotSchedule",
     "Standing",
     "Started",
+    "StopOrder",
     "Swim",
     "TargetChange",
     "TargetLease",
@@ -539,6 +542,7 @@
         "snapshot_record",
         "usable_snapshot",
     ),
+    "_stop_order": ("StopOrder", "WORK_RESERVE_FACTOR"),
     "_swim": (
         "Action",
         "Reply",
--- a/packages/pomelobank-core/src/pomelobank_core/_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_admission.py
@@ -104,6 +104,10 @@
         """Returns the time that a route's requests usually take."""
         return self.times.of_route(route)
 
+    def longest_usual_ms(self, now_ms: float) -> float:
+        """Returns the usual request time of the slowest route in ms."""
+        return self.times.longest_ms()
+
     def give_up_ms(self, ticket: Ticket) -> float:
         """Returns until when a request may wait: to its deadline."""
         return ticket.deadline_ms
--- a/packages/pomelobank-core/src/pomelobank_core/_base_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_base_admission.py
@@ -68,6 +68,10 @@
     def usual_ms_of(self, route: str, now_ms: float) -> float:
         """Returns the time that a route's requests usually take."""
 
+    @abc.abstractmethod
+    def longest_usual_ms(self, now_ms: float) -> float:
+        """Returns the usual request time of the slowest route in ms."""
+
     @abc.abstractmethod
     def give_up_ms(self, ticket: Ticket) -> float:
         """Returns until when a request may wait."""
--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -151,6 +151,10 @@
         """Returns the time that a route's requests usually take."""
         return self.times.of(route, now_ms)
 
+    def longest_usual_ms(self, now_ms: float) -> float:
+        """Returns the usual request time of the slowest route in ms."""
+        return self.times.longest_ms(now_ms)
+
     def give_up_ms(self, ticket: Ticket) -> float:
         """Returns when a waiting request is better refused after all.
 
--- a/packages/pomelobank-core/src/pomelobank_core/_latency.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_latency.py
@@ -62,6 +62,10 @@
         """Returns a class's usual time in ms; 0 where none was measured."""
         return _value(self.by_class.get(traffic_class))
 
+    def longest_ms(self) -> float:
+        """Returns the slowest route's usual time in ms; 0 without routes."""
+        return max(map(_value, self.by_route.values()), default=0.0)
+
     def of_route(self, route: str) -> float:
         """Returns a route's usual time in ms; 0 where none was measured."""
         return _value(self.by_route.get(route))
--- a/packages/pomelobank-core/src/pomelobank_core/_recent_work.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_recent_work.py
@@ -71,6 +71,11 @@
         found = self.by_route.get(route)
         return UNMEASURED_MS if found is None else found.at(now_ms)
 
+    def longest_ms(self, now_ms: float) -> float:
+        """Returns the slowest route's usual time in ms; 0 without routes."""
+        times = (found.at(now_ms) for found in self.by_route.values())
+        return max(times, default=0.0)
+
     def add(self, route: str, took_ms: float, now_ms: float) -> None:
         """Takes the time of one request that ran to its end."""
         found = self.by_route.get(route)
--- a/packages/pomelobank-node/src/pomelobank_node/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_gate.py
@@ -95,6 +95,10 @@
         """Returns the time that a route's requests usually take there."""
         return self.admission.usual_ms_of(route, self.clock.now_ms())
 
+    def longest_usual_ms(self) -> float:
+        """Returns the slowest route's usual time at the target in ms."""
+        return self.admission.longest_usual_ms(self.clock.now_ms())
+
     async def enter(self, ticket: Ticket) -> None:
         """Returns once the request may go to the target.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -34,6 +34,7 @@
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._peer_server import PeerServer
+from pomelobank_node._stop_turn import StopTurn
 from pomelobank_node._target_watch import REFUSE_AFTER_MS, TargetWatch
 from pomelobank_node.callers import CallerServer, Handler, Ingress
 from pomelobank_node.published import (
@@ -156,6 +157,12 @@
         self.dispatcher = Dispatcher(
             self.store, self.forwarder, self.clock, exact_weights=True
         )
+        self.stop_turn = StopTurn(
+            self.membership,
+            self.owner.gate,
+            self.clock,
+            self.dispatcher.last_requests,
+        )
         self.ingress = Ingress(
             self.dispatcher, self.clock, dialect, settings.target.upstream
         )
@@ -263,8 +270,10 @@
         routed_ms = min(ROUTED_AWAY_MS, grace_ms // 2)
         news_ms = min(NEWS_MS, routed_ms // 4)
         await self._sleep_until(begun_ms + routed_ms - news_ms)
+        await self.stop_turn.wait(begun_ms + routed_ms, end_ms, news_ms)
+        closed_ms = self.clock.now_ms()
         await self.target.close()
-        await self._sleep_until(begun_ms + routed_ms)
+        await self._sleep_until(max(begun_ms + routed_ms, closed_ms + news_ms))
         self.dispatcher.last_requests.ends_at_ms = end_ms
         self.http.drain()
         await self._wait_for_requests(end_ms)
