--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 from collections.abc import Callable
 
 import attrs
@@ -62,6 +63,9 @@
 # close can take seconds; a process that is killed meanwhile logs nothing of its
 # end and breaks off what it was still writing.
 LAST_MOMENT_MS = 150
+# Longest wait at startup for the configuration. Callers that are already queued
+# on the listener would otherwise be refused as not ready.
+CONFIG_WAIT_MS = 300
 # Longest wait for peers to take the last word of a node that has ended its
 # work; whoever misses it notices by its probes.
 LEAVE_MS = 200
@@ -80,6 +84,7 @@
             callers may be sent to a node.
         control_page: Makes the handler of the target's announcements.
         parts: Further parts to start first and stop last.
+        listener: Socket already listening for callers; None to open one.
     """
 
     dialect: Dialect
@@ -89,6 +94,7 @@
     ready_page: Callable[["SidecarNode"], Handler]
     control_page: Callable[["SidecarNode"], Handler]
     parts: tuple[Component, ...] = ()
+    listener: socket.socket | None = None
 
 
 @attrs.define(eq=False, slots=False)
@@ -179,7 +185,11 @@
     def _build_servers(self) -> None:
         listen, ports = self.settings.listen, self.ports
         self.http = CallerServer(
-            listen.http, self.ingress, ports.dialect, sweeps=False
+            listen.http,
+            self.ingress,
+            ports.dialect,
+            sweeps=False,
+            listener=ports.listener,
         )
         self.ready = CallerServer(
             listen.ready, ports.ready_page(self), sweeps=False
@@ -231,9 +241,11 @@
             self.membership,
             self.limits,
             self.ready,
-            self.http,
         ):
             await self._start(part)
+        if self.ports.listener is not None:
+            await self._wait_for_config()
+        await self._start(self.http)
         _logger.info(
             "node.started",
             extra={
@@ -245,6 +257,14 @@
             },
         )
 
+    async def _wait_for_config(self) -> None:
+        try:
+            async with asyncio.timeout(CONFIG_WAIT_MS / _MS_PER_S):
+                while not self.store.ready:
+                    await self.store.moved.wait()
+        except TimeoutError:
+            _logger.info("node.config_wait_timed_out")
+
     async def _start(self, part: Component) -> None:
         await part.start()
         self.started.append(part)
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -1,6 +1,7 @@
 """Listens for HTTP/1.1 and hands every request to one handler."""
 
 import asyncio
+import socket
 
 import attrs
 
@@ -37,6 +38,7 @@
         stop_timeout_ms: Longest wait at a stop for requests under way.
         sweeps: Whether it looks for time-outs by itself; else its owner calls
             `sweep` now and then.
+        listener: Socket that is already listening; None to open one.
         address: Address that is really used, once it listens.
         draining: Whether connections end after the answers under way.
         connections: Open connections.
@@ -49,6 +51,7 @@
     limits: HttpLimits = attrs.field(factory=HttpLimits)
     stop_timeout_ms: int = 1000
     sweeps: bool = True
+    listener: socket.socket | None = None
     address: str = ""
     draining: bool = False
     connections: set[HttpConnection] = attrs.field(factory=set)
@@ -58,10 +61,18 @@
 
     async def start(self) -> None:
         """Starts listening."""
-        host, port = parse_address(self.listen)
-        self.server = await asyncio.get_running_loop().create_server(
-            lambda: HttpConnection(self), host, port, backlog=_BACKLOG
-        )
+        loop = asyncio.get_running_loop()
+        if self.listener is not None:
+            self.server = await loop.create_server(
+                lambda: HttpConnection(self),
+                sock=self.listener,
+                backlog=_BACKLOG,
+            )
+        else:
+            host, port = parse_address(self.listen)
+            self.server = await loop.create_server(
+                lambda: HttpConnection(self), host, port, backlog=_BACKLOG
+            )
         bound = self.server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
         if self.sweeps:
