Tell callers refused by a stopping node to retry after it ends

Cause: a request whose deadline is later than the end of the node is refused. Its caller was told to retry after 200 ms, came back to the same node, was refused again and had no attempt left.

Change: the caller is told to retry when the node has ended, but no earlier than after 200 ms.

Rejected: accepting such a request based on its usual duration.

Test: a table of times; the delay was 200 ms in every row before.

--- a/packages/pomelobank-core/src/pomelobank_core/_last_requests.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_last_requests.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+# Lower bound of the retry delay sent with a draining refusal.
+MIN_DRAINING_RETRY_AFTER_MS = 200
 # For the way there and back, and for the end of the connections.
 SAFE_MS = 200
 
@@ -22,6 +24,20 @@
 
     ends_at_ms: float | None = None
 
+    def retry_after_ms(self, now_ms: float) -> int:
+        """Returns the delay after which a refused caller should retry.
+
+        A retry that reaches the node before it ends would be refused again.
+
+        >>> LastRequests(ends_at_ms=5000).retry_after_ms(now_ms=4500)
+        500
+
+        Args:
+            now_ms: The current time.
+        """
+        ends_at_ms = self.ends_at_ms or now_ms
+        return max(MIN_DRAINING_RETRY_AFTER_MS, int(ends_at_ms - now_ms))
+
     def takes(self, remaining_ms: float, now_ms: float) -> bool:
         """Tells whether a request ends in time, however long it takes.
 
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_last_requests.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_last_requests.py
@@ -5,6 +5,22 @@
 from pomelobank_core import LastRequests
 
 
+@pytest.mark.parametrize(
+    ("now_ms", "retry_after_ms"),
+    [
+        pytest.param(2600, 2400, id="well before the end"),
+        pytest.param(4900, 200, id="shortly before the end"),
+        pytest.param(6000, 200, id="past the end"),
+    ],
+)
+def test_a_refused_caller_retries_after_the_end(
+    now_ms: float, retry_after_ms: int
+) -> None:
+    """Guards against callers that spend all attempts on a stopping node."""
+    last_requests = LastRequests(ends_at_ms=5000)
+    assert last_requests.retry_after_ms(now_ms) == retry_after_ms
+
+
 @pytest.mark.parametrize(
     ("ends_at_ms", "remaining_ms", "now_ms", "takes"),
     [
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -125,7 +125,8 @@
             raise RequestError(ErrorKind.NO_ROUTE)
         request = with_rest(self._request(route, caller), caller.rest)
         if not self.last_requests.takes(request.remaining_ms, request.sent_ms):
-            raise RequestError(ErrorKind.DRAINING)
+            retry_after_ms = self.last_requests.retry_after_ms(request.sent_ms)
+            raise RequestError(ErrorKind.DRAINING, retry_after_ms)
         trace = current_trace()
         trace.route = route.name
         trace.version = request.version
