Refuse peers' requests that may outlast a stopping owner

A range-report sent 3.1 s after SIGTERM was passed to a node that was stopping as well, its target took over 2.1 s (its usual work is 0.74 s), and the stream ended with the node.

Cause: since the second group of a stopping data centre keeps its targets open past the time at which an owner refused before (3 s after SIGTERM).

Change: entry and owner of a node share one LastRequests. The owner refuses what may outlast it as draining, which has not run and is sent elsewhere.

--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -9,6 +9,7 @@
 from pomelobank_core import (
     Clock,
     ErrorKind,
+    LastRequests,
     Standing,
     Ticket,
     TrafficClass,
@@ -84,6 +85,7 @@
         watch: Notices crashes of the target.
         lines: Bounds the lines that are logged.
         draining: Set when no new request is taken.
+        last_requests: Refuses requests that may outlast a stopping node.
     """
 
     settings: RequestSettings
@@ -96,6 +98,7 @@
     watch: CrashWatch = attrs.field()
     lines: LogBudget = attrs.field(factory=LogBudget)
     draining: bool = False
+    last_requests: LastRequests = attrs.field(factory=LastRequests)
 
     @watch.default
     def _new_watch(self) -> CrashWatch:
@@ -180,8 +183,10 @@
             raise RequestError(ErrorKind.NO_TARGET)
         if request.remaining_ms <= 0:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-        standing = self.reports.check(request)
         now_ms = self.clock.now_ms()
+        if not self.last_requests.takes(request.remaining_ms, now_ms):
+            raise RequestError(ErrorKind.DRAINING)
+        standing = self.reports.check(request)
         ticket = Ticket(
             _traffic_class(request),
             request.route,
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -161,7 +161,11 @@
             hedging=Hedging(),
         )
         self.dispatcher = Dispatcher(
-            self.store, self.forwarder, self.clock, exact_weights=True
+            self.store,
+            self.forwarder,
+            self.clock,
+            exact_weights=True,
+            last_requests=self.owner.last_requests,
         )
         self.stop_turn = StopTurn(
             self.membership,
