Let brief and idempotent requests wait at several targets

Cause: a target of the shifted deployment has three slots, each busy for 160 to 480 ms, and an entry sends it a few requests a second: what an entry knows of a queue is older than the queue. A request that was declined twice had to wait at the less busy of two targets.

Change: an idempotent request without a body that its first target declines waits at five targets, near ones first. The owner that has a slot offers it (SlotOffer), the sender takes the first offer (SlotAccept) and withdraws the request elsewhere. A slot that is not accepted within 100 ms is given to the next request. Nothing runs before it is accepted; a peer of an earlier version runs it unasked, which is why the request has to be idempotent. Callers that have come back take one place only, as before.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -12,6 +12,7 @@
     from pomelobank_core._admission import (
         Admission,
     )
+    from pomelobank_core._brief_work import BriefWork
     from pomelobank_core._candidates import (
         CandidateIndex,
         Candidates,
@@ -246,6 +247,7 @@
     "Attempt",
     "AttemptState",
     "AttemptStep",
+    "BriefWork",
     "Budget",
     "CallerPatience",
     "CandidateIndex",
@@ -374,6 +376,7 @@
 
 _NAMES_BY_MODULE = {
     "_admission": ("Admission",),
+    "_brief_work": ("BriefWork",),
     "_candidates": (
         "CandidateIndex",
         "Candidates",
--- a/packages/pomelobank-core/src/pomelobank_core/_exchange.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_exchange.py
@@ -161,6 +161,15 @@
             return FrameVerdict.DELIVER
         return self._drop(request_id)
 
+    def slot_offered(self, request_id: int) -> FrameVerdict:
+        """Takes the peer's offer of a slot for a request that binds late."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is None:
+            return self._drop(request_id)
+        if exchange.state is not ExchangeState.SENT:
+            return self._violation()
+        return FrameVerdict.DELIVER
+
     def given_up(self, request_id: int) -> ExchangeState | None:
         """Ends a request that its caller gave up or whose deadline passed.
 
--- a/packages/pomelobank-core/src/pomelobank_core/_observation.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_observation.py
@@ -102,6 +102,11 @@
     ) -> MemberEntry | None:
         """Returns a target that was not tried yet, None without any."""
 
+    def place_several(
+        self, candidates: Candidates, count: int, now_ms: float
+    ) -> list[MemberEntry]:
+        """Returns targets for a request that waits at several of them."""
+
     def sent(self, target: MemberEntry, now_ms: float) -> None:
         """Notes that a request is sent to a target."""
 
--- a/packages/pomelobank-core/src/pomelobank_core/_placing.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_placing.py
@@ -99,6 +99,28 @@
             return far
         return near
 
+    def place_several(
+        self,
+        candidates: Candidates,
+        count: int,
+        now_ms: float,
+    ) -> list[MemberEntry]:
+        """Returns targets for a request that waits at several of them.
+
+        Args:
+            candidates: The upstream's ready targets.
+            count: Targets at most; those of the own data centre come first.
+            now_ms: Current time.
+        """
+        found: list[MemberEntry] = []
+        for targets in (candidates.local, candidates.remote):
+            usable = [
+                entry for entry in targets if self._takes_work(entry, now_ms)
+            ]
+            wanted = min(len(usable), count - len(found))
+            found += self.seeded.sample(usable, wanted)
+        return found
+
     def sent(self, target: MemberEntry, now_ms: float) -> None:
         """Notes that a request is sent to a target."""
         load = self._load(target)
@@ -276,6 +298,10 @@
             return False
         return self._load(entry).ejection.allows(now_ms)
 
+    def _takes_work(self, entry: MemberEntry, now_ms: float) -> bool:
+        load = self._load(entry)
+        return load.ejection.allows(now_ms) and now_ms >= load.leaving_until_ms
+
     def _is_full(
         self, entry: MemberEntry, traffic_class: str, now_ms: float
     ) -> bool:
--- a/packages/pomelobank-core/src/pomelobank_core/_round_robin.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_round_robin.py
@@ -39,6 +39,12 @@
         self.turns[upstream] = turn + 1
         return untried[turn % len(untried)]
 
+    def place_several(
+        self, candidates: Candidates, count: int, now_ms: float
+    ) -> list[MemberEntry]:
+        """Returns the first targets, whatever their load."""
+        return list(candidates.targets[:count])
+
     def sent(self, target: MemberEntry, now_ms: float) -> None:
         """Does nothing; the turn does not depend on it."""
 
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+from collections.abc import Coroutine
 
 import attrs
 
@@ -30,6 +31,7 @@
 from pomelobank_node._dialect import Dialect
 from pomelobank_node._journey import (
     OFFERS,
+    OFFERS_BEFORE_QUEUES,
     Journey,
     is_answer,
     is_shed,
@@ -37,6 +39,11 @@
     observation,
     was_declined,
 )
+from pomelobank_node._late_binding import (
+    LATE_TARGETS,
+    LateBinding,
+    may_bind_late,
+)
 from pomelobank_node._owner import Owner
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import (
@@ -129,12 +136,18 @@
         journey.offers = self._offers(journey)
         while True:
             offers = journey.offers
-            reply = await self._try_hedged(journey, target)
+            reply = await self._hedged(journey, self._try(journey, target))
             declined = journey.offers < offers
             # Where it was sent twice meanwhile, the other reply counts.
             if declined and reply.error == ErrorKind.OVERLOADED.value:
-                target = self._after_decline(journey)
-                continue
+                if not may_bind_late(journey):
+                    target = self._after_decline(journey)
+                    continue
+                reply = await self._hedged(
+                    journey, self._queue_at_several(journey)
+                )
+                if reply.error == ErrorKind.OVERLOADED.value:
+                    return journey.final(reply)
             retry = self._decide(journey, reply)
             if retry is None:
                 return journey.final(reply)
@@ -154,7 +167,9 @@
         targets = self.index.of(journey.request.upstream).targets
         if not self.retries.free_refusals or journey.runs_alone:
             return 0
-        return OFFERS if len(targets) >= OFFERS else 0
+        if len(targets) < OFFERS:
+            return 0
+        return OFFERS_BEFORE_QUEUES if may_bind_late(journey) else OFFERS
 
     def _after_decline(self, journey: Journey) -> MemberEntry:
         now_ms = self.clock.now_ms()
@@ -192,13 +207,35 @@
             candidates, journey.tried, load_class(request), now_ms
         )
 
-    async def _try_hedged(
-        self, journey: Journey, target: MemberEntry
+    async def _queue_at_several(self, journey: Journey) -> ForwardReply:
+        candidates = self.index.of(journey.request.upstream)
+        targets = self.placing.place_several(
+            candidates, LATE_TARGETS, self.clock.now_ms()
+        )
+        if not targets:
+            journey.offers = 0
+            return await self._try(journey, journey.least_busy())
+        binding = LateBinding()
+        tries, tried = journey.tries, journey.tried.copy()
+        for target in targets:
+            binding.tries[target.node] = asyncio.create_task(
+                self._try(journey, target, binding=binding)
+            )
+        try:
+            return await binding.reply()
+        finally:
+            binding.end()
+            # It was tried where it was bound; elsewhere it only waited.
+            journey.tries = tries + bool(binding.node)
+            journey.tried = tried | {binding.node}
+
+    async def _hedged(
+        self, journey: Journey, first: Coroutine[None, None, ForwardReply]
     ) -> ForwardReply:
         after_ms = self._hedge_after_ms(journey)
         if after_ms is None:
-            return await self._try(journey, target)
-        tries = [asyncio.create_task(self._try(journey, target))]
+            return await first
+        tries = [asyncio.create_task(first)]
         try:
             await asyncio.wait(tries, timeout=after_ms / _MS_PER_S)
             other = None if tries[0].done() else self._second_target(journey)
@@ -264,7 +301,11 @@
                 journey.remember(reply)
 
     async def _try(
-        self, journey: Journey, target: MemberEntry, is_hedge: bool = False
+        self,
+        journey: Journey,
+        target: MemberEntry,
+        is_hedge: bool = False,
+        binding: LateBinding | None = None,
     ) -> ForwardReply:
         begun_ms = self.clock.now_ms()
         left_ms = journey.deadline_ms - begun_ms
@@ -277,6 +318,7 @@
             # What is late already keeps the shortest aim that can be told.
             aim_ms=max(1, first.aim_ms - spent_ms) if first.aim_ms else 0,
             max_wait_ms=0 if is_hedge else journey.offer_wait_ms,
+            bind_late=binding is not None,
         )
         if journey.tries > journey.redirects:
             request = self._mark_retry(request)
@@ -286,7 +328,7 @@
         # Where another target answers first, this try is cancelled.
         seen = Observation(TargetResult.NEUTRAL)
         try:
-            reply = await self._send(target, request)
+            reply = await self._send(target, request, binding)
             took_ms = self.clock.now_ms() - begun_ms
             if was_declined(request, reply):
                 journey.decline(target, reply)
@@ -298,6 +340,8 @@
                 self.owner.reports.node_lost(request)
             return reply
         except asyncio.CancelledError:
+            if binding is not None and binding.node != target.node:
+                raise
             took_ms = self.clock.now_ms() - begun_ms
             _trace_try(target, "given_up", took_ms)
             if self._is_overdue(request, took_ms):
@@ -321,14 +365,28 @@
         return after_ms is not None and took_ms >= after_ms
 
     async def _send(
-        self, target: MemberEntry, request: ForwardRequest
+        self,
+        target: MemberEntry,
+        request: ForwardRequest,
+        binding: LateBinding | None,
     ) -> ForwardReply:
         if request.remaining_ms <= 0:
             error = RequestError(ErrorKind.DEADLINE_NOT_RUN)
             return error_reply(request.request_id, error)
-        if target.node == self.members.own.node:
-            return await self.owner.serve(request)
-        return await self.links.to(target.peer_address).forward(request)
+        is_own = target.node == self.members.own.node
+        if binding is None:
+            if is_own:
+                return await self.owner.serve(request)
+            return await self.links.to(target.peer_address).forward(request)
+        if is_own:
+
+            async def take_slot() -> bool:
+                return binding.bind(target.node)
+
+            return await self.owner.serve(request, take_slot)
+        return await self.links.to(target.peer_address).forward(
+            request, lambda: binding.bind(target.node)
+        )
 
     def _mark_retry(self, request: ForwardRequest) -> ForwardRequest:
         name = self.retry_header
--- a/packages/pomelobank-node/src/pomelobank_node/_journey.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -18,6 +18,9 @@
 # it. With six of ten slots busy, one target in three has none free, and of two
 # in a row one in nine; a third would shorten few waits.
 OFFERS = 2
+# The same for a request that then waits at several targets: whichever has a
+# slot first is found without a look at one after the other.
+OFFERS_BEFORE_QUEUES = 1
 # Part of the objective that a request waits at a target without looking for
 # another one. The way to the next takes a few milliseconds, so waiting pays
 # only where it is about as short.
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_late_binding.py
@@ -0,0 +1,77 @@
+"""Lets a request wait at several targets; the first with a slot runs it."""
+
+import asyncio
+
+import attrs
+
+from pomelobank_node._bodies import rest_of
+from pomelobank_node._journey import Journey, is_answer
+from pomelobank_node._requests import ForwardReply
+
+# Targets at which a request waits at the same time. Each further one shortens
+# the wait by less and costs the same frames.
+LATE_TARGETS = 5
+
+
+def may_bind_late(journey: Journey) -> bool:
+    """Tells whether a request may wait at several targets.
+
+    It is sent to each of them, and a peer of an earlier version runs it
+    unasked; so it has to be idempotent and without a body. A caller that has
+    come back would take several places in queues from newcomers.
+    """
+    request = journey.request
+    if journey.runs_alone or not request.idempotent:
+        return False
+    return not (request.body or rest_of(request) or request.spent_ms)
+
+
+@attrs.define(eq=False)
+class LateBinding:
+    """Decides which of several targets runs a request.
+
+    Load pattern: targets with few slots, all busy with work of hundreds of
+    milliseconds, and requests that take a tenth of that. What a sender knows of
+    a queue is older than the queue, so a request that picks one target waits
+    for that target's next slot; of several targets, one has a slot much sooner
+    (late binding: K. Ousterhout et al., "Sparrow: Distributed, Low Latency
+    Scheduling", 2013).
+
+    Attributes:
+        node: Node of the target that runs it; empty until one has a slot.
+        tries: The request's tries, by node.
+    """
+
+    node: str = ""
+    tries: dict[str, asyncio.Task[ForwardReply]] = attrs.field(factory=dict)
+
+    def bind(self, node: str) -> bool:
+        """Takes a slot that a target offers; returns whether it is wanted."""
+        if not self.node:
+            self.node = node
+            for other, task in self.tries.items():
+                if other != node:
+                    task.cancel()
+        return self.node == node
+
+    async def reply(self) -> ForwardReply:
+        """Returns the answer, or the refusal that names the shortest wait."""
+        refusals: list[ForwardReply] = []
+        pending = set(self.tries.values())
+        while pending:
+            done, pending = await asyncio.wait(
+                pending, return_when=asyncio.FIRST_COMPLETED
+            )
+            for node, task in self.tries.items():
+                if task not in done or task.cancelled():
+                    continue
+                reply = task.result()
+                if node == self.node or is_answer(reply):
+                    return reply
+                refusals.append(reply)
+        return min(refusals, key=lambda item: item.retry_after_ms)
+
+    def end(self) -> None:
+        """Withdraws the request from every target."""
+        for task in self.tries.values():
+            task.cancel()
--- a/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
@@ -33,6 +33,8 @@
     BodyChunk,
     BodyCredit,
     CancelRequest,
+    SlotAccept,
+    SlotOffer,
     StreamClosing,
 )
 
@@ -48,6 +50,10 @@
 _ALLOWANCE_PART = 10
 
 
+# Tells whether a request takes the slot that an owner offers.
+SlotTaker = Callable[[], bool]
+
+
 @attrs.define(eq=False)
 class Call:
     """One request and everyone who waits for a part of it.
@@ -59,10 +65,12 @@
         credit: What the peer granted for the rest of its body.
         upload: Sends the rest of its body.
         request: The request.
+        on_slot: Tells whether the request takes a slot that its owner offers.
     """
 
     reply: asyncio.Future[ForwardReply]
     request: ForwardRequest
+    on_slot: SlotTaker | None = None
     timer: asyncio.TimerHandle | None = None
     download: PartBuffer | None = None
     credit: Credit = attrs.field(factory=Credit)
@@ -109,11 +117,14 @@
     def __attrs_post_init__(self) -> None:
         self.stream.on_written = self.table.written
 
-    async def forward(self, request: ForwardRequest) -> ForwardReply:
+    async def forward(
+        self, request: ForwardRequest, on_slot: SlotTaker | None = None
+    ) -> ForwardReply:
         """Sends a request and waits for its reply.
 
         Args:
             request: The request; its id is set here.
+            on_slot: Tells whether a request that binds late takes a slot.
 
         Returns:
             The reply, or the error that ended the request.
@@ -132,7 +143,7 @@
             request_id=request_id,
             remaining_ms=request.remaining_ms - allowance_ms,
         )
-        call = Call(loop.create_future(), frame)
+        call = Call(loop.create_future(), frame, on_slot)
         self.calls[request_id] = call
         call.timer = loop.call_later(
             request.remaining_ms / _MS_PER_S, self._expire, request_id
@@ -242,6 +253,16 @@
                 send_rest(self.stream, frame.request_id, rest, call.credit)
             )
 
+    def slot_offered(self, request_id: int) -> None:
+        """Takes the owner's offer of a slot, or gives the request up there."""
+        if not self._is_wanted(self.table.slot_offered(request_id)):
+            return
+        on_slot = self.calls[request_id].on_slot
+        if on_slot is not None and on_slot():
+            self.stream.send(SlotAccept(request_id=request_id))
+        else:
+            self.give_up(request_id)
+
     def refuse_after(self, last_id: int) -> None:
         """Ends the requests that a stopping peer did not take."""
         self.closing = True
@@ -302,3 +323,8 @@
 @handle_reply_frame.register
 def _(frame: StreamClosing, stream: OutgoingStream) -> None:
     stream.refuse_after(frame.last_request_id)
+
+
+@handle_reply_frame.register
+def _(frame: SlotOffer, stream: OutgoingStream) -> None:
+    stream.slot_offered(frame.request_id)
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import math
+from collections.abc import Awaitable, Callable
 
 import attrs
 
@@ -42,6 +43,10 @@
 _QUICK_MS = 5.0
 # How soon another try at a target that sheds may fare better.
 _SHED_RETRY_AFTER_MS = 200
+# Longest time that a slot stays free for the sender's answer. It is a round
+# trip away; a sender that is dark or stopped must not keep the slot.
+_OFFER_S = 0.1
+SlotOfferer = Callable[[], Awaitable[bool]]
 _BROKEN = frozenset({ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_TRUNCATED})
 _RESULTS = {
     ErrorKind.UPSTREAM_LOST: WorkResult.LOST,
@@ -131,22 +136,26 @@
         )
         self.gate.admission.limit.restart()
 
-    async def serve(self, request: ForwardRequest) -> ForwardReply:
+    async def serve(
+        self, request: ForwardRequest, offer_slot: SlotOfferer | None = None
+    ) -> ForwardReply:
         """Runs a request on the target.
 
         Args:
             request: The request, wherever it came in.
+            offer_slot: Offers the slot to the sender of a request that binds
+                late; returns whether the sender takes it.
 
         Returns:
             The target's answer, or the error that ended the request.
         """
         request_id.set(request.trace_id)
         try:
-            return await self._serve(request)
+            return await self._serve(request, offer_slot)
         except RequestError as error:
             declined = error.kind is ErrorKind.OVERLOADED
-            if not (declined and request.max_wait_ms):
-                # An offer that was declined stands in the entry's line.
+            if not declined or not (request.max_wait_ms or request.bind_late):
+                # What was declined here stands in the entry's line.
                 self._log_failure(request, error)
             return error_reply(request.request_id, error)
 
@@ -174,7 +183,9 @@
             },
         )
 
-    async def _serve(self, request: ForwardRequest) -> ForwardReply:
+    async def _serve(
+        self, request: ForwardRequest, offer_slot: SlotOfferer | None
+    ) -> ForwardReply:
         if self.draining:
             raise RequestError(ErrorKind.DRAINING)
         if self.target is None or self.pool is None:
@@ -197,13 +208,19 @@
             max_wait_ms=request.max_wait_ms or math.inf,
         )
         await self.gate.enter(ticket)
-        return await self._admitted(ticket, self.pool, request)
+        return await self._admitted(ticket, self.pool, request, offer_slot)
 
     async def _admitted(
-        self, ticket: Ticket, pool: UpstreamPool, request: ForwardRequest
+        self,
+        ticket: Ticket,
+        pool: UpstreamPool,
+        request: ForwardRequest,
+        offer_slot: SlotOfferer | None,
     ) -> ForwardReply:
         result = WorkResult.ABANDONED
         try:
+            if offer_slot is not None:
+                await _bind(offer_slot)
             left_ms = int(ticket.deadline_ms) - self.clock.now_ms()
             if left_ms <= 0:
                 raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
@@ -270,6 +287,16 @@
             self.pool.close()
 
 
+async def _bind(offer_slot: SlotOfferer) -> None:
+    try:
+        async with asyncio.timeout(_OFFER_S):
+            taken = await offer_slot()
+    except TimeoutError:
+        taken = False
+    if not taken:
+        raise RequestError(ErrorKind.OVERLOADED)
+
+
 def _start_of(target: Target) -> tuple[str, str, int]:
     return target.address, target.instance, target.started_at_ms
 
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -8,7 +8,7 @@
 
 from pomelobank_core import ErrorKind
 from pomelobank_node._frames import FrameStream
-from pomelobank_node._outgoing_stream import OutgoingStream
+from pomelobank_node._outgoing_stream import OutgoingStream, SlotTaker
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
@@ -135,11 +135,14 @@
         outgoing = await self.connect()
         outgoing.stream.send(message)
 
-    async def forward(self, request: ForwardRequest) -> ForwardReply:
+    async def forward(
+        self, request: ForwardRequest, on_slot: SlotTaker | None = None
+    ) -> ForwardReply:
         """Sends a request and waits for its reply.
 
         Args:
             request: The request; its id is set here.
+            on_slot: Tells whether a request that binds late takes a slot.
 
         Returns:
             The reply; PEER_UNREACHABLE where no byte of the request was sent
@@ -152,7 +155,7 @@
                 current, request = await self._connect_for(request)
             except RequestError as error:
                 return error_reply(request.request_id, error)
-        return await current.forward(request)
+        return await current.forward(request, on_slot)
 
     async def _connect_for(
         self, request: ForwardRequest
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -40,6 +40,8 @@
     ProbeRequest,
     RecordsPull,
     RecordsPush,
+    SlotAccept,
+    SlotOffer,
     SnapshotPush,
     StreamClosing,
     SyncReply,
@@ -102,6 +104,7 @@
         running: Tasks of the peer's requests, by request id.
         uploads: Bodies on their way in, by request id.
         credits: What the peer granted for answers, by request id.
+        offers: Slots that were offered to the peer, by request id.
         age: Tells how old the peer's frames are.
         last_id: Highest request id taken.
         closing: Whether the peer was told that later ones are not taken.
@@ -118,6 +121,7 @@
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
+    offers: dict[int, asyncio.Future[None]] = attrs.field(factory=dict)
     age: FrameAge = attrs.field(factory=FrameAge)
     last_id: int = 0
     closing: bool = False
@@ -206,7 +210,21 @@
         # Without an upstream: the key is to be claimed here first.
         if not request.upstream and self.claims is not None:
             return await self.claims.serve(request)
-        return await self.owner.serve(request)
+        if not request.bind_late:
+            return await self.owner.serve(request)
+        return await self.owner.serve(
+            request, lambda: self._offer_slot(request.request_id)
+        )
+
+    async def _offer_slot(self, request_id: int) -> bool:
+        accepted = asyncio.get_running_loop().create_future()
+        self.offers[request_id] = accepted
+        self.stream.send(SlotOffer(request_id=request_id))
+        try:
+            await accepted
+        finally:
+            del self.offers[request_id]
+        return True
 
     def _with_rest(self, request: ForwardRequest) -> ForwardRequest:
         request_id = request.request_id
@@ -256,6 +274,14 @@
             return
         task.cancel()
 
+    def accept(self, request_id: int) -> None:
+        """Lets a request run in the slot that the peer was offered."""
+        accepted = self.offers.get(request_id)
+        if accepted is None or accepted.done():
+            self.late_frames += 1
+            return
+        accepted.set_result(None)
+
     def say_closing(self) -> None:
         """Tells the peer that later requests will not be taken."""
         self.closing = True
@@ -292,6 +318,11 @@
     connection.cancel(frame.request_id)
 
 
+@handle_frame.register
+def _(frame: SlotAccept, connection: PeerConnection) -> None:
+    connection.accept(frame.request_id)
+
+
 @handle_frame.register
 def _(frame: ForwardReply, connection: PeerConnection) -> None:
     # Requests go the other way on this stream, so no caller waits here.
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_outgoing_stream.py
@@ -16,6 +16,8 @@
     BodyCredit,
     CancelRequest,
     Hello,
+    SlotAccept,
+    SlotOffer,
     StreamClosing,
 )
 
@@ -242,3 +244,39 @@
     assert rest is not None
     with pytest.raises(RequestError):
         await rest.read()
+
+
+@pytest.mark.parametrize(
+    ("takes", "answer"),
+    [
+        pytest.param(True, SlotAccept, id="accepted"),
+        pytest.param(False, CancelRequest, id="bound elsewhere"),
+    ],
+)
+async def test_offered_slot_is_accepted_or_released(
+    link: PeerLink, peer: ScriptedPeer, takes: bool, answer: type[WireMessage]
+) -> None:
+    """Guards against a slot that stays reserved for a request run elsewhere."""
+    task = asyncio.create_task(link.forward(request(), lambda: takes))
+    await peer.expect(ForwardRequest)
+    peer.send(SlotOffer(request_id=1))
+    await peer.expect(answer)
+    peer.send(ForwardReply(request_id=1, status=200))
+    reply = await task
+    assert (reply.status == 200) is takes
+
+
+async def test_slot_offered_after_the_request_ended(
+    link: PeerLink, peer: ScriptedPeer
+) -> None:
+    """Guards against an offer that crosses the cancellation."""
+    task = asyncio.create_task(link.forward(request(), lambda: True))
+    await peer.expect(ForwardRequest)
+    task.cancel()
+    await peer.expect(CancelRequest)
+    peer.send(SlotOffer(request_id=1))
+    second = start(link)
+    await peer.expect(ForwardRequest)
+    peer.send(ForwardReply(request_id=2, status=200))
+    assert (await second).status == 200
+    assert link.late_replies == 1
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_peer_server.py
@@ -20,6 +20,8 @@
     BodyCredit,
     CancelRequest,
     Hello,
+    SlotAccept,
+    SlotOffer,
     StreamClosing,
 )
 
@@ -43,7 +45,11 @@
         self.release = asyncio.Event()
         self.error: Exception | None = None
 
-    async def serve(self, request: ForwardRequest) -> ForwardReply:
+    async def serve(
+        self, request: ForwardRequest, offer_slot: Any = None
+    ) -> ForwardReply:
+        if offer_slot is not None:
+            await offer_slot()
         self.served.append(request)
         await self.release.wait()
         if self.error is not None:
@@ -113,6 +119,34 @@
     assert connection.running == {}
 
 
+async def test_late_bound_request_runs_after_its_sender_accepts(
+    connection: Any,
+) -> None:
+    """Guards against a request that runs at each target where it waits."""
+    handle_frame(request(1, bind_late=True), connection)
+    handle_frame(request(2, bind_late=True), connection)
+    await step()
+    offers = connection.stream.sent
+    assert offers == [SlotOffer(request_id=1), SlotOffer(request_id=2)]
+    assert connection.owner.served == []
+    handle_frame(SlotAccept(request_id=2), connection)
+    handle_frame(CancelRequest(request_id=1), connection)
+    await step()
+    assert [item.request_id for item in connection.owner.served] == [2]
+    assert not connection.offers
+
+
+async def test_slot_accepted_twice_or_never_offered(connection: Any) -> None:
+    """Guards against a frame out of turn that ends the stream's other work."""
+    handle_frame(request(1, bind_late=True), connection)
+    await step()
+    for number in (1, 1, 7):
+        handle_frame(SlotAccept(request_id=number), connection)
+    await step()
+    assert len(connection.owner.served) == 1
+    assert connection.late_frames == 2
+
+
 async def test_too_many_requests_are_refused_at_once(
     connection: Any, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -5,16 +5,20 @@
 import attrs
 
 from pomelobank_core import (
+    BriefWork,
     CallerPatience,
+    Candidates,
     DeadlineAdmission,
     Rank,
     RankLoad,
     SlotLimit,
     Ticket,
+    TwoChoices,
     Verdict,
 )
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._owner import Owner
+from pomelobank_schema.generated.peer import MemberEntry
 
 
 @attrs.define(eq=False)
@@ -57,6 +61,18 @@
         return []
 
 
+class _OneQueue(TwoChoices):
+    def place_several(
+        self, candidates: Candidates, count: int, now_ms: float
+    ) -> list[MemberEntry]:
+        return []
+
+
+class _NothingIsBrief(BriefWork):
+    def includes(self, route: str, slots: int, now_ms: float) -> bool:
+        return False
+
+
 class _Unranked(DeadlineAdmission):
     def offer(self, ticket: Ticket, now_ms: float) -> Verdict:
         ticket.priority = 0
@@ -75,6 +91,18 @@
     node.owner.gate.admission = kind(limit)
 
 
+def _without_brief_first(node: ModelNode) -> None:
+    admission = node.owner.gate.admission
+    assert isinstance(admission, DeadlineAdmission)
+    admission.brief = _NothingIsBrief(admission.times)
+
+
+def _without_late_binding(node: ModelNode) -> None:
+    placing = node.forwarder.placing
+    assert isinstance(placing, TwoChoices)
+    node.forwarder.placing = _OneQueue(placing.seeded, placing.ramp)
+
+
 def _without_offers(node: ModelNode) -> None:
     node.forwarder.retries.free_refusals = False
 
@@ -88,7 +116,9 @@
 
 
 MECHANISMS: dict[str, Switch] = {
+    "brief-first": _without_brief_first,
     "hedging": _without_hedging,
+    "late-binding": _without_late_binding,
     "late-limit": lambda node: _admit_by(node, _LateMayWait),
     "offers": _without_offers,
     "overtaking": _without_overtaking,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -22,6 +22,7 @@
 )
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._forwarder import Forwarder
+from pomelobank_node._outgoing_stream import SlotTaker
 from pomelobank_node._owner import Owner, Target
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import (
@@ -67,9 +68,19 @@
     node: ModelNode
     pause_s: float
 
-    async def forward(self, request: ForwardRequest) -> ForwardReply:
+    async def forward(
+        self, request: ForwardRequest, on_slot: SlotTaker | None = None
+    ) -> ForwardReply:
+        async def offer_slot() -> bool:
+            await asyncio.sleep(self.pause_s)
+            taken = on_slot is not None and on_slot()
+            await asyncio.sleep(self.pause_s)
+            return taken
+
         await asyncio.sleep(self.pause_s)
-        reply = await self.node.owner.serve(request)
+        reply = await self.node.owner.serve(
+            request, offer_slot if request.bind_late else None
+        )
         await asyncio.sleep(self.pause_s)
         return reply
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -120,3 +120,10 @@
     asked = outcomes.of("reorder").asked
     assert outcomes.of("reorder").failed < 0.01 * asked
     assert outcomes.of("stock").in_aim > 0.4 * outcomes.of("stock").asked
+
+
+def test_calls_find_the_first_free_slot_of_several_targets() -> None:
+    """Guards against calls that wait for the next slot of one full target."""
+    late = play(PATTERNS["calls"], SEED)
+    early = play(PATTERNS["calls"], SEED, frozenset({"late-binding"}))
+    assert late.worth > early.worth + 0.1
