The model of loads has lines, and a pattern on which bodies fill them

Now each node has an outgoing line that carries requests, bodies and answers one after the other, and the pattern thin-lines is the pattern calls with the deployment's sizes. Holding bodies back can be switched off (--without held-back-bodies).

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -68,7 +68,7 @@
 _MS_PER_S = 1000
 # Bodies from this size on are sent to a peer only once its target has a slot.
 # Smaller ones are no longer than the frames that ask for them.
-_HOLD_BACK_BYTES = 1024
+HOLD_BACK_BYTES = 1024
 _PERCENT = 100
 _TWICE = 2
 
@@ -94,6 +94,7 @@
         retry_header: Marks a request that is part of a retry; empty for none.
         index: The targets of each upstream.
         retries: Decides about further tries.
+        hold_back_bytes: Size from which bodies wait for a slot.
         hedging: Decides when an overdue request is sent twice; None for never.
         hedged: Requests that were sent twice, for the metrics.
         hedges_won: Those of them that the second target answered first.
@@ -108,6 +109,7 @@
     retry_header: bytes = RETRY_HEADER
     index: CandidateIndex = attrs.field()
     retries: Retries = attrs.field(factory=Retries)
+    hold_back_bytes: int = HOLD_BACK_BYTES
     hedging: Hedging | None = None
     turned_away: int = 0
     hedged: int = 0
@@ -383,7 +385,7 @@
             return error_reply(request.request_id, error)
         is_own = target.node == self.members.own.node
         if not is_own:
-            request = _hold_back(request)
+            request = self._hold_back(request)
         if binding is None:
             if is_own:
                 return await self.owner.serve(request)
@@ -398,6 +400,14 @@
             request, lambda: binding.bind(target.node)
         )
 
+    def _hold_back(self, request: ForwardRequest) -> ForwardRequest:
+        if rest_of(request) or len(request.body) < self.hold_back_bytes:
+            return request
+        head = attrs.evolve(
+            request, body=b"", fingerprint=request_fingerprint(request)
+        )
+        return with_rest(head, HeldBackBody(request.body))
+
     def _mark_retry(self, request: ForwardRequest) -> ForwardRequest:
         name = self.retry_header
         if not name or any(item.name == name for item in request.headers):
@@ -443,16 +453,6 @@
         return self.placing.has_room(other, traffic_class, now_ms)
 
 
-def _hold_back(request: ForwardRequest) -> ForwardRequest:
-    """Leaves a body out that its target may have no slot for."""
-    if len(request.body) < _HOLD_BACK_BYTES or rest_of(request) is not None:
-        return request
-    head = attrs.evolve(
-        request, body=b"", fingerprint=request_fingerprint(request)
-    )
-    return with_rest(head, HeldBackBody(request.body))
-
-
 def _put_away(journey: Journey, reply: ForwardReply) -> None:
     """Takes a reply that came beside a better one."""
     journey.remember(reply)
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -1,5 +1,6 @@
 """Mechanisms that an experiment can switch off, one by one."""
 
+import sys
 from collections.abc import Callable
 
 import attrs
@@ -111,6 +112,10 @@
     node.patience = _AllAreNew()
 
 
+def _without_held_back_bodies(node: ModelNode) -> None:
+    node.forwarder.hold_back_bytes = sys.maxsize
+
+
 def _without_hedging(node: ModelNode) -> None:
     node.forwarder.hedging = None
 
@@ -118,6 +123,7 @@
 MECHANISMS: dict[str, Switch] = {
     "brief-first": _without_brief_first,
     "hedging": _without_hedging,
+    "held-back-bodies": _without_held_back_bodies,
     "late-binding": _without_late_binding,
     "late-limit": lambda node: _admit_by(node, _LateMayWait),
     "offers": _without_offers,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -20,6 +20,7 @@
     SharedBudget,
     TwoChoices,
 )
+from pomelobank_node._bodies import BodySource, rest_of, with_rest
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._outgoing_stream import SlotTaker
@@ -52,6 +53,8 @@
 _RETRY_RATIO = 0.2
 _RETRY_SLACK = 56
 _RETRY_WINDOW_MS = 10_000
+# A frame of a request or an answer without its body.
+_HEAD_BYTES = 450
 _LEFT_CHECK_S = 0.05
 _SUCCESS = 200
 
@@ -61,12 +64,51 @@
     return not reply.error and reply.status == _SUCCESS
 
 
+@attrs.define(eq=False)
+class _Line:
+    """A node's line, one way; what is sent waits for what was sent before."""
+
+    bytes_per_s: int
+    free_at_s: float = 0.0
+
+    async def carry(self, size: int) -> None:
+        if not self.bytes_per_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self.free_at_s = max(now_s, self.free_at_s) + size / self.bytes_per_s
+        await asyncio.sleep(self.free_at_s - now_s)
+
+
+@attrs.define(eq=False)
+class _LineBody:
+    """A body that crosses a link when it is read."""
+
+    body: BodySource
+    link: "_Link"
+    started: bool = False
+
+    async def read(self) -> bytes:
+        self.started = True
+        data = await self.body.read()
+        if data:
+            await asyncio.sleep(self.link.pause_s)
+            await self.link.out.carry(len(data))
+            await asyncio.sleep(self.link.pause_s)
+        return data
+
+    def close(self) -> None:
+        self.body.close()
+
+
 @attrs.define(eq=False)
 class _Link:
     """The way to one node."""
 
     node: ModelNode
     pause_s: float
+    pattern: Pattern
+    out: _Line
+    back: _Line
 
     async def forward(
         self, request: ForwardRequest, on_slot: SlotTaker | None = None
@@ -77,10 +119,16 @@
             await asyncio.sleep(self.pause_s)
             return taken
 
+        await self.out.carry(_HEAD_BYTES + len(request.body))
         await asyncio.sleep(self.pause_s)
+        rest = rest_of(request)
         reply = await self.node.owner.serve(
-            request, offer_slot if request.bind_late else None
+            with_rest(request, rest and _LineBody(rest, self)),
+            offer_slot if request.bind_late else None,
         )
+        route = self.pattern.route(request.route)
+        answer_bytes = route.answer_bytes if is_success(reply) else 0
+        await self.back.carry(_HEAD_BYTES + answer_bytes)
         await asyncio.sleep(self.pause_s)
         return reply
 
@@ -93,13 +141,21 @@
     """Stands in place of a node's streams to its peers."""
 
     mesh: "ModelMesh"
+    own_node: str
     own_centre: str
 
     def to(self, address: str) -> _Link:
         node = self.mesh.by_address[address]
         centre = node.forwarder.members.own.data_centre
         pause_ms = _NEAR_MS if centre == self.own_centre else _FAR_MS
-        return _Link(node, pause_ms / _MS_PER_S)
+        lines = self.mesh.lines
+        return _Link(
+            node,
+            pause_ms / _MS_PER_S,
+            self.mesh.pattern,
+            lines[self.own_node],
+            lines[node.name],
+        )
 
 
 @attrs.define(eq=False)
@@ -114,6 +170,7 @@
         nodes: The nodes.
         by_address: The nodes, by address.
         targets: Their targets.
+        lines: The nodes' outgoing lines, by node.
     """
 
     pattern: Pattern
@@ -123,6 +180,7 @@
     nodes: list[ModelNode] = attrs.field(factory=list)
     by_address: dict[str, ModelNode] = attrs.field(factory=dict)
     targets: list[ModelTarget] = attrs.field(factory=list)
+    lines: dict[str, _Line] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         places = [
@@ -144,7 +202,7 @@
         table = MemberTable(own)
         table.merge(entry for entry in entries if entry is not own)
         # Only what the forwarder and the reports of crashes call.
-        links = cast(PeerLinks, _Links(self, own.data_centre))
+        links = cast(PeerLinks, _Links(self, own.node, own.data_centre))
         reports = CrashReports(table, links, clock)
         settings = RequestSettings(admission="by_deadline", slots=own.slots)
         owner = Owner(settings, clock, reports)
@@ -161,6 +219,7 @@
             hedging=Hedging(),
         )
         node = ModelNode(own.node, forwarder, owner)
+        self.lines[own.node] = _Line(self.pattern.line_bytes_per_s)
         for name in self.without:
             MECHANISMS[name](node)
         admission = owner.gate.admission
@@ -211,6 +270,7 @@
             route=route.name,
             method="GET",
             target=route.name.encode(),
+            body=bytes(route.body_bytes),
             remaining_ms=int(min(left_ms, route.timeout_ms or left_ms)),
             traffic_class="interactive",
             idempotent=route.idempotent,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -33,6 +33,8 @@
         aim_ms: Time in which an answer is of full use.
         deadline_ms: How long a caller waits, earlier attempts included.
         timeout_ms: How long one attempt may take; 0 for the deadline.
+        body_bytes: Size of a request's body.
+        answer_bytes: Size of an answer.
         priority: Rank; 0 is the most urgent.
         worth: Worth of an answer in time.
         late_worth: Worth of a later one.
@@ -54,6 +56,8 @@
     returns: int = 1
     calls: InnerCalls | None = None
     timeout_ms: int = 0
+    body_bytes: int = 0
+    answer_bytes: int = 0
 
 
 @attrs.frozen
@@ -120,6 +124,7 @@
         troubles: What goes wrong.
         bursts: When more callers come.
         length_s: How long callers come.
+        line_bytes_per_s: Speed of each node's line, each way; 0 for no bound.
     """
 
     purpose: str
@@ -128,6 +133,7 @@
     troubles: tuple[Trouble, ...] = ()
     bursts: tuple[Burst, ...] = ()
     length_s: float = 8.0
+    line_bytes_per_s: int = 0
 
     def route(self, name: str) -> RouteLoad:
         """Returns a route by its name."""
@@ -276,6 +282,20 @@
         _CALLING,
         _FEW_SLOTS,
     ),
+    "thin-lines": Pattern(
+        "the same on lines that a few bodies fill",
+        tuple(
+            attrs.evolve(route, body_bytes=body, answer_bytes=answer)
+            for route, body, answer in zip(
+                _CALLING,
+                (0, 4000, 0, 0, 0, 0),
+                (1500, 5000, 1500, 400, 200, 200),
+                strict=True,
+            )
+        ),
+        _FEW_SLOTS,
+        line_bytes_per_s=437_500,
+    ),
     "shedding": Pattern(
         "targets turn half of their requests away unrun",
         _ROUTES,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -127,3 +127,10 @@
     late = play(PATTERNS["calls"], SEED)
     early = play(PATTERNS["calls"], SEED, frozenset({"late-binding"}))
     assert late.worth > early.worth + 0.1
+
+
+def test_thin_lines_are_not_filled_with_bodies_that_are_declined() -> None:
+    """Guards against answers and calls that wait behind bodies in the lines."""
+    held_back = play(PATTERNS["thin-lines"], SEED)
+    sent = play(PATTERNS["thin-lines"], SEED, frozenset({"held-back-bodies"}))
+    assert held_back.worth > sent.worth + 0.03
