A stop whose grace is used up answers what hangs

Cause: the callers' server answers pending requests once its wait for them is over. Ruled out for these: requests taken after the node knew its end (they came 1.2 s before), targets at work (the request was at none). Change: the wait is the rest of the grace, or nothing. Test: a request that outlasts the stop is answered 504; before, 502 from a torn stream.

--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -306,9 +306,8 @@
         # Somebody may come after the last answer, and has the rest of the grace
         # like those before: cut off sooner, an order's caller would not know
         # whether it has run.
-        self.http.stop_timeout_ms = max(
-            self.http.stop_timeout_ms, end_ms - self.clock.now_ms()
-        )
+        # Past the end, what hangs is told so while that can still leave.
+        self.http.stop_timeout_ms = max(0, end_ms - self.clock.now_ms())
         await self._stop_parts(begun_ms + grace_ms - LAST_MOMENT_MS)
         _logger.info("node.stopped")
 
