A second try of an overdue request takes a free slot or none

Cause: a request that takes 2.5 times its usual time is sent to a second target, which let it wait for a slot like any other. Change: the second try is offered with a wait of 1 ms at most.

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -35,6 +35,7 @@
 from pomelobank_node._crash_reports import request_fingerprint
 from pomelobank_node._dialect import Dialect
 from pomelobank_node._journey import (
+    HEDGE_WAIT_MS,
     OFFERS,
     OFFERS_BEFORE_QUEUES,
     Journey,
@@ -327,7 +328,7 @@
             remaining_ms=left_ms,
             # What is late already keeps the shortest aim that can be told.
             aim_ms=max(1, first.aim_ms - spent_ms) if first.aim_ms else 0,
-            max_wait_ms=0 if is_hedge else journey.offer_wait_ms,
+            max_wait_ms=HEDGE_WAIT_MS if is_hedge else journey.offer_wait_ms,
             bind_late=binding is not None,
         )
         if journey.tries > journey.redirects:
@@ -340,7 +341,7 @@
         try:
             reply = await self._send(target, request, binding)
             took_ms = self.clock.now_ms() - begun_ms
-            if was_declined(request, reply):
+            if was_declined(request, reply) and not is_hedge:
                 journey.decline(target, reply)
             seen = observation(request, reply, took_ms, first.aim_ms)
             _trace_try(target, reply.error or str(reply.status), took_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/_journey.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -21,6 +21,9 @@
 # The same for a request that then waits at several targets: whichever has a
 # slot first is found without a look at one after the other.
 OFFERS_BEFORE_QUEUES = 1
+# Longest wait with which a second try of an overdue request is taken. It gets a
+# slot that is free now; under load it would take one from a first try.
+HEDGE_WAIT_MS = 1
 # Part of the objective that a request waits at a target without looking for
 # another one. The way to the next takes a few milliseconds, so waiting pays
 # only where it is about as short.
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -239,6 +239,17 @@
     assert (forwarder.hedged, forwarder.hedges_won) == (1, 1)
 
 
+async def test_a_second_try_does_not_queue_at_a_busy_target() -> None:
+    """Guards against overdue requests that take slots from first tries."""
+    links = SilentLinks(1, FULL)
+    asked = asyncio.create_task(_hedging(links).forward(_request(True)))
+    _, pending = await asyncio.wait({asked}, timeout=0.2)
+    assert pending
+    assert [item.max_wait_ms for item in links.sent] == [0, 1]
+    asked.cancel()
+    await asyncio.gather(asked, return_exceptions=True)
+
+
 @pytest.mark.parametrize(
     ("idempotent", "changes"),
     [
