Places in queues are no tries

Found by reading: a request that waits at five targets counted each of them as tried until it was bound, and the count that was set at the end dropped that of a second try beside it. With three targets no other was left after the loss of the one that ran it; with a second try under way one more target than the route allows could be asked. A second try that was declined counted as one, too. Change: each try takes its own count back where it only waited or was declined. A stream that breaks while a request waits no longer hides the refusals of others. Test: a request with three targets whose first is lost asks another (none before).

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -227,7 +227,6 @@
             journey.offers = 0
             return await self._try(journey, journey.least_busy())
         binding = LateBinding()
-        tries, tried = journey.tries, journey.tried.copy()
         for target in targets:
             binding.tries[target.node] = asyncio.create_task(
                 self._try(journey, target, binding=binding)
@@ -236,9 +235,6 @@
             return await binding.reply()
         finally:
             binding.end()
-            # It was tried where it was bound; elsewhere it only waited.
-            journey.tries = tries + bool(binding.node)
-            journey.tried = tried | {binding.node}
 
     async def _hedged(
         self, journey: Journey, first: Coroutine[None, None, ForwardReply]
@@ -331,7 +327,7 @@
             max_wait_ms=HEDGE_WAIT_MS if is_hedge else journey.offer_wait_ms,
             bind_late=binding is not None,
         )
-        if journey.tries > journey.redirects:
+        if binding is None and journey.tries > journey.redirects:
             request = self._mark_retry(request)
         journey.tries += 1
         journey.tried.add(target.node)
@@ -341,8 +337,8 @@
         try:
             reply = await self._send(target, request, binding)
             took_ms = self.clock.now_ms() - begun_ms
-            if was_declined(request, reply) and not is_hedge:
-                journey.decline(target, reply)
+            if was_declined(request, reply):
+                journey.decline(target, reply, is_offer=not is_hedge)
             seen = observation(request, reply, took_ms, first.aim_ms)
             _trace_try(target, reply.error or str(reply.status), took_ms)
             if self.hedging is not None and is_answer(reply):
@@ -367,6 +363,8 @@
             candidates = self.index.of(request.upstream)
             now_ms = self.clock.now_ms()
             self.placing.ended(target, candidates, seen, now_ms)
+            if binding is not None and binding.node != target.node:
+                journey.waited_at(target)
 
     def _is_overdue(self, request: ForwardRequest, took_ms: float) -> bool:
         if self.hedging is None:
--- a/packages/pomelobank-node/src/pomelobank_node/_journey.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_journey.py
@@ -67,11 +67,25 @@
         objective_ms = request.aim_ms or request.remaining_ms
         return max(1, int(OFFER_WAIT_PART * objective_ms))
 
-    def decline(self, target: MemberEntry, reply: ForwardReply) -> None:
-        """Takes note that a target declined it, which is no try."""
+    def decline(
+        self, target: MemberEntry, reply: ForwardReply, is_offer: bool = True
+    ) -> None:
+        """Takes note that a target declined it, which is no try.
+
+        Args:
+            target: The target.
+            reply: What its node said.
+            is_offer: Whether it was the first try, and not one beside it.
+        """
+        self.tries -= 1
+        if is_offer:
+            self.offers -= 1
+            self.declined[target] = reply.retry_after_ms
+
+    def waited_at(self, target: MemberEntry) -> None:
+        """Takes note that it only waited at a target, which is no try."""
         self.tries -= 1
-        self.offers -= 1
-        self.declined[target] = reply.retry_after_ms
+        self.tried.discard(target.node)
 
     def least_busy(self) -> MemberEntry:
         """Returns the target with the shortest wait of those that declined."""
--- a/packages/pomelobank-node/src/pomelobank_node/_late_binding.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_late_binding.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pomelobank_core import ErrorKind
 from pomelobank_node._bodies import rest_of
 from pomelobank_node._journey import Journey, is_answer
 from pomelobank_node._requests import ForwardReply
@@ -69,9 +70,15 @@
                 if node == self.node or is_answer(reply):
                     return reply
                 refusals.append(reply)
-        return min(refusals, key=lambda item: item.retry_after_ms)
+        return min(refusals, key=_preference)
 
     def end(self) -> None:
         """Withdraws the request from every target."""
         for task in self.tries.values():
             task.cancel()
+
+
+def _preference(refusal: ForwardReply) -> tuple[bool, int]:
+    # A stream that broke while the request waited says nothing of the others.
+    is_lost = refusal.error != ErrorKind.OVERLOADED.value
+    return is_lost, refusal.retry_after_ms
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_late_binding.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_late_binding.py
@@ -38,6 +38,8 @@
         waiting: Addresses of the targets where one waits.
         lost: Whether a target that runs a request is lost.
         all_wait: Set once a request waits at as many targets as it may.
+        joined: Set when a request begins to wait.
+        asked_again: Addresses asked after a target was lost.
     """
 
     free: asyncio.Queue[str] = attrs.field(factory=asyncio.Queue)
@@ -46,6 +48,8 @@
     waiting: dict[str, Callable[[], bool]] = attrs.field(factory=dict)
     lost: bool = False
     all_wait: asyncio.Event = attrs.field(factory=asyncio.Event)
+    joined: asyncio.Event = attrs.field(factory=asyncio.Event)
+    asked_again: list[str] = attrs.field(factory=list)
 
     def to(self, address: str) -> "_Peer":
         return _Peer(self, address)
@@ -65,9 +69,12 @@
         on_slot: Callable[[], bool] | None = None,
     ) -> ForwardReply:
         peers = self.peers
+        if peers.running:
+            peers.asked_again.append(self.address)
         if on_slot is None or peers.refusing:
             return error_reply(0, RequestError(ErrorKind.OVERLOADED, 80))
         peers.waiting[self.address] = on_slot
+        peers.joined.set()
         if len(peers.waiting) == LATE_TARGETS:
             peers.all_wait.set()
         try:
@@ -169,6 +176,20 @@
     assert forwarder.retries.budgets["stock"].spent == 1
 
 
+async def test_places_in_queues_are_no_tries() -> None:
+    """Guards against a request that no target is left for after one loss."""
+    peers = QueueingPeers(lost=True)
+    forwarder = _forwarder(peers, targets=3)
+    task = asyncio.create_task(forwarder.forward(_request(max_attempts=2)))
+    while len(peers.waiting) < 3:
+        await peers.joined.wait()
+        peers.joined.clear()
+    peers.free.put_nowait(next(iter(peers.waiting)))
+    reply = await task
+    assert reply.error == ErrorKind.UPSTREAM_LOST.value
+    assert peers.asked_again
+
+
 async def test_order_waits_at_one_target_only() -> None:
     """Guards against a request that may run once being left at several."""
     peers = QueueingPeers()
