--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -46,8 +46,8 @@
     was_declined,
 )
 from pomelobank_node._late_binding import (
-    LATE_TARGETS,
     LateBinding,
+    late_targets,
     may_bind_late,
 )
 from pomelobank_node._owner import Owner
@@ -157,7 +157,7 @@
             declined = journey.offers < offers
             # Where it was sent twice meanwhile, the other reply counts.
             if declined and reply.error == ErrorKind.OVERLOADED.value:
-                if not may_bind_late(journey):
+                if not self._may_bind_late(journey):
                     target = self._after_decline(journey)
                     continue
                 reply = await self._hedged(
@@ -186,7 +186,13 @@
             return 0
         if len(targets) < OFFERS:
             return 0
-        return OFFERS_BEFORE_QUEUES if may_bind_late(journey) else OFFERS
+        if self._may_bind_late(journey):
+            return OFFERS_BEFORE_QUEUES
+        return OFFERS
+
+    def _may_bind_late(self, journey: Journey) -> bool:
+        targets = self.index.of(journey.request.upstream).targets
+        return may_bind_late(journey, targets)
 
     def _after_decline(self, journey: Journey) -> MemberEntry:
         now_ms = self.clock.now_ms()
@@ -227,7 +233,9 @@
     async def _queue_at_several(self, journey: Journey) -> ForwardReply:
         candidates = self.index.of(journey.request.upstream)
         targets = self.placing.place_several(
-            candidates, LATE_TARGETS, self.clock.now_ms()
+            candidates,
+            late_targets(candidates.targets),
+            self.clock.now_ms(),
         )
         if not targets:
             journey.offers = 0
--- a/packages/pomelobank-node/src/pomelobank_node/_late_binding.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_late_binding.py
@@ -1,6 +1,7 @@
 """Lets a request wait at several targets; the first with a slot runs it."""
 
 import asyncio
+from collections.abc import Sequence
 
 import attrs
 
@@ -8,19 +9,38 @@
 from pomelobank_node._bodies import rest_of
 from pomelobank_node._journey import Journey, is_answer
 from pomelobank_node._requests import ForwardReply
+from pomelobank_schema.generated.peer import MemberEntry
 
-# Targets at which a request waits at the same time. Each further one shortens
-# the wait by less and costs the same frames.
-LATE_TARGETS = 5
+# Slots in front of which a request waits at the same time. Each further target
+# shortens the wait by less and costs the same frames; targets with half as many
+# slots of their own free one soon enough.
+LATE_SLOTS = 15
+_SEVERAL = 2
 
 
-def may_bind_late(journey: Journey) -> bool:
+def late_targets(targets: Sequence[MemberEntry]) -> int:
+    """Returns at how many of an upstream's targets a request waits.
+
+    Args:
+        targets: The upstream's targets.
+    """
+    slots = max((entry.slots for entry in targets), default=0)
+    return LATE_SLOTS // max(1, slots)
+
+
+def may_bind_late(journey: Journey, targets: Sequence[MemberEntry]) -> bool:
     """Tells whether a request may wait at several targets.
 
     It is sent to each of them, and a peer of an earlier version runs it
     unasked; so it has to be idempotent and without a body. A caller that has
     come back would take several places in queues from newcomers.
+
+    Args:
+        journey: The request and where it has been.
+        targets: Its upstream's targets.
     """
+    if late_targets(targets) < _SEVERAL:
+        return False
     request = journey.request
     if journey.runs_alone or not request.idempotent:
         return False
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_late_binding.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_late_binding.py
@@ -15,7 +15,7 @@
 )
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._forwarder import Forwarder
-from pomelobank_node._late_binding import LATE_TARGETS
+from pomelobank_node._late_binding import LATE_SLOTS
 from pomelobank_node._owner import Owner
 from pomelobank_node._requests import (
     ForwardReply,
@@ -26,6 +26,8 @@
 from pomelobank_schema.generated.peer import MemberEntry
 from pomelobank_schema.generated.settings import RequestSettings
 
+SLOTS = 3
+
 
 @attrs.define(eq=False)
 class QueueingPeers:
@@ -75,7 +77,7 @@
             return error_reply(0, RequestError(ErrorKind.OVERLOADED, 80))
         peers.waiting[self.address] = on_slot
         peers.joined.set()
-        if len(peers.waiting) == LATE_TARGETS:
+        if len(peers.waiting) == LATE_SLOTS // SLOTS:
             peers.all_wait.set()
         try:
             while await peers.free.get() != self.address:
@@ -90,7 +92,9 @@
         return ForwardReply(status=200)
 
 
-def _forwarder(peers: QueueingPeers, targets: int = 8) -> Forwarder:
+def _forwarder(
+    peers: QueueingPeers, targets: int = 8, slots: int = SLOTS
+) -> Forwarder:
     table = MemberTable(MemberEntry(node="entry", data_centre="a"))
     table.merge(
         MemberEntry(
@@ -98,7 +102,7 @@
             state="ready",
             data_centre="a" if number < 3 else "b",
             upstream="stock",
-            slots=3,
+            slots=slots,
             peer_address=f"127.0.0.1:{number + 1}",
         )
         for number in range(targets)
@@ -197,3 +201,11 @@
     reply = await _forwarder(peers).forward(request)
     assert reply.error == ErrorKind.OVERLOADED.value
     assert not peers.waiting
+
+
+async def test_targets_with_many_slots_are_waited_for_one_at_a_time() -> None:
+    """Guards against queues that fill with requests that run elsewhere."""
+    peers = QueueingPeers()
+    reply = await _forwarder(peers, slots=12).forward(_request())
+    assert reply.error == ErrorKind.OVERLOADED.value
+    assert not peers.waiting
