--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_held_back_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_held_back_bodies.py
@@ -6,34 +6,26 @@
 import attrs
 import pytest
 
-from pomelobank_core import (
-    ErrorKind,
-    ManualClock,
-    MemberTable,
-    Retries,
-    TwoChoices,
-)
+from pomelobank_core import ErrorKind
 from pomelobank_node._bodies import (
     HeldBackBody,
     PartBuffer,
     whole_request,
     with_rest,
 )
-from pomelobank_node._crash_reports import CrashReports, request_fingerprint
+from pomelobank_node._crash_reports import request_fingerprint
 from pomelobank_node._forwarder import Forwarder
-from pomelobank_node._owner import Owner
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
     RequestError,
     error_reply,
 )
-from pomelobank_schema.generated.peer import MemberEntry
-from pomelobank_schema.generated.settings import RequestSettings
+from pomelobank_node.tests.forwarding_support import new_forwarder
 
 BODY = b"carton " * 600
 REQUEST = ForwardRequest(
-    upstream="orders",
+    upstream="stock",
     route="reorder",
     method="POST",
     target=b"/reorder/1",
@@ -63,22 +55,7 @@
 
 
 def _forwarder(peers: DecliningPeers, data_centre: str = "b") -> Forwarder:
-    table = MemberTable(MemberEntry(node="entry", data_centre="a"))
-    table.merge(
-        MemberEntry(
-            node=f"t{number}",
-            state="ready",
-            data_centre=data_centre,
-            upstream="orders",
-            slots=3,
-            peer_address=f"127.0.0.1:{number + 1}",
-        )
-        for number in range(4)
-    )
-    clock = ManualClock(1000)
-    owner = Owner(RequestSettings(), clock, CrashReports(table, peers, clock))
-    retries = Retries(free_refusals=True)
-    return Forwarder(table, owner, peers, clock, TwoChoices(), retries=retries)
+    return new_forwarder(peers, lambda _: data_centre)
 
 
 @pytest.mark.parametrize(
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_late_binding.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_late_binding.py
@@ -1,30 +1,20 @@
 """Requests that wait at several targets."""
 
 import asyncio
-import random
 from collections.abc import Callable
 
 import attrs
 
-from pomelobank_core import (
-    ErrorKind,
-    ManualClock,
-    MemberTable,
-    Retries,
-    TwoChoices,
-)
-from pomelobank_node._crash_reports import CrashReports
+from pomelobank_core import ErrorKind
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._late_binding import LATE_SLOTS
-from pomelobank_node._owner import Owner
 from pomelobank_node._requests import (
     ForwardReply,
     ForwardRequest,
     RequestError,
     error_reply,
 )
-from pomelobank_schema.generated.peer import MemberEntry
-from pomelobank_schema.generated.settings import RequestSettings
+from pomelobank_node.tests.forwarding_support import new_forwarder
 
 SLOTS = 3
 
@@ -95,27 +85,8 @@
 def _forwarder(
     peers: QueueingPeers, targets: int = 8, slots: int = SLOTS
 ) -> Forwarder:
-    table = MemberTable(MemberEntry(node="entry", data_centre="a"))
-    table.merge(
-        MemberEntry(
-            node=f"t{number}",
-            state="ready",
-            data_centre="a" if number < 3 else "b",
-            upstream="stock",
-            slots=slots,
-            peer_address=f"127.0.0.1:{number + 1}",
-        )
-        for number in range(targets)
-    )
-    clock = ManualClock(1000)
-    owner = Owner(RequestSettings(), clock, CrashReports(table, peers, clock))
-    return Forwarder(
-        table,
-        owner,
-        peers,
-        clock,
-        TwoChoices(random.Random(1)),
-        retries=Retries(random.Random(1), free_refusals=True),
+    return new_forwarder(
+        peers, lambda number: "a" if number < 3 else "b", targets, slots
     )
 
 
