The pattern of thin lines has the room that requests really get

The pattern gave requests the whole line of 3.5 Mbit/s, though callers' bytes, membership and configurations share it.

--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -294,7 +294,8 @@
             )
         ),
         _FEW_SLOTS,
-        line_bytes_per_s=437_500,
+        # What callers, membership and configurations leave of 3.5 Mbit/s.
+        line_bytes_per_s=350_000,
     ),
     "shedding": Pattern(
         "targets turn half of their requests away unrun",
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -133,4 +133,4 @@
     """Guards against answers and calls that wait behind bodies in the lines."""
     held_back = play(PATTERNS["thin-lines"], SEED)
     sent = play(PATTERNS["thin-lines"], SEED, frozenset({"held-back-bodies"}))
-    assert held_back.worth > sent.worth + 0.03
+    assert held_back.worth > sent.worth + 0.05
