Log the attempt in progress of a cancelled request

What operators saw: lines `request.cancelled` of requests that had waited for seconds listed no attempt (`tries: []`), as if the request had waited at its entry. Cause: an attempt was added to the trace at its end. If a request is hedged or binds late, its attempts run in tasks of their own, which end after the line is written. Change: an attempt is added at its begin and is `in_progress` until its outcome is known. Attempts that only waited for a slot that another target offered first are left out, as before. Test: a trace read during an attempt lists that attempt; before, it was empty. No other behaviour changes.

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -59,7 +59,7 @@
     error_reply,
     reply_error,
 )
-from pomelobank_node._tracing import AttemptTrace, current_trace
+from pomelobank_node._tracing import current_trace
 from pomelobank_schema.generated.peer import Header, MemberEntry
 from pomelobank_schema.generated.settings import RequestSettings
 
@@ -379,13 +379,17 @@
         # request took longer than the hedge delay there and was not just
         # waiting for a slot.
         outcome = RequestOutcome(TargetResult.NEUTRAL)
+        trace = current_trace()
+        attempt = trace.begin_attempt(
+            target.node, target.incarnation, started_ms
+        )
         try:
             reply = await self._send(target, request, binding)
             took_ms = self.clock.now_ms() - started_ms
             if was_declined(request, reply):
                 state.record_decline(target, reply, is_offer=not is_hedge)
             outcome = observation(request, reply, took_ms, original.aim_ms)
-            _trace_attempt(target, reply.error or str(reply.status), took_ms)
+            attempt.end(reply.error or str(reply.status), self.clock.now_ms())
             if self.hedging is not None and was_served(reply):
                 self.hedging.add_response_time(
                     request.route, took_ms, self.clock.now_ms()
@@ -395,9 +399,10 @@
             return reply
         except asyncio.CancelledError:
             if binding is not None and binding.node != target.node:
+                trace.attempts.remove(attempt)
                 raise
             took_ms = self.clock.now_ms() - started_ms
-            _trace_attempt(target, "given_up", took_ms)
+            attempt.end("given_up", self.clock.now_ms())
             if self._is_past_hedge_delay(request, took_ms):
                 outcome = RequestOutcome(
                     TargetResult.SLOW,
@@ -519,9 +524,3 @@
         # No caller reads this body. Left open, the body would occupy a slot
         # of its target until the request's deadline.
         rest.close()
-
-
-def _trace_attempt(target: MemberEntry, outcome: str, took_ms: int) -> None:
-    current_trace().attempts.append(
-        AttemptTrace(target.node, target.incarnation, outcome, took_ms)
-    )
--- a/packages/pomelobank-node/src/pomelobank_node/_tracing.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_tracing.py
@@ -4,25 +4,43 @@
 
 import attrs
 
+IN_PROGRESS = "in_progress"
 
-@attrs.frozen
+
+@attrs.define(eq=False)
 class AttemptTrace:
     """One attempt to run a request on a target.
 
     Attributes:
         node: Node beside the target.
         incarnation: Incarnation of that node in this node's member table.
+        started_ms: Time at which the attempt began.
         outcome: Status of the response, or the kind of the error.
-        took_ms: Time from sending the request to the outcome.
+        took_ms: Time from the begin to the outcome; None while the attempt is
+            in progress.
     """
 
     node: str
     incarnation: int
-    outcome: str
-    took_ms: int
+    started_ms: int
+    outcome: str = IN_PROGRESS
+    took_ms: int | None = None
+
+    def end(self, outcome: str, now_ms: int) -> None:
+        """Records the outcome of the attempt."""
+        self.outcome = outcome
+        self.took_ms = now_ms - self.started_ms
 
-    def __str__(self) -> str:
-        return f"{self.node}@{self.incarnation}:{self.outcome}:{self.took_ms}ms"
+    def describe(self, now_ms: int) -> str:
+        """Returns the attempt as it is written to the log.
+
+        >>> AttemptTrace("node-1", 7, started_ms=100).describe(now_ms=150)
+        'node-1@7:in_progress:50ms'
+        """
+        took_ms = self.took_ms
+        if took_ms is None:
+            took_ms = now_ms - self.started_ms
+        return f"{self.node}@{self.incarnation}:{self.outcome}:{took_ms}ms"
 
 
 @attrs.define(eq=False)
@@ -34,7 +52,7 @@
         version: Configuration version that the request was routed with.
         upstream: Upstream that the route's weights selected.
         deadline_ms: Time that the request had until its deadline.
-        attempts: Attempts, in order of their outcomes.
+        attempts: Attempts, in the order of their begin.
     """
 
     route: str = ""
@@ -43,6 +61,14 @@
     deadline_ms: int = 0
     attempts: list[AttemptTrace] = attrs.field(factory=list)
 
+    def begin_attempt(
+        self, node: str, incarnation: int, now_ms: int
+    ) -> AttemptTrace:
+        """Adds an attempt and returns it, so that its end can be recorded."""
+        attempt = AttemptTrace(node, incarnation, now_ms)
+        self.attempts.append(attempt)
+        return attempt
+
 
 _current: contextvars.ContextVar[RequestTrace | None] = contextvars.ContextVar(
     "request_trace", default=None
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
@@ -244,7 +244,7 @@
                 "upstream": trace.upstream,
                 "had_ms": trace.deadline_ms,
                 "took_ms": now_ms - start_ms,
-                "tries": [str(item) for item in trace.attempts],
+                "tries": [item.describe(now_ms) for item in trace.attempts],
                 "lines_dropped": self.log_limiter.pop_dropped(),
             },
         )
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -22,6 +22,7 @@
     RequestError,
     error_reply,
 )
+from pomelobank_node._tracing import begin_trace
 from pomelobank_schema.generated.peer import Header, MemberEntry
 from pomelobank_schema.generated.settings import RequestSettings
 
@@ -382,3 +383,18 @@
     forwarder.retries.free_rejections = True
     await forwarder.forward(_request(False, aim_ms=500))
     assert selected[2] == selected[0] != selected[1]
+
+
+async def test_trace_lists_the_attempt_in_progress() -> None:
+    """Guards against a log line that omits where a cancelled request waited."""
+    links = ScriptedLinks(ANSWER)
+    forwarder = _forwarder(links)
+    trace = begin_trace()
+    during_attempt: list[str] = []
+    links.on_forward = lambda: during_attempt.extend(
+        item.describe(1200) for item in trace.attempts
+    )
+    await forwarder.forward(_request(idempotent=True))
+    node = trace.attempts[0].node
+    assert during_attempt == [f"{node}@0:in_progress:200ms"]
+    assert trace.attempts[0].describe(1300) == f"{node}@0:200:0ms"
