End a stopped node's process without the interpreter's clean-up

Test: a process with an exit handler ends with its status and without the handler's output; the function is new.

--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import gc
+import os
 import selectors
+import sys
 from collections.abc import Coroutine
-from typing import TypeVar
+from typing import NoReturn, TypeVar
 
 # Consecutive loop iterations that may skip the poll for I/O events while
 # callbacks are ready. A request takes about this many iterations in a node, so
@@ -77,3 +79,18 @@
     """Runs a program's main coroutine and returns its result."""
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
         return runner.run(main)
+
+
+def end_process(status: int) -> NoReturn:
+    """Ends the process without the interpreter's clean-up.
+
+    The clean-up releases every module and object and takes longer than the rest
+    of a stop on a slow machine. The platform would kill the process meanwhile
+    and start its next process later.
+
+    Args:
+        status: Exit status of the process.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
--- a/packages/pomelobank-node/src/pomelobank_node/platform_api.py
+++ b/packages/pomelobank-node/src/pomelobank_node/platform_api.py
@@ -1,6 +1,10 @@
 """The interface for assembling a node on another platform."""
 
-from pomelobank_node._event_loop import run_program, tune_garbage_collector
+from pomelobank_node._event_loop import (
+    end_process,
+    run_program,
+    tune_garbage_collector,
+)
 from pomelobank_node._http_conventions import HttpConventions
 from pomelobank_node._log import Log, LogError, LogErrorKind, LogPage
 from pomelobank_node._logging import set_up_logging
@@ -44,6 +48,7 @@
     "UpstreamPool",
     "UpstreamResponse",
     "encode_request",
+    "end_process",
     "run_program",
     "set_up_logging",
     "tune_garbage_collector",
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_event_loop.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import selectors
+import subprocess
+import sys
 
 import pytest
 
@@ -67,3 +69,18 @@
         return data
 
     assert run_program(echo_over_busy_loop()) == b"ok"
+
+
+def test_process_ends_without_the_interpreters_clean_up() -> None:
+    """Guards against a clean-up that lasts until the platform's kill."""
+    program = (
+        "import atexit\n"
+        "from pomelobank_node._event_loop import end_process\n"
+        "atexit.register(print, 'clean-up')\n"
+        "print('last line')\n"
+        "end_process(3)\n"
+    )
+    ended = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, check=False
+    )
+    assert (ended.returncode, ended.stdout) == (3, b"last line\n")
