Let a node that has left finish its last replies

Cause: a stopping owner announces that it has left and then waits for its replies. The announcement arrives on another stream. Its receiver treated it like the end of an unreachable peer: it aborted the stream to the owner at once, and the owner cancelled the work. Six tests that force the order failed; with the abort switched off all six passed. Ruled out: a slow broadcast, a wait in PeerServer.stop, interference of hanging readiness, control and metrics connections (tests that passed before, kept). Change: if a member was known to be draining, the stream to it gets no new requests and those pending have one more second for their replies; requests of which no byte was sent go elsewhere at once.

--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -24,6 +24,7 @@
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import MemberEntry
 from pomelobank_schema.generated.settings import MembershipSettings
 
 _logger = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
         timer: Timer that sets `tick_due`.
         tasks: Tasks of the membership and of the contact finder.
         send_tasks: Frames that are being sent or wait for a stream.
+        draining: Nodes of the members whose last known state is draining.
         swim: Implements the membership protocol.
         finder: Finds the first members to contact.
         send_slots: Limits the frames that are being sent at a time.
@@ -94,6 +96,7 @@
     timer: asyncio.TimerHandle | None = None
     tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
     send_tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    draining: set[str] = attrs.field(factory=set)
     swim: Swim = attrs.field(init=False)
     finder: ContactFinder = attrs.field(init=False)
     send_slots: asyncio.Semaphore = attrs.field(init=False)
@@ -219,10 +222,21 @@
                 # Bytes queued for a partitioned peer wait for the kernel's TCP
                 # retries, which are minutes apart by then. Callers' requests on
                 # the same stream would wait for these retries too, and the
-                # first frames after the partition would arrive late.
-                self.links.disconnect(entry.peer_address)
+                # first frames after the partition would arrive late. A member
+                # that has left as planned still sends its last replies.
+                if entry.node in self.draining:
+                    self.links.finish(entry.peer_address)
+                else:
+                    self.links.disconnect(entry.peer_address)
+            self._track_draining(entry)
         self._update_joined()
 
+    def _track_draining(self, entry: MemberEntry) -> None:
+        if entry.state == MemberState.DRAINING.value:
+            self.draining.add(entry.node)
+        else:
+            self.draining.discard(entry.node)
+
     def _update_joined(self) -> None:
         if self.table.present():
             self.finder.joined.set()
--- a/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
@@ -165,6 +165,12 @@
         """Cancels a request whose caller no longer waits."""
         self._cancel(request_id, ErrorKind.CANCELLED)
 
+    def fail_queued(self, kind: ErrorKind) -> None:
+        """Fails the requests of which no byte was sent."""
+        for request_id, state in self.table.states():
+            if state is ExchangeState.QUEUED:
+                self._cancel(request_id, kind)
+
     def _on_deadline(self, request_id: int) -> None:
         self._cancel(request_id, None)
 
@@ -192,8 +198,12 @@
                 extra={"peer": self.peer, "error": str(error)},
             )
         finally:
-            self.on_stream_lost()
-            self.stream.abort()
+            self.abort()
+
+    def abort(self) -> None:
+        """Closes the stream at once and fails its requests."""
+        self.on_stream_lost()
+        self.stream.abort()
 
     def on_stream_lost(self) -> None:
         """Fails every request in flight because the stream was lost."""
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -27,6 +27,10 @@
 # out. Without this pause, queued requests would try to connect one after the
 # other, and each would wait for the whole connection time-out.
 UNREACHABLE_S = 0.5
+# Time in which a member that has left may still reply to the requests on its
+# stream. Its announcement arrives on another stream and may overtake replies,
+# and the member waits for the work of its target until its process ends.
+LAST_REPLIES_S = 1.0
 DEFAULT_CONNECT_LIMIT = 32
 _MS_PER_S = 1000
 
@@ -182,8 +186,19 @@
         """Aborts the stream and ends its pending requests with an error."""
         current, self.current = self.current, None
         if current is not None:
-            current.on_stream_lost()
-            current.stream.abort()
+            current.abort()
+
+    def finish(self) -> None:
+        """Uses the stream no more and aborts it after the last replies."""
+        current, self.current = self.current, None
+        if current is None:
+            return
+        current.closing = True
+        current.fail_queued(ErrorKind.PEER_UNREACHABLE)
+        if current.calls:
+            self.loop.call_later(LAST_REPLIES_S, current.abort)
+        else:
+            current.abort()
 
     def is_idle(self, since_s: float) -> bool:
         """Tells whether the open stream has been unused since a time."""
@@ -256,6 +271,12 @@
         if link is not None:
             link.disconnect()
 
+    def finish(self, address: str) -> None:
+        """Ends the stream to a peer that has left as planned."""
+        link = self.links.get(address)
+        if link is not None:
+            link.finish()
+
     def close_idle(self, idle_ms: int) -> None:
         """Closes idle streams and removes links without a stream."""
         now_s = asyncio.get_running_loop().time()
@@ -278,5 +299,4 @@
 
     async def stop(self) -> None:
         """Closes every link."""
-        for link in list(self.links.values()):
-            await link.close()
+        await asyncio.gather(*(item.close() for item in self.links.values()))
