Close the streams of a stopping node independently of each other

Cause: the server waited for the replies of all peers, then up to 2 s for all peers to close their side. Change: each stream is closed once its own replies were sent. One time-out covers the stop, and a peer has 1 s to close its side; the kernel delivers what was sent also after the process has ended. Test: a stop beside a peer that never closes its stream did not end before.

--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -38,7 +38,7 @@
 
 
 # Longest wait at a stop for a peer that does not read or close its stream.
-CLOSE_TIMEOUT_S = 2.0
+CLOSE_TIMEOUT_S = 1.0
 
 
 def _ignore(_: int) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -69,9 +69,9 @@
 # that overflows the queue only after a second, and a returning node would look
 # crashed to the members that it cannot reach meanwhile.
 ACCEPT_BACKLOG = 1024
-# Longest wait at a stop for the replies of running requests. The remaining
-# grace period of the process may be shorter.
-_REPLIES_TIMEOUT_S = 5.0
+# Longest time that a stop takes by default.
+_STOP_TIMEOUT_MS = 5000
+_MS_PER_S = 1000
 
 
 class ConfigFrames(Protocol):
@@ -298,6 +298,16 @@
         self.closing = True
         self.stream.send(StreamClosing(last_request_id=self.last_id))
 
+    async def finish(self) -> None:
+        """Closes the stream once all replies were sent."""
+        # A closing stream sends no further replies. If the stream were closed
+        # while a target works, a response that is ready shortly afterwards
+        # would be lost, and its caller would wait until the deadline.
+        running = list(self.running.values())
+        if running:
+            await asyncio.wait(running)
+        await self.stream.close()
+
 
 @functools.singledispatch
 def handle_frame(frame: WireMessage, connection: PeerConnection) -> None:
@@ -387,6 +397,7 @@
     membership: Membership
     feed: ConfigFrames
     claims: "ClaimService | None"
+    stop_timeout_ms: int = _STOP_TIMEOUT_MS
     address: str = ""
     server: asyncio.Server | None = None
     connections: dict[PeerConnection, asyncio.Task[None]] = attrs.field(
@@ -431,27 +442,31 @@
         return self.closed_bytes + open_bytes
 
     async def stop(self) -> None:
-        """Stops listening and ends every stream."""
+        """Stops listening and ends every stream.
+
+        Each stream is closed once its replies were sent, independently of the
+        others, so that a peer that does not respond delays no other peer.
+        """
         if self.server is not None:
             self.server.close()
         connections = list(self.connections)
         for connection in connections:
             connection.announce_closing()
-        await self._wait_for_replies()
-        await asyncio.gather(*(item.stream.close() for item in connections))
+        try:
+            async with asyncio.timeout(self.stop_timeout_ms / _MS_PER_S):
+                await asyncio.gather(*(item.finish() for item in connections))
+        except TimeoutError:
+            self._log_open_streams()
         tasks = list(self.connections.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _wait_for_replies(self) -> None:
-        # A closing stream sends no further replies. If the streams were closed
-        # while targets work, a response that is ready shortly afterwards would
-        # be lost, and its caller would wait until the deadline.
-        running = [
-            task
-            for connection in self.connections
-            for task in connection.running.values()
-        ]
-        if running:
-            await asyncio.wait(running, timeout=_REPLIES_TIMEOUT_S)
+    def _log_open_streams(self) -> None:
+        _logger.info(
+            "peers.cut_off",
+            extra={
+                "streams": len(self.connections),
+                "running": sum(len(item.running) for item in self.connections),
+            },
+        )
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_peer_server.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pomelobank_core import ErrorKind, ManualClock
-from pomelobank_node import _peer_server
+from pomelobank_node import _frames, _peer_server
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._peer_server import (
     PeerConnection,
@@ -282,3 +282,27 @@
     await links.stop()
     await stopping
     assert (reply.error, reply.status) == ("", 200)
+
+
+async def test_stop_does_not_wait_for_a_peer_that_keeps_its_stream_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stop that one unresponsive peer delays to its end."""
+    monkeypatch.setattr(_frames, "CLOSE_TIMEOUT_S", 3600)
+    unused: Any = None
+    owner: Any = BlockingOwner()
+    server = PeerServer("127.0.0.1:0", owner, unused, unused, None)
+    server.stop_timeout_ms = 100
+    await server.start()
+    host, _, port = server.address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    links = PeerLinks(Hello(node="entry"))
+    owner.release.set()
+    reply = await links.to(server.address).forward(request(1))
+    assert reply.status == 200
+    await server.stop()
+    assert not server.connections
+    await links.stop()
+    writer.close()
+    await writer.wait_closed()
+    del reader
