End every phase of a stop at its own time after the signal

Ruled out: the first group and hanging connections of other servers (tests that passed before). Change: StopSchedule derives all times from the signal. Admission closes at the routing stop by the clock, the broadcast runs beside the stop, the servers stop side by side, and the start is given up if the stop is requested meanwhile; callers that wait for the listener are then refused.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -204,6 +204,7 @@
         usable_snapshot,
     )
     from pomelobank_core._stop_order import WORK_RESERVE_FACTOR, StopOrder
+    from pomelobank_core._stop_schedule import StopSchedule
     from pomelobank_core._swim import (
         ReplyFrame,
         SendFrame,
@@ -323,6 +324,7 @@
     "SnapshotSchedule",
     "Started",
     "StopOrder",
+    "StopSchedule",
     "StoredResponse",
     "Swim",
     "SwimAction",
@@ -555,6 +557,7 @@
         "StopOrder",
         "WORK_RESERVE_FACTOR",
     ),
+    "_stop_schedule": ("StopSchedule",),
     "_swim": (
         "ReplyFrame",
         "SendFrame",
--- a/packages/pomelobank-core/src/pomelobank_core/_shutdown_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_shutdown_admission.py
@@ -1,7 +1,11 @@
 """Decides which requests a node still accepts before its shutdown."""
 
+import math
+
 import attrs
 
+from pomelobank_core._stop_schedule import StopSchedule
+
 # Lower bound of the retry delay sent with a draining rejection.
 MIN_DRAINING_RETRY_AFTER_MS = 200
 # Time reserved before the shutdown for the network round trip and for closing
@@ -24,9 +28,19 @@
     Attributes:
         shutdown_at_ms: Time of the shutdown; None while the node is not
             stopping.
+        applies_from_ms: Time from which requests are rejected.
+        last_start_ms: Time after which no request is sent to a target.
     """
 
     shutdown_at_ms: float | None = None
+    applies_from_ms: float = -math.inf
+    last_start_ms: float = math.inf
+
+    def apply_schedule(self, schedule: StopSchedule) -> None:
+        """Sets the times of the node's stop."""
+        self.shutdown_at_ms = schedule.requests_end_ms
+        self.applies_from_ms = schedule.routing_stops_ms
+        self.last_start_ms = schedule.last_start_ms
 
     def retry_after_ms(self, now_ms: float) -> int:
         """Returns the delay after which a rejected caller should retry.
@@ -52,6 +66,13 @@
             remaining_ms: Time to the request's deadline.
             now_ms: The current time.
         """
-        if self.shutdown_at_ms is None:
+        if now_ms < self.applies_from_ms:
             return True
-        return now_ms + remaining_ms + SHUTDOWN_MARGIN_MS <= self.shutdown_at_ms
+        return now_ms + remaining_ms <= self.latest_deadline_ms
+
+    @property
+    def latest_deadline_ms(self) -> float:
+        """Latest deadline of a request that ends before the shutdown."""
+        if self.shutdown_at_ms is None:
+            return math.inf
+        return self.shutdown_at_ms - SHUTDOWN_MARGIN_MS
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -20,6 +20,7 @@
     MemberTable,
     MeshRetryBudget,
     RetryPolicy,
+    StopSchedule,
     TargetLease,
 )
 from pomelobank_node._clock import SystemClock
@@ -52,23 +53,6 @@
 _MS_PER_S = 1000
 # Bytes per millisecond on a network link of 1 Mbit/s.
 _BYTES_PER_MS_AT_1_MBPS = 125
-# Time from the start of a stop until the platform no longer routes callers to
-# the node. The platform polls readiness once per second and stops routing after
-# two negative responses; the remaining 600 ms are for calls in transit.
-ROUTING_STOP_MS = 2600
-# Time for the update that a stopping node's target takes no more work to reach
-# all peers. The node sends this update only this long before the platform's
-# routing has stopped. The process has to run until then anyway, and a target
-# that is closed earlier is idle meanwhile: in a rolling restart, a third of all
-# targets would be idle.
-TARGET_CLOSE_UPDATE_MS = 600
-# Part of the platform's grace period that is reserved for an orderly shutdown
-# of the components.
-SHUTDOWN_RESERVE_MS = 500
-# Part of the grace period that is left when the last component has to stop. A
-# stream that does not close can take seconds. If the platform kills the process
-# meanwhile, the end is not logged and responses being written are truncated.
-PROCESS_EXIT_RESERVE_MS = 150
 # Longest wait at start-up for the configuration. Without this wait, the node
 # would reject callers that are already queued on the listener as not ready.
 MAX_CONFIG_WAIT_MS = 1000
@@ -111,12 +95,16 @@
         settings: The node's settings.
         adapter: The parts that differ between platforms.
         stopping: Whether the stop of the node has begun.
+        stop_requested: Set once the platform has asked the node to stop.
+        stop_requested_ms: Time of this request; None before.
         started_components: Components to stop, in the order of their start.
     """
 
     settings: NodeSettings
     adapter: PlatformAdapter
     stopping: bool = False
+    stop_requested: asyncio.Event = attrs.field(factory=asyncio.Event)
+    stop_requested_ms: int | None = None
     started_components: list[Component] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
@@ -184,7 +172,6 @@
             self.membership,
             self.owner.admission_queue,
             self.clock,
-            self.dispatcher.shutdown_admission,
         )
         self.ingress = Ingress(
             self.dispatcher, self.clock, conventions, settings.target.upstream
@@ -297,6 +284,12 @@
         self.settings = settings
         self.ingress.origin = settings.target.upstream
 
+    def request_stop(self) -> None:
+        """Asks for the stop; the grace period begins now."""
+        if self.stop_requested_ms is None:
+            self.stop_requested_ms = self.clock.now_ms()
+        self.stop_requested.set()
+
     async def stop(self) -> None:
         """Drains the node, then stops all components.
 
@@ -304,54 +297,87 @@
         before the platform stops routing callers to it, the node tells its
         peers to send no more work. Connections close only afterwards, each once
         its pending responses are written, so that no request that ends within
-        the grace period is cut off.
+        the grace period is cut off. Each phase ends at its time in the
+        `StopSchedule`.
         """
-        stop_started_ms = self.clock.now_ms()
+        self.request_stop()
+        assert self.stop_requested_ms is not None
         grace_ms = int(self.settings.stop.grace_s * _MS_PER_S)
-        end_ms = stop_started_ms + grace_ms - SHUTDOWN_RESERVE_MS
+        schedule = StopSchedule.of(self.stop_requested_ms, grace_ms)
         self.stopping = True
+        self.owner.shutdown_admission.apply_schedule(schedule)
         _logger.info("node.draining", extra=self._work_in_progress())
-        # A short grace period must also leave time for the requests under way.
-        routing_stop_ms = min(ROUTING_STOP_MS, grace_ms // 2)
-        close_update_ms = min(TARGET_CLOSE_UPDATE_MS, routing_stop_ms // 4)
+        if self.http.server is None and self.adapter.listener is not None:
+            # The stop was requested during the start. Callers that wait for the
+            # listener can use another node at once.
+            self.adapter.listener.close()
+        close = await self._close_target(schedule)
+        self.http.drain()
+        await self._wait_for_requests(schedule.requests_end_ms)
+        _logger.info("node.drained", extra=self._work_in_progress())
+        await self._stop_components(schedule)
+        self._end_close(close)
+        _logger.info("node.stopped")
+
+    async def _close_target(self, schedule: StopSchedule) -> asyncio.Task[None]:
         await self._sleep_until(
-            stop_started_ms + routing_stop_ms - close_update_ms
+            schedule.routing_stops_ms - schedule.close_update_ms
         )
-        await self.stop_delay.wait(
-            stop_started_ms + routing_stop_ms, end_ms, close_update_ms
+        await self.stop_delay.wait(schedule)
+        update_ends_ms = self.clock.now_ms() + schedule.close_update_ms
+        # The update to a peer that does not respond must not delay the stop.
+        close = asyncio.create_task(self.target.close())
+        await self._sleep_until(max(schedule.routing_stops_ms, update_ends_ms))
+        return close
+
+    async def _stop_components(self, schedule: StopSchedule) -> None:
+        # A request may still arrive after the last response. This request gets
+        # the rest of the time like the earlier ones, because the caller of a
+        # non-idempotent request that is cut off does not know whether the
+        # request has run.
+        self.http.stop_timeout_ms = self._remaining_ms(schedule.requests_end_ms)
+        self.http.final_write_timeout_ms = (
+            schedule.servers_end_ms - schedule.requests_end_ms
         )
-        closed_ms = self.clock.now_ms()
-        await self.target.close()
-        await self._sleep_until(
-            max(stop_started_ms + routing_stop_ms, closed_ms + close_update_ms)
+        self.peers.stop_timeout_ms = self._remaining_ms(schedule.servers_end_ms)
+        servers = (
+            self.http,
+            self.peers,
+            self.readiness_server,
+            self.control_server,
         )
-        self.dispatcher.shutdown_admission.shutdown_at_ms = end_ms
-        self.http.drain()
-        await self._wait_for_requests(end_ms)
-        _logger.info("node.drained", extra=self._work_in_progress())
-        await self._leave()
-        # A request may still arrive after the last response. This request gets
-        # the rest of the grace period like the earlier ones, because the caller
-        # of a non-idempotent request that is cut off does not know whether the
-        # request has run. At `end_ms`, callers of unfinished requests receive
-        # an error response while there is time left to send it.
-        self.http.stop_timeout_ms = max(0, end_ms - self.clock.now_ms())
-        await self._stop_components(
-            stop_started_ms + grace_ms - PROCESS_EXIT_RESERVE_MS
+        await asyncio.gather(
+            self._leave(),
+            *(self._stop_component(item, schedule) for item in servers),
         )
-        _logger.info("node.stopped")
-
-    async def _stop_components(self, until_ms: int) -> None:
         for component in reversed(self.started_components):
-            remaining_ms = max(0, until_ms - self.clock.now_ms())
-            try:
-                async with asyncio.timeout(remaining_ms / _MS_PER_S):
-                    await component.stop()
-            except TimeoutError:
-                _logger.warning(
-                    "node.part_cut_off",
-                    extra={"part": type(component).__name__},
-                )
+            if component not in servers:
+                await self._stop_component(component, schedule)
+
+    async def _stop_component(
+        self, component: Component, schedule: StopSchedule
+    ) -> None:
+        remaining_ms = self._remaining_ms(schedule.components_end_ms)
+        try:
+            async with asyncio.timeout(remaining_ms / _MS_PER_S):
+                await component.stop()
+        except TimeoutError:
+            _logger.warning(
+                "node.part_cut_off",
+                extra={"part": type(component).__name__},
+            )
+        except Exception:
+            # The other components still have to stop.
+            _logger.exception(
+                "node.part_failed", extra={"part": type(component).__name__}
+            )
+
+    def _end_close(self, close: asyncio.Task[None]) -> None:
+        if not close.done():
+            close.cancel()
+            _logger.info("target.draining_unheard")
+        elif close.exception() is not None:
+            _logger.error("target.close_failed", exc_info=close.exception())
 
     async def _leave(self) -> None:
         try:
@@ -367,9 +393,11 @@
             "at_target": self.owner.in_flight,
         }
 
+    def _remaining_ms(self, until_ms: int) -> int:
+        return max(0, until_ms - self.clock.now_ms())
+
     async def _sleep_until(self, at_ms: int) -> None:
-        remaining_ms = at_ms - self.clock.now_ms()
-        await asyncio.sleep(max(0, remaining_ms) / _MS_PER_S)
+        await asyncio.sleep(self._remaining_ms(at_ms) / _MS_PER_S)
 
     async def _wait_for_requests(self, until_ms: int) -> None:
         while self.clock.now_ms() < until_ms:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -459,9 +459,13 @@
         method a ready response would be lost when the connection closes while
         an earlier request still has no response.
         """
-        error = RequestError(ErrorKind.STOPPED_UNKNOWN)
         for exchange in self.exchanges:
             if exchange.response is None:
+                # Without a task, the request was not passed to the handler.
+                is_new = exchange.task is None
+                error = RequestError(
+                    ErrorKind.DRAINING if is_new else ErrorKind.STOPPED_UNKNOWN
+                )
                 exchange.cancel()
                 exchange.response = error_response(
                     error, self.server.http_conventions
@@ -470,6 +474,14 @@
         self.ignores_input = True
         self._flush()
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether a response is pending or not fully sent."""
+        if self.exchanges:
+            return True
+        transport = self.transport
+        return transport is not None and transport.get_write_buffer_size() > 0
+
     def abort(self) -> None:
         """Closes the connection at once."""
         if self.transport is not None:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -25,9 +25,6 @@
 # seconds long, so a check may be late by this interval.
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 _MS_PER_S = 1000
-# Time limit for sending the error responses of a stop, after which the
-# connections are aborted.
-_FINAL_WRITE_TIMEOUT_MS = 50
 
 
 @attrs.define(eq=False)
@@ -40,6 +37,9 @@
         http_conventions: Defines the format of error responses.
         limits: Limits on requests; replaced when the configuration changes.
         stop_timeout_ms: Maximum wait of `stop` for requests in flight.
+        final_write_timeout_ms: Maximum time for sending the error responses of
+            a stop and the responses being written, after which the connections
+            are aborted.
         auto_check_timeouts: Whether the server checks time-outs periodically;
             if not, its user calls `check_timeouts`.
         listener: Socket that is already listening; None to open a new socket.
@@ -56,6 +56,7 @@
     http_conventions: HttpConventions = attrs.field(factory=HttpConventions)
     limits: HttpLimits = attrs.field(factory=HttpLimits)
     stop_timeout_ms: int = 1000
+    final_write_timeout_ms: int = 50
     auto_check_timeouts: bool = True
     listener: socket.socket | None = None
     address: str = ""
@@ -133,7 +134,9 @@
         await self._wait_until_closed(self.stop_timeout_ms)
         for connection in list(self.connections):
             connection.fail_pending()
-        await self._wait_until_closed(_FINAL_WRITE_TIMEOUT_MS)
+            if not connection.is_writing:
+                connection.abort()
+        await self._wait_until_closed(self.final_write_timeout_ms)
         for connection in list(self.connections):
             connection.abort()
 
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -315,3 +315,17 @@
             assert await reader.read() == b""
         idle_writer.close()
         writer.close()
+
+
+async def test_stop_does_not_wait_for_a_caller_that_sends_no_request() -> None:
+    """Guards against an incomplete request that uses up the time of a stop."""
+    async with running_server(HeldHandler()) as server:
+        _, writer = await connect(server)
+        writer.write(b"GET /first HTTP/1.1\r\nhost:")
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not any(item.head_since_s for item in server.connections):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            server.stop_timeout_ms = 0
+            server.final_write_timeout_ms = 10 * TEST_TIMEOUT_S * 1000
+            await server.stop()
+        writer.close()
--- a/packages/pomelobank-node/src/pomelobank_node/platform_api.py
+++ b/packages/pomelobank-node/src/pomelobank_node/platform_api.py
@@ -7,6 +7,7 @@
 )
 from pomelobank_node._http_conventions import HttpConventions
 from pomelobank_node._log import Log, LogError, LogErrorKind, LogPage
+from pomelobank_node._log_output import BoundedOutput
 from pomelobank_node._logging import set_up_logging
 from pomelobank_node._requests import RequestError
 from pomelobank_node._sidecar import PlatformAdapter, SidecarNode
@@ -29,6 +30,7 @@
 )
 
 __all__ = [
+    "BoundedOutput",
     "Document",
     "Handler",
     "HttpConventions",
