Reject requests that wait while a stop ends instead of starting them late

What callers saw: 504 `stopped_unknown` for requests that had only waited for a slot, up to 7.3 s, so that a non-idempotent one could not be sent elsewhere; and work that began late in a stop and was broken off at its end. Causes, each forced by a test that failed: - An owner checks on arrival whether a request may outlast it, but not when a slot is granted. Change: at the routing stop, an owner rejects queued requests whose deadline is after its end. At 5/6 of the grace period, a stopping node rejects all that wait at its own target, and withdraws its requests from the queues of its peers (WithdrawRequest); a request at its target goes on. No attempt starts after that. The caller gets 503 with the time of the node's end as Retry-After.

--- a/packages/pomelobank-core/src/pomelobank_core/_exchange.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_exchange.py
@@ -85,6 +85,10 @@
         self.exchanges[request_id] = Exchange(ExchangeState.QUEUED, self.window)
         return request_id
 
+    def states(self) -> list[tuple[int, ExchangeState]]:
+        """Returns the id and the progress of each request."""
+        return [(key, item.state) for key, item in self.exchanges.items()]
+
     def on_written(self, request_id: int) -> None:
         """Records that bytes of a request were handed to the connection."""
         exchange = self.exchanges.get(request_id)
--- a/packages/pomelobank-node/src/pomelobank_node/_admission_queue.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admission_queue.py
@@ -1,7 +1,9 @@
 """Queues requests until admission grants each of them a slot."""
 
 import asyncio
+import math
 import random
+from typing import Any
 
 import attrs
 
@@ -71,6 +73,7 @@
         admission: Decides which request runs, waits or is rejected.
         clock: Source of the current time.
         waiting: Queued requests, each with the future that ends its wait.
+        waiting_tasks: Tasks of the queued requests.
         wait_count: Number of requests that had to wait, for the metrics.
         total_wait_ms: Sum of the waits of all requests.
         idle: Set while no request waits or runs.
@@ -81,6 +84,9 @@
     waiting: dict[AdmissionRequest, asyncio.Future[None]] = attrs.field(
         factory=dict
     )
+    waiting_tasks: dict[asyncio.Task[Any], AdmissionRequest] = attrs.field(
+        factory=dict
+    )
     wait_count: int = 0
     total_wait_ms: int = 0
     idle: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -124,12 +130,23 @@
         now_ms = self.clock.now_ms()
         self._apply(self.admission.finish(request, result, now_ms))
 
-    def reject_waiting(self) -> None:
-        """Rejects the queued requests because the target is draining."""
+    def reject_waiting(self, latest_deadline_ms: float = -math.inf) -> None:
+        """Rejects queued requests because the target is draining.
+
+        Args:
+            latest_deadline_ms: Requests with an earlier deadline stay queued.
+        """
         for request in list(self.waiting):
-            if request.started_ms is None:
+            is_late = request.deadline_ms > latest_deadline_ms
+            if is_late and request.started_ms is None:
                 self._resolve(request, RequestError(ErrorKind.DRAINING))
 
+    def reject_if_waiting(self, task: asyncio.Task[Any]) -> None:
+        """Rejects the queued request of a task; a running request goes on."""
+        request = self.waiting_tasks.get(task)
+        if request is not None and request.started_ms is None:
+            self._resolve(request, RequestError(ErrorKind.DRAINING))
+
     def set_slots(self, slots: int) -> None:
         """Sets the number of slots."""
         now_ms = self.clock.now_ms()
@@ -138,6 +155,9 @@
     async def _wait(self, request: AdmissionRequest) -> None:
         slot_granted = asyncio.get_running_loop().create_future()
         self.waiting[request] = slot_granted
+        task = asyncio.current_task()
+        assert task is not None
+        self.waiting_tasks[task] = request
         wait_deadline_ms = self.admission.wait_deadline_ms(request)
         max_wait_ms = wait_deadline_ms - self.clock.now_ms()
         self.wait_count += 1
@@ -153,6 +173,7 @@
             raise
         finally:
             self.waiting.pop(request, None)
+            self.waiting_tasks.pop(task, None)
             self.total_wait_ms += self.clock.now_ms() - started_ms
 
     def _expiry_error(self, request: AdmissionRequest) -> ErrorKind:
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -184,9 +184,21 @@
         if upstream is None:
             raise RequestError(ErrorKind.NO_TARGET)
         current_trace().upstream = upstream
-        return await self.forwarder.forward(
+        reply = await self.forwarder.forward(
             attrs.evolve(request, upstream=upstream)
         )
+        return self._with_retry_delay(reply)
+
+    def _with_retry_delay(self, reply: ForwardReply) -> ForwardReply:
+        now_ms = self.clock.now_ms()
+        if reply.error != ErrorKind.DRAINING.value or (
+            now_ms < self.shutdown_admission.last_start_ms
+        ):
+            return reply
+        # The caller's next attempt would reach this node again if it came
+        # before the node has ended.
+        retry_after_ms = self.shutdown_admission.retry_after_ms(now_ms)
+        return attrs.evolve(reply, retry_after_ms=retry_after_ms)
 
     def _forward_request(
         self, route: RouteObject, call: CallerRequest
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -22,6 +22,7 @@
     Retry,
     RetryPolicy,
     RoundRobin,
+    ShutdownAdmission,
     TargetResult,
     TwoChoices,
     isolation_target,
@@ -114,6 +115,8 @@
             first.
         rejected: Number of requests that this node rejected because every
             target had just rejected requests of the same class.
+        shutdown_admission: Time after which a stopping node sends no request to
+            a target.
     """
 
     members: MemberTable
@@ -130,6 +133,9 @@
     rejected: int = 0
     hedged: int = 0
     hedges_won: int = 0
+    shutdown_admission: ShutdownAdmission = attrs.field(
+        factory=ShutdownAdmission
+    )
 
     @index.default
     def _new_index(self) -> CandidateIndex:
@@ -168,6 +174,8 @@
             # If the offer was declined after the request was hedged, the reply
             # of the hedge counts.
             if declined and reply.error == ErrorKind.OVERLOADED.value:
+                if self._remaining_ms(state) <= 0:
+                    return state.final_reply(reply)
                 if not self._may_bind_late(state):
                     target = self._target_after_decline(state)
                     continue
@@ -312,7 +320,7 @@
 
     def _second_target(self, state: ForwardingState) -> MemberEntry | None:
         request = state.request
-        if self._is_suspect(request):
+        if self._is_suspect(request) or self._remaining_ms(state) <= 0:
             return None
         now_ms = self.clock.now_ms()
         candidates = self.index.of(request.upstream)
@@ -491,7 +499,7 @@
             idempotent=request.idempotent,
             attempts=state.attempts,
             transparent_retries=state.transparent_retries,
-            remaining_ms=state.deadline_ms - now_ms,
+            remaining_ms=self._remaining_ms(state),
             is_retry=state.is_retry,
             other_has_capacity=self._other_has_capacity(state, now_ms),
             max_attempts=request.max_attempts or MAX_ATTEMPTS,
@@ -501,6 +509,14 @@
             state.transparent_retries += 1
         return retry
 
+    def _remaining_ms(self, state: ForwardingState) -> float:
+        """Returns the time in which another attempt may begin."""
+        shutdown = self.shutdown_admission
+        last_start_ms: float = state.deadline_ms
+        if state.deadline_ms > shutdown.latest_deadline_ms:
+            last_start_ms = min(last_start_ms, shutdown.last_start_ms)
+        return last_start_ms - self.clock.now_ms()
+
     def _other_has_capacity(self, state: ForwardingState, now_ms: int) -> bool:
         traffic_class = rejection_key(state.request)
         candidates = self.index.of(state.request.upstream)
--- a/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_outgoing_stream.py
@@ -36,6 +36,7 @@
     SlotAccept,
     SlotOffer,
     StreamClosing,
+    WithdrawRequest,
 )
 
 _logger = logging.getLogger(__name__)
@@ -165,6 +166,16 @@
         """Cancels a request whose caller no longer waits."""
         self._cancel(request_id, ErrorKind.CANCELLED)
 
+    def withdraw_requests(self) -> None:
+        """Withdraws the requests that have not started at their target.
+
+        The peer replies to each of them; requests that run are not affected.
+        """
+        self.fail_queued(ErrorKind.DRAINING)
+        for request_id, state in self.table.states():
+            if state is ExchangeState.SENT:
+                self.stream.send(WithdrawRequest(request_id=request_id))
+
     def fail_queued(self, kind: ErrorKind) -> None:
         """Fails the requests of which no byte was sent."""
         for request_id, state in self.table.states():
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -243,6 +243,8 @@
                 await _await_slot_acceptance(offer_slot)
             if request.fingerprint:
                 request = await _read_deferred_body(request)
+            if self.draining:
+                raise RequestError(ErrorKind.DRAINING)
             remaining_ms = (
                 int(admission_request.deadline_ms) - self.clock.now_ms()
             )
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -48,7 +48,8 @@
         hello: Frame that introduces this node to the peer.
         current: The open stream, None while the link has no open stream.
         closed_late_frames: Late and unknown frames of closed streams.
-        tasks: Tasks of the streams that are not closed yet.
+        streams: The streams that are not closed yet.
+        tasks: Tasks of these streams.
         loop: The event loop.
         links: All links of the node, with the state that they share.
         used_s: Event loop time at which the link was last used.
@@ -62,6 +63,7 @@
     closed_late_frames: int = 0
     used_s: float = 0.0
     failed_s: float = -math.inf
+    streams: set[OutgoingStream] = attrs.field(factory=set)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     connecting: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     loop: asyncio.AbstractEventLoop = attrs.field(
@@ -113,6 +115,7 @@
             raise RequestError(ErrorKind.PEER_UNREACHABLE) from None
         stream.send(self.hello)
         outgoing = OutgoingStream(self.address, stream, self._handle_frame)
+        self.streams.add(outgoing)
         task = asyncio.create_task(
             self._run(outgoing), name=f"peer-link-{self.address}"
         )
@@ -128,6 +131,7 @@
         try:
             await outgoing.run()
         finally:
+            self.streams.discard(outgoing)
             table = outgoing.table
             self.closed_late_frames += table.late_frames + table.unknown_frames
             self.links.closed_bytes += outgoing.stream.bytes_sent
@@ -170,11 +174,14 @@
         self, request: ForwardRequest
     ) -> tuple[OutgoingStream, ForwardRequest]:
         started_s = self.loop.time()
+        withdrawals = self.links.withdrawals
         try:
             async with asyncio.timeout(request.remaining_ms / _MS_PER_S):
                 current = await self.connect()
         except TimeoutError:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN) from None
+        if self.links.withdrawals != withdrawals:
+            raise RequestError(ErrorKind.DRAINING)
         elapsed_ms = int((self.loop.time() - started_s) * _MS_PER_S)
         return current, attrs.evolve(
             request,
@@ -200,6 +207,11 @@
         else:
             current.abort()
 
+    def withdraw_requests(self) -> None:
+        """Withdraws the requests that have not started at the target."""
+        for stream in list(self.streams):
+            stream.withdraw_requests()
+
     def is_idle(self, since_s: float) -> bool:
         """Tells whether the open stream has been unused since a time."""
         if self.current is None or self.current.calls:
@@ -231,6 +243,7 @@
             partitioned data centre times out.
         on_frame: Handles frames that belong to no request.
         links: The links.
+        withdrawals: Number of times that all requests were withdrawn.
         handshakes: Semaphore that enforces `connect_limit`.
         closed_bytes: Bytes sent on streams that have ended.
     """
@@ -240,6 +253,7 @@
     on_frame: FrameHandler | None = None
     links: dict[str, PeerLink] = attrs.field(factory=dict)
     closed_bytes: int = 0
+    withdrawals: int = 0
     handshakes: asyncio.Semaphore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -277,6 +291,12 @@
         if link is not None:
             link.finish()
 
+    def withdraw_requests(self) -> None:
+        """Withdraws the requests that have not started at their targets."""
+        self.withdrawals += 1
+        for link in self.links.values():
+            link.withdraw_requests()
+
     def close_idle(self, idle_ms: int) -> None:
         """Closes idle streams and removes links without a stream."""
         now_s = asyncio.get_running_loop().time()
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -47,6 +47,7 @@
     SyncReply,
     SyncRequest,
     VersionDigest,
+    WithdrawRequest,
 )
 
 if TYPE_CHECKING:
@@ -285,6 +286,20 @@
             return
         task.cancel()
 
+    def withdraw(self, request_id: int) -> None:
+        """Rejects a request that waits for a slot; its sender is stopping."""
+        task = self.running.get(request_id)
+        if task is None:
+            self.late_frames += 1
+            return
+        acceptance = self.slot_offers.get(request_id)
+        if acceptance is not None and not acceptance.done():
+            acceptance.set_exception(RequestError(ErrorKind.DRAINING))
+        # The task of a request that was received just before has not begun yet.
+        asyncio.get_running_loop().call_soon(
+            self.owner.admission_queue.reject_if_waiting, task
+        )
+
     def on_slot_accept(self, request_id: int) -> None:
         """Runs a late-bound request in the slot that the peer has accepted."""
         acceptance = self.slot_offers.get(request_id)
@@ -339,6 +354,11 @@
     connection.cancel(frame.request_id)
 
 
+@handle_frame.register
+def _(frame: WithdrawRequest, connection: PeerConnection) -> None:
+    connection.withdraw(frame.request_id)
+
+
 @handle_frame.register
 def _(frame: SlotAccept, connection: PeerConnection) -> None:
     connection.on_slot_accept(frame.request_id)
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -160,6 +160,7 @@
             hedging=Hedging(),
             uplink_bytes_per_ms=settings.line_mbps * _BYTES_PER_MS_AT_1_MBPS
             or math.inf,
+            shutdown_admission=self.owner.shutdown_admission,
         )
         self.dispatcher = Dispatcher(
             self.store,
@@ -311,12 +312,24 @@
             # The stop was requested during the start. Callers that wait for the
             # listener can use another node at once.
             self.adapter.listener.close()
-        close = await self._close_target(schedule)
-        self.http.drain()
-        await self._wait_for_requests(schedule.requests_end_ms)
-        _logger.info("node.drained", extra=self._work_in_progress())
-        await self._stop_components(schedule)
-        self._end_close(close)
+        timers = [
+            self._call_at(
+                schedule.routing_stops_ms, self._reject_outlasting_requests
+            ),
+            self._call_at(
+                schedule.last_start_ms, self._reject_waiting_requests
+            ),
+        ]
+        try:
+            close = await self._close_target(schedule)
+            self.http.drain()
+            await self._wait_for_requests(schedule.requests_end_ms)
+            _logger.info("node.drained", extra=self._work_in_progress())
+            await self._stop_components(schedule)
+            self._end_close(close)
+        finally:
+            for timer in timers:
+                timer.cancel()
         _logger.info("node.stopped")
 
     async def _close_target(self, schedule: StopSchedule) -> asyncio.Task[None]:
@@ -330,6 +343,21 @@
         await self._sleep_until(max(schedule.routing_stops_ms, update_ends_ms))
         return close
 
+    def _reject_outlasting_requests(self) -> None:
+        # A queued request that starts from now on could be cut off like one
+        # that arrives now.
+        self.owner.admission_queue.reject_waiting(
+            self.owner.shutdown_admission.latest_deadline_ms
+        )
+
+    def _reject_waiting_requests(self) -> None:
+        # A request that starts now could be cut off by the end of the stop. Its
+        # caller is told that it has not run while there is time to run it
+        # elsewhere.
+        _logger.info("node.rejects_waiting", extra=self._work_in_progress())
+        self.owner.reject_new_requests()
+        self.links.withdraw_requests()
+
     async def _stop_components(self, schedule: StopSchedule) -> None:
         # A request may still arrive after the last response. This request gets
         # the rest of the time like the earlier ones, because the caller of a
@@ -396,6 +424,13 @@
     def _remaining_ms(self, until_ms: int) -> int:
         return max(0, until_ms - self.clock.now_ms())
 
+    def _call_at(
+        self, at_ms: int, callback: Callable[[], None]
+    ) -> asyncio.TimerHandle:
+        return asyncio.get_running_loop().call_later(
+            self._remaining_ms(at_ms) / _MS_PER_S, callback
+        )
+
     async def _sleep_until(self, at_ms: int) -> None:
         await asyncio.sleep(self._remaining_ms(at_ms) / _MS_PER_S)
 
