Compute the duration of an attempt once

Cause: the trace of an attempt computed the duration that its caller had just computed, with a second reading of the clock for each attempt. Change: the caller passes the duration. The log line stays the same.

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -397,7 +397,7 @@
             if was_declined(request, reply):
                 state.record_decline(target, reply, is_offer=not is_hedge)
             outcome = observation(request, reply, took_ms, original.aim_ms)
-            attempt.end(reply.error or str(reply.status), self.clock.now_ms())
+            attempt.end(reply.error or str(reply.status), took_ms)
             if self.hedging is not None and was_served(reply):
                 self.hedging.add_response_time(
                     request.route, took_ms, self.clock.now_ms()
@@ -410,7 +410,7 @@
                 trace.attempts.remove(attempt)
                 raise
             took_ms = self.clock.now_ms() - started_ms
-            attempt.end("given_up", self.clock.now_ms())
+            attempt.end("given_up", took_ms)
             if self._is_past_hedge_delay(request, took_ms):
                 outcome = RequestOutcome(
                     TargetResult.SLOW,
--- a/packages/pomelobank-node/src/pomelobank_node/_tracing.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_tracing.py
@@ -26,10 +26,10 @@
     outcome: str = IN_PROGRESS
     took_ms: int | None = None
 
-    def end(self, outcome: str, now_ms: int) -> None:
+    def end(self, outcome: str, took_ms: int) -> None:
         """Records the outcome of the attempt."""
         self.outcome = outcome
-        self.took_ms = now_ms - self.started_ms
+        self.took_ms = took_ms
 
     def describe(self, now_ms: int) -> str:
         """Returns the attempt as it is written to the log.
