One check for both ways to reject a queued request

Cause: `reject_waiting` and `reject_if_waiting` each checked that the request had not started and rejected it. Change: both call one method; no behaviour changes.

--- a/packages/pomelobank-node/src/pomelobank_node/_admission_queue.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admission_queue.py
@@ -137,14 +137,17 @@
             latest_deadline_ms: Requests with an earlier deadline stay queued.
         """
         for request in list(self.waiting):
-            is_late = request.deadline_ms > latest_deadline_ms
-            if is_late and request.started_ms is None:
-                self._resolve(request, RequestError(ErrorKind.DRAINING))
+            if request.deadline_ms > latest_deadline_ms:
+                self._reject_unless_started(request)
 
     def reject_if_waiting(self, task: asyncio.Task[Any]) -> None:
         """Rejects the queued request of a task; a running request goes on."""
         request = self.waiting_tasks.get(task)
-        if request is not None and request.started_ms is None:
+        if request is not None:
+            self._reject_unless_started(request)
+
+    def _reject_unless_started(self, request: AdmissionRequest) -> None:
+        if request.started_ms is None:
             self._resolve(request, RequestError(ErrorKind.DRAINING))
 
     def set_slots(self, slots: int) -> None:
