Let the phases of a node's stop share one drain time-out

What callers saw: a node that stopped while a request of a peer and a request of a caller were both stuck waited the whole drain time-out twice, one after the other, after its broadcast.

Change: every wait for requests ends at the time that drain_timeout_ms after the beginning of the stop.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -103,13 +103,10 @@
         listen = settings.listen
         admin_application = self.admin_api.application()
         admin_application.add_route("/metrics", self.metrics.handle_request)
-        # The drain time-out also limits the stop of the server. Without this
-        # limit, a caller that never reads its response would block the stop.
         self.http = CallerServer(
             listen.http,
             self.ingress,
             limits=HttpLimits(body_bytes=settings.requests.max_body_bytes),
-            stop_timeout_ms=settings.requests.drain_timeout_ms,
         )
         self.admin = HttpServer(listen.admin, admin_application)
         self.peers = PeerServer(
@@ -171,16 +168,20 @@
         Requests from peers end first. Callers' requests end next, because they
         still need the streams to peers. Membership runs until the node has
         announced that it leaves, and the streams to peers close last. In this
-        order, no request that ends within the drain time-out is cut off.
+        order, no request that ends within the drain time-out, which begins with
+        the stop, is cut off.
         """
+        drain_timeout_ms = self.settings.requests.drain_timeout_ms
+        requests_end_ms = self.clock.now_ms() + drain_timeout_ms
         _logger.info("node.draining")
         await self.target.close()
         self.ingress.draining = True
-        timeout_ms = self.settings.requests.drain_timeout_ms
+        remaining_ms = self._remaining_ms(requests_end_ms)
         await asyncio.gather(
-            self.owner.drain(timeout_ms), self.claims.drain(timeout_ms)
+            self.owner.drain(remaining_ms), self.claims.drain(remaining_ms)
         )
         _logger.info("node.drained")
+        self.http.stop_timeout_ms = self._remaining_ms(requests_end_ms)
         for server in (self.http, self.admin):
             await server.stop()
         _logger.info("node.servers_stopped")
@@ -190,6 +191,9 @@
                 await component.stop()
         _logger.info("node.stopped")
 
+    def _remaining_ms(self, until_ms: int) -> int:
+        return max(0, until_ms - self.clock.now_ms())
+
 
 async def run_until(
     application: NodeApplication,
