Withdraw queued requests before a node's stop ends

What callers saw: a request that waited for a slot at another node when the drain time-out of its entry ended got an error that left open whether it had run, though no target had it. A request that is not safe to repeat was therefore lost to its caller.

Cause: only SidecarNode withdrew such requests; NodeApplication ended them with the ones that were running.

Evidence: test_request_queued_at_a_peer_is_withdrawn_before_the_stop_ends got 'unknown' before and gets 'not-run' now; the target has had one arrival, the request that holds its slot.

Change: shortly before the time-out ends, the node withdraws what waits at its peers and starts no further attempt; requests that may outlast the stop are rejected from its beginning.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -33,6 +33,11 @@
 
 _logger = logging.getLogger(__name__)
 
+# Part of the drain time-out that is left when requests that have not started at
+# a target are withdrawn. The part is at most half of the time-out.
+_WITHDRAWAL_RESERVE_MS = 500
+_MS_PER_S = 1000
+
 
 @attrs.define(eq=False, slots=False)
 class NodeApplication:
@@ -91,8 +96,14 @@
             self.links,
             self.clock,
             new_load_balancer(settings.requests),
+            shutdown_admission=self.owner.shutdown_admission,
+        )
+        dispatcher = Dispatcher(
+            self.store,
+            self.forwarder,
+            self.clock,
+            shutdown_admission=self.owner.shutdown_admission,
         )
-        dispatcher = Dispatcher(self.store, self.forwarder, self.clock)
         self._build_claims(dispatcher)
         self.ingress = Ingress(dispatcher, self.clock)
         self.metrics = Metrics(settings.node, settings.data_centre)
@@ -171,9 +182,8 @@
         order, no request that ends within the drain time-out, which begins with
         the stop, is cut off.
         """
-        drain_timeout_ms = self.settings.requests.drain_timeout_ms
-        requests_end_ms = self.clock.now_ms() + drain_timeout_ms
         _logger.info("node.draining")
+        requests_end_ms = self._limit_requests()
         await self.target.close()
         self.ingress.draining = True
         remaining_ms = self._remaining_ms(requests_end_ms)
@@ -191,6 +201,21 @@
                 await component.stop()
         _logger.info("node.stopped")
 
+    def _limit_requests(self) -> int:
+        """Sets the end of the requests and returns its time."""
+        timeout_ms = self.settings.requests.drain_timeout_ms
+        requests_end_ms = self.clock.now_ms() + timeout_ms
+        reserve_ms = min(_WITHDRAWAL_RESERVE_MS, timeout_ms // 2)
+        shutdown = self.owner.shutdown_admission
+        shutdown.shutdown_at_ms = requests_end_ms
+        shutdown.last_start_ms = requests_end_ms - reserve_ms
+        # A request that waits at a peer would get an error at the end that does
+        # not tell whether it has run.
+        asyncio.get_running_loop().call_later(
+            (timeout_ms - reserve_ms) / _MS_PER_S, self.links.withdraw_requests
+        )
+        return requests_end_ms
+
     def _remaining_ms(self, until_ms: int) -> int:
         return max(0, until_ms - self.clock.now_ms())
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -70,3 +70,27 @@
         for call in calls:
             _, _, body = await call
             assert json.loads(body)["run"] == "unknown"
+
+
+async def test_request_queued_at_a_peer_is_withdrawn_before_the_stop_ends() -> (
+    None
+):
+    """A stop ends while a caller's request waits for a slot at another node.
+
+    The request never runs, so its caller must be told that it has not run.
+    """
+    async with started_mesh() as mesh:
+        running = asyncio.create_task(
+            mesh.request("b", "replenish", "/reorders/1", headers=LONG_WORK)
+        )
+        await wait_busy(mesh, "b")
+        queued = asyncio.create_task(
+            mesh.request("a", "replenish", "/reorders/2")
+        )
+        await asyncio.sleep(0.2)
+        assert not queued.done()
+        assert await mesh.nodes["a"].stop() == 0
+        _, _, body = await queued
+        assert json.loads(body)["run"] == "not-run"
+        assert mesh.targets["b"].service.arrivals == 1
+        running.cancel()
