Count keyed requests that wait for the log in a node's drain

What callers saw: a node was stopped while it read the claims for a peer's keyed request. It ended 1.2 s after the signal, of a drain time-out of 30 s; the caller got 409 key_in_use, a resend got the same, and the request had not run.

Cause: the drain waited for the requests that the shards run. A request that waits for the log or for another node's claim was not among them.

Change: ClaimService counts the requests that it serves.

--- a/packages/pomelobank-node/src/pomelobank_node/_claims.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims.py
@@ -76,6 +76,7 @@
         forwarded: Requests sent to another claiming node, for the metrics.
         second_attempts: Requests sent to a second claiming node, for the
             metrics.
+        in_flight: Requests that this node is claiming or running.
         draining: Whether new requests are rejected because the node stops.
         task: Task that stops idle workers.
     """
@@ -94,6 +95,7 @@
     )
     forwarded: int = 0
     second_attempts: int = 0
+    in_flight: int = 0
     draining: bool = False
     task: asyncio.Task[None] | None = None
 
@@ -137,20 +139,29 @@
             timeout_ms: Maximum wait for running requests.
         """
         self.draining = True
-        await self._wait_until(timeout_ms, lambda worker: not worker.running)
+        await self._wait_until(timeout_ms, lambda: not self._is_running)
         # If an outage of the log prevents the append of an outcome, a resent
         # request gets no stored response, but its key stays claimed. This loss
         # does not justify a stop that takes minutes.
         await self._wait_until(
-            min(timeout_ms, _FLUSH_TIMEOUT_MS), lambda worker: worker.idle
+            min(timeout_ms, _FLUSH_TIMEOUT_MS),
+            lambda: all(item.idle for item in self.workers.values()),
+        )
+
+    @property
+    def _is_running(self) -> bool:
+        # A request may also wait for the log or for another claim, or run on
+        # after the node that sent it has given up.
+        return self.in_flight > 0 or any(
+            item.running for item in self.workers.values()
         )
 
     async def _wait_until(
-        self, timeout_ms: int, ready: Callable[[ShardWorker], bool]
+        self, timeout_ms: int, ready: Callable[[], bool]
     ) -> None:
         end_ms = self.clock.now_ms() + timeout_ms
         while self.clock.now_ms() < end_ms:
-            if all(ready(worker) for worker in self.workers.values()):
+            if ready():
                 return
             await asyncio.sleep(_DRAIN_POLL_S)
 
@@ -228,6 +239,7 @@
         Returns:
             The target's response, or the error that ended the request.
         """
+        self.in_flight += 1
         try:
             if self.draining:
                 raise RequestError(ErrorKind.DRAINING)
@@ -235,6 +247,8 @@
             reply = await self._worker_for(keyed).serve(keyed)
         except RequestError as error:
             return error_reply(request.request_id, error)
+        finally:
+            self.in_flight -= 1
         return attrs.evolve(reply, request_id=request.request_id)
 
     def _keyed_request(self, request: ForwardRequest) -> KeyedRequest:
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -1,12 +1,14 @@
 """Planned stops of node processes whose requests outlast the drain time-out."""
 
 import asyncio
+import itertools
 import json
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
 
+from pomelobank_core import claim_key, rank_claimants, scoped_key, shard_of
 from pomelobank_testing import MESHES, TestMesh, UpstreamService
 
 DRAIN_TIMEOUT_S = 5.0
@@ -25,10 +27,15 @@
 
 
 @asynccontextmanager
-async def started_mesh() -> AsyncIterator[TestMesh]:
+async def started_mesh(
+    drain_timeout_s: float = DRAIN_TIMEOUT_S,
+) -> AsyncIterator[TestMesh]:
     """Starts a node with a counter desk and a node with a stock replenisher."""
-    requests = {"drain_timeout_ms": int(DRAIN_TIMEOUT_S * 1000)}
-    async with TestMesh({"requests": requests}) as mesh:
+    settings = {
+        "requests": {"drain_timeout_ms": int(drain_timeout_s * 1000)},
+        "claims": {"claim_timeout_ms": 10_000},
+    }
+    async with TestMesh(settings) as mesh:
         for name, service in (("a", "counter-desk"), ("b", "replenish")):
             target = UpstreamService(name, f"{service}-main", slots=1)
             await mesh.add_node(name, "hobart", target)
@@ -48,6 +55,65 @@
             await asyncio.sleep(0.01)
 
 
+async def stop_and_time(mesh: TestMesh, name: str) -> float:
+    """Stops a node and returns how long the stop took, in seconds."""
+    started_s = time.monotonic()
+    assert await mesh.nodes[name].stop() == 0
+    return time.monotonic() - started_s
+
+
+def key_claimed_by(name: str) -> str:
+    """Returns an idempotency key that a node claims."""
+    for number in itertools.count():
+        key = f"order-{number}"
+        shard = shard_of(claim_key(scoped_key("replenish", key)))
+        if rank_claimants(shard, ["a", "b"])[0] == name:
+            return key
+    raise AssertionError
+
+
+def start_reorder(
+    mesh: TestMesh, entry: str, claimant: str = ""
+) -> asyncio.Task[tuple[int, dict[str, str], bytes]]:
+    """Sends a reorder to a node, with a key if a claiming node is given."""
+    headers = {"idempotency-key": key_claimed_by(claimant)} if claimant else {}
+    return asyncio.create_task(
+        mesh.request(
+            entry,
+            "replenish",
+            "/reorders/2",
+            "POST",
+            headers=headers,
+            data=b"order",
+        )
+    )
+
+
+@asynccontextmanager
+async def busy_target(
+    mesh: TestMesh, name: str, service: str, path: str
+) -> AsyncIterator[None]:
+    """Keeps the only slot of a target busy."""
+    running = asyncio.create_task(
+        mesh.request(name, service, path, headers=LONG_WORK)
+    )
+    await wait_busy(mesh, name)
+    try:
+        yield
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+async def wait_queued(mesh: TestMesh, name: str) -> None:
+    """Waits until a request waits for a slot of the target beside a node."""
+    async with asyncio.timeout(10):
+        while True:
+            if await mesh.metric(name, "pomelobank_target_waiting"):
+                return
+            await asyncio.sleep(0.05)
+
+
 async def test_phases_of_a_stop_share_one_drain_timeout() -> None:
     """A stop waits for a peer's request, then for a caller's, each to its end.
 
@@ -64,9 +130,7 @@
             ),
         ]
         await asyncio.gather(wait_busy(mesh, "a"), wait_busy(mesh, "b"))
-        started_s = time.monotonic()
-        assert await mesh.nodes["a"].stop() == 0
-        assert time.monotonic() - started_s < DRAIN_TIMEOUT_S + EXIT_S
+        assert await stop_and_time(mesh, "a") < DRAIN_TIMEOUT_S + EXIT_S
         for call in calls:
             _, _, body = await call
             assert json.loads(body)["run"] == "unknown"
@@ -79,18 +143,29 @@
 
     The request never runs, so its caller must be told that it has not run.
     """
-    async with started_mesh() as mesh:
-        running = asyncio.create_task(
-            mesh.request("b", "replenish", "/reorders/1", headers=LONG_WORK)
-        )
-        await wait_busy(mesh, "b")
-        queued = asyncio.create_task(
-            mesh.request("a", "replenish", "/reorders/2")
-        )
-        await asyncio.sleep(0.2)
-        assert not queued.done()
-        assert await mesh.nodes["a"].stop() == 0
-        _, _, body = await queued
+    async with (
+        started_mesh() as mesh,
+        busy_target(mesh, "b", "replenish", "/reorders/1"),
+    ):
+        queued = start_reorder(mesh, "a")
+        await wait_queued(mesh, "b")
+        await stop_and_time(mesh, "a")
+        _, headers, body = await queued
+        assert headers["x-pomelobank-error"] == "draining"
         assert json.loads(body)["run"] == "not-run"
         assert mesh.targets["b"].service.arrivals == 1
-        running.cancel()
+
+
+async def test_stop_waits_for_a_keyed_request_that_waits_for_the_log() -> None:
+    """A node stops while it reads the claims of a peer's request.
+
+    If the node ended, the caller's key would stay claimed although the request
+    has not run.
+    """
+    async with started_mesh(drain_timeout_s=30) as mesh:
+        mesh.log.faults.delay_ms = 700
+        keyed = start_reorder(mesh, "b", claimant="a")
+        await asyncio.sleep(0.2)
+        await stop_and_time(mesh, "a")
+        status, _, body = await keyed
+        assert status == 200, body
