Send a withdrawn keyed request to no second claiming node

What callers saw: 504 with 'unknown' for a keyed request that was withdrawn, had not run, and still had time for the answer 'not-run'.

Cause: the entry treats 'draining' as a reason to try the second claiming node. After its own withdrawal it sent the request there, where nothing withdraws it, and ended it as unknown shortly afterwards.

Evidence: test_keyed_request_queued_at_a_peer_is_withdrawn got stopped_unknown before, draining now.

Change: after the last start of its stop, a node sends no request to a claiming node.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -134,6 +134,7 @@
             self.clock,
             self.settings.claims,
             dispatcher.dispatch_claimed,
+            shutdown_admission=self.owner.shutdown_admission,
         )
         dispatcher.claims = self.claims
 
--- a/packages/pomelobank-node/src/pomelobank_node/_claims.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims.py
@@ -17,6 +17,7 @@
     MemberTable,
     ResponseStore,
     RunState,
+    ShutdownAdmission,
     claim_key,
     combine_run_states,
     rank_claimants,
@@ -78,6 +79,8 @@
             metrics.
         in_flight: Requests that this node is claiming or running.
         draining: Whether new requests are rejected because the node stops.
+        shutdown_admission: Time after which a stopping node sends no request to
+            a claiming node.
         task: Task that stops idle workers.
     """
 
@@ -97,6 +100,9 @@
     second_attempts: int = 0
     in_flight: int = 0
     draining: bool = False
+    shutdown_admission: ShutdownAdmission = attrs.field(
+        factory=ShutdownAdmission
+    )
     task: asyncio.Task[None] | None = None
 
     def __attrs_post_init__(self) -> None:
@@ -213,11 +219,14 @@
     async def _send_to(
         self, node: str, request: ForwardRequest, deadline_ms: int
     ) -> ForwardReply:
-        left_ms = deadline_ms - self.clock.now_ms()
+        now_ms = self.clock.now_ms()
+        left_ms = deadline_ms - now_ms
         if left_ms <= 0:
             return error_reply(0, RequestError(ErrorKind.DEADLINE_NOT_RUN))
+        if now_ms >= self.shutdown_admission.last_start_ms:
+            return error_reply(0, RequestError(ErrorKind.DRAINING))
         request = attrs.evolve(
-            request, sent_ms=self.clock.now_ms(), remaining_ms=left_ms
+            request, sent_ms=now_ms, remaining_ms=left_ms
         )
         if node == self.members.own.node:
             return await self.serve(request)
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -156,6 +156,25 @@
         assert mesh.targets["b"].service.arrivals == 1
 
 
+async def test_keyed_request_queued_at_a_peer_is_withdrawn() -> None:
+    """The same with a key that the stopping node claims.
+
+    A withdrawn request must not go to a second claiming node, since nothing
+    withdraws it there.
+    """
+    async with (
+        started_mesh() as mesh,
+        busy_target(mesh, "b", "replenish", "/reorders/1"),
+    ):
+        queued = start_reorder(mesh, "a", claimant="a")
+        await wait_queued(mesh, "b")
+        await stop_and_time(mesh, "a")
+        _, headers, body = await queued
+        assert headers["x-pomelobank-error"] == "draining"
+        assert json.loads(body)["run"] == "not-run"
+        assert mesh.targets["b"].service.arrivals == 1
+
+
 async def test_stop_waits_for_a_keyed_request_that_waits_for_the_log() -> None:
     """A node stops while it reads the claims of a peer's request.
 
