Start no claimed request at the end of a node's stop

What callers saw: a keyed request started 0.4 s before the end of its claiming node's stop and was cut off: 'unknown', where 'not-run' would have been true half a second earlier.

Cause: the time of the last start limited retries only. The first attempt of a keyed request waits for its claim, which a slow log confirms late.

Evidence: test_request_claimed_at_the_end_of_a_stop_is_not_started (log at 700 ms a call) got 'unknown' before.

--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -154,8 +154,11 @@
         """Routes and forwards a request whose key this node has claimed.
 
         Raises:
-            RequestError: If no route or no target can serve the request.
+            RequestError: If no route or no target can serve the request, or if
+                the node is about to end.
         """
+        if self.clock.now_ms() >= self.shutdown_admission.last_start_ms:
+            raise RequestError(ErrorKind.DRAINING)
         if not self.store.ready:
             raise RequestError(ErrorKind.NOT_READY)
         service = service_of(request.idempotency_key)
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -175,6 +175,23 @@
         assert mesh.targets["b"].service.arrivals == 1
 
 
+async def test_request_claimed_at_the_end_of_a_stop_is_not_started() -> None:
+    """A slow log confirms a claim when too little of the stop is left.
+
+    A request that starts then is cut off, and its caller does not know whether
+    it has run.
+    """
+    async with started_mesh(drain_timeout_s=1.6) as mesh:
+        mesh.log.faults.delay_ms = 700
+        mesh.targets["b"].service.work_ms = 3000
+        keyed = start_reorder(mesh, "a", claimant="a")
+        await asyncio.sleep(0.2)
+        await stop_and_time(mesh, "a")
+        _, _, body = await keyed
+        assert json.loads(body)["run"] == "not-run"
+        assert mesh.targets["b"].service.arrivals == 0
+
+
 async def test_stop_waits_for_a_keyed_request_that_waits_for_the_log() -> None:
     """A node stops while it reads the claims of a peer's request.
 
