Reject the own queue before a node's stop ends

What callers saw: 'unknown' for requests that waited for the slot of the stopping node's own target, from peers and from its own callers.

Cause: they were rejected a second after the drain began, by a clock of the target's drain. With a drain time-out under a second the stop ended before.

Evidence: test_requests_queued_at_a_stopping_node_are_rejected, time-out 0.6 s, got 'unknown' before.

Change: the queue is rejected with the withdrawal of the requests at peers.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -213,10 +213,14 @@
         # A request that waits at a peer would get an error at the end that does
         # not tell whether it has run.
         asyncio.get_running_loop().call_later(
-            (timeout_ms - reserve_ms) / _MS_PER_S, self.links.withdraw_requests
+            (timeout_ms - reserve_ms) / _MS_PER_S, self._reject_waiting_requests
         )
         return requests_end_ms
 
+    def _reject_waiting_requests(self) -> None:
+        self.owner.reject_new_requests()
+        self.links.withdraw_requests()
+
     def _remaining_ms(self, until_ms: int) -> int:
         return max(0, until_ms - self.clock.now_ms())
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -205,3 +205,22 @@
         await stop_and_time(mesh, "a")
         status, _, body = await keyed
         assert status == 200, body
+
+
+async def test_requests_queued_at_a_stopping_node_are_rejected() -> None:
+    """Requests wait for the slot of a target when the stop of its node ends.
+
+    One is a request of a peer, the other of the node's own caller.
+    """
+    async with (
+        started_mesh(drain_timeout_s=0.6) as mesh,
+        busy_target(mesh, "b", "replenish", "/reorders/1"),
+    ):
+        queued = [start_reorder(mesh, entry) for entry in ("a", "b")]
+        await wait_queued(mesh, "b")
+        await asyncio.sleep(0.2)
+        await stop_and_time(mesh, "b")
+        for request in queued:
+            _, _, body = await request
+            assert json.loads(body)["run"] == "not-run"
+        assert mesh.targets["b"].service.arrivals == 1
