Wait only for outcomes that can be recorded in a node's stop

What callers saw: a keyed request that outlasted the drain time-out held the stop up by two more seconds, which callers' requests waited through.

Cause: the wait for records ended when no request was in flight, which a running request prevents.

Change: the wait ends when the outcome of every request that ended has been appended.

--- a/packages/pomelobank-node/src/pomelobank_node/_claims.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims.py
@@ -151,7 +151,7 @@
         # does not justify a stop that takes minutes.
         await self._wait_until(
             min(timeout_ms, _FLUSH_TIMEOUT_MS),
-            lambda: all(item.idle for item in self.workers.values()),
+            lambda: all(item.flushed for item in self.workers.values()),
         )
 
     @property
@@ -225,9 +225,7 @@
             return error_reply(0, RequestError(ErrorKind.DEADLINE_NOT_RUN))
         if now_ms >= self.shutdown_admission.last_start_ms:
             return error_reply(0, RequestError(ErrorKind.DRAINING))
-        request = attrs.evolve(
-            request, sent_ms=now_ms, remaining_ms=left_ms
-        )
+        request = attrs.evolve(request, sent_ms=now_ms, remaining_ms=left_ms)
         if node == self.members.own.node:
             return await self.serve(request)
         self.forwarded += 1
--- a/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims_shard.py
@@ -167,6 +167,14 @@
         """Whether no request is in flight and no record waits for an append."""
         return not self.running_requests and self.claim_writer.idle
 
+    @property
+    def flushed(self) -> bool:
+        """Whether the outcome of every request that ended was appended."""
+        unrecorded = any(
+            item.reply.done() for item in self.running_requests.values()
+        )
+        return not unrecorded and self.claim_writer.idle
+
     # Requests.
 
     async def serve(self, keyed: KeyedRequest) -> ForwardReply:
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -224,3 +224,18 @@
             _, _, body = await request
             assert json.loads(body)["run"] == "not-run"
         assert mesh.targets["b"].service.arrivals == 1
+
+
+async def test_running_keyed_request_does_not_prolong_a_stop() -> None:
+    """A keyed request outlasts the drain time-out of its claiming node.
+
+    Its outcome cannot be recorded any more, so waiting for the record is
+    useless.
+    """
+    async with started_mesh(drain_timeout_s=2) as mesh:
+        mesh.targets["b"].service.work_ms = 30_000
+        keyed = start_reorder(mesh, "a", claimant="a")
+        await wait_busy(mesh, "b")
+        assert await stop_and_time(mesh, "a") < 2 + 1.5
+        _, _, body = await keyed
+        assert json.loads(body)["run"] == "unknown"
