Limit the time of the admin server's stop

What operators saw: a client that sent half of a request to the admin address kept the node from stopping (more than 40 s with a drain time-out of 1 s). It announced to nobody that it left, and had to be killed.

Cause: the stop of the admin server has no time limit and comes before the announcement.

Evidence: test_unfinished_admin_request_does_not_prolong_a_stop failed after 40 s before.

Change: the server gets one second.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -36,6 +36,8 @@
 # Part of the drain time-out that is left when requests that have not started at
 # a target are withdrawn. The part is at most half of the time-out.
 _WITHDRAWAL_RESERVE_MS = 500
+# Time limit for closing the admin server's connections.
+_SERVER_STOP_TIMEOUT_MS = 1000
 _MS_PER_S = 1000
 
 
@@ -193,8 +195,8 @@
         )
         _logger.info("node.drained")
         self.http.stop_timeout_ms = self._remaining_ms(requests_end_ms)
-        for server in (self.http, self.admin):
-            await server.stop()
+        await self.http.stop()
+        await self._stop_admin()
         _logger.info("node.servers_stopped")
         await self.membership.leave()
         for component in reversed(self.started_components):
@@ -202,6 +204,14 @@
                 await component.stop()
         _logger.info("node.stopped")
 
+    async def _stop_admin(self) -> None:
+        # A client that does not finish its request must not delay the stop.
+        try:
+            async with asyncio.timeout(_SERVER_STOP_TIMEOUT_MS / _MS_PER_S):
+                await self.admin.stop()
+        except TimeoutError:
+            _logger.info("admin.cut_off")
+
     def _limit_requests(self) -> int:
         """Sets the end of the requests and returns its time."""
         timeout_ms = self.settings.requests.drain_timeout_ms
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -239,3 +239,16 @@
         assert await stop_and_time(mesh, "a") < 2 + 1.5
         _, _, body = await keyed
         assert json.loads(body)["run"] == "unknown"
+
+
+async def test_unfinished_admin_request_does_not_prolong_a_stop() -> None:
+    """A client sends half of a request to the admin address of a node."""
+    async with started_mesh(drain_timeout_s=1) as mesh:
+        host, port = mesh.nodes["a"].addresses["admin"].rsplit(":", 1)
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /v1/target HTTP/1.1\r\nhost: a\r\ncontent-length: 9\r\n\r\n{"
+        )
+        await asyncio.sleep(0.3)
+        assert await stop_and_time(mesh, "a") < 1 + EXIT_S
+        writer.close()
