Limit the time of the peers' streams in a node's stop

What callers saw: one suspended peer with a running request held the end of a node up by five more seconds; a platform that waits a few seconds kills the process.

Cause: the server for peers had the time-out of its default, 5 s, counted from the end of the phases before. SidecarNode sets its own.

Change: one second, the time for which peers wait for the last replies.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -36,7 +36,8 @@
 # Part of the drain time-out that is left when requests that have not started at
 # a target are withdrawn. The part is at most half of the time-out.
 _WITHDRAWAL_RESERVE_MS = 500
-# Time limit for closing the admin server's connections.
+# Time limit for closing the admin server's connections, and for closing the
+# streams of peers.
 _SERVER_STOP_TIMEOUT_MS = 1000
 _MS_PER_S = 1000
 
@@ -123,7 +124,12 @@
         )
         self.admin = HttpServer(listen.admin, admin_application)
         self.peers = PeerServer(
-            listen.peer, self.owner, self.membership, self.feed, self.claims
+            listen.peer,
+            self.owner,
+            self.membership,
+            self.feed,
+            self.claims,
+            stop_timeout_ms=_SERVER_STOP_TIMEOUT_MS,
         )
         self.operator = OperatorServer(listen.operator, operator)
         observe_node(self.metrics, self)
--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_planned_stop.py
@@ -252,3 +252,16 @@
         await asyncio.sleep(0.3)
         assert await stop_and_time(mesh, "a") < 1 + EXIT_S
         writer.close()
+
+
+async def test_suspended_peer_does_not_prolong_a_stop() -> None:
+    """A peer whose request runs at the stopping node does not respond."""
+    async with started_mesh(drain_timeout_s=2) as mesh:
+        running = asyncio.create_task(
+            mesh.request("b", "counter-desk", "/stock/1", headers=LONG_WORK)
+        )
+        await wait_busy(mesh, "a")
+        mesh.nodes["b"].freeze()
+        assert await stop_and_time(mesh, "a") < 2 + EXIT_S
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
