Reject callers' requests from the beginning of a node's stop

Read in review, not reproduced: since a request that came during the broadcast of the drain (1.5 s at most) and could outlast the stop got the whole drain time-out as Retry-After, 30 s by default; a keyed one of a peer was accepted and would have been cut off.

Change: callers and keyed requests of peers are rejected from the signal, as they were after the broadcast: with a short delay, and the caller's connection closes.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -193,8 +193,8 @@
         """
         _logger.info("node.draining")
         requests_end_ms = self._limit_requests()
+        self.ingress.draining = self.claims.draining = True
         await self.target.close()
-        self.ingress.draining = True
         remaining_ms = self._remaining_ms(requests_end_ms)
         await asyncio.gather(
             self.owner.drain(remaining_ms), self.claims.drain(remaining_ms)
