Log how long a failed read took and when a node takes over reading

The logs of a configuration that came late show source.lost of the readers, but neither when the read without a response began nor whether and how long other nodes had known of no read. source.lost now has read_ms, and source.taken_over has read_age_ms and nodes_ahead, once per takeover.

--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -112,12 +112,15 @@
         last_read_ms: Time of the newest read of the source, by any node, that
             this node knows of.
         last_peer_read_ms: Time of the newest read that a peer reported.
+        read_started_ms: Time at which this node's last read began.
         reading: Whether a read is under way.
         source_up: Whether this node's last read succeeded.
         last_heartbeat_ms: Time at which this node sent its last heartbeat.
         backoff_until_ms: Time until which this node leaves reading to a peer
             that can read.
         read_due: Set when this node has to read.
+        took_over: Whether this node, which is no reader, has logged that it
+            reads the source because no recent read is known.
         reads: Reads of the source, for the metrics.
         pulls_sent: Pulls sent to peers, for the metrics.
         pushes_sent: Documents sent in response to pulls, for the metrics.
@@ -140,11 +143,13 @@
     position: int | None = None
     last_read_ms: int = 0
     last_peer_read_ms: float = -math.inf
+    read_started_ms: int = 0
     reading: bool = False
     source_up: bool = True
     last_heartbeat_ms: int = 0
     backoff_until_ms: int = 0
     read_due: asyncio.Event = attrs.field(factory=asyncio.Event)
+    took_over: bool = False
     reads: int = 0
     pulls_sent: int = 0
     pushes_sent: int = 0
@@ -197,6 +202,7 @@
         retry_ms = _FIRST_RETRY_MS
         while True:
             if not self._must_read():
+                self.took_over = False
                 await self._wait_until_read_due()
                 continue
             if self._may_back_off():
@@ -273,7 +279,9 @@
         return self.order.role(self.clock.now_ms()) is ReadingRole.READER
 
     async def _read_once(self) -> bool:
+        self._log_takeover()
         self.reads += 1
+        self.read_started_ms = self.clock.now_ms()
         self.reading = True
         try:
             document = await self._next_document()
@@ -294,6 +302,20 @@
         )
         return True
 
+    def _log_takeover(self) -> None:
+        if self.took_over or self.is_reader():
+            return
+        self.took_over = True
+        now_ms = self.clock.now_ms()
+        _logger.info(
+            "source.taken_over",
+            extra={
+                "read_age_ms": now_ms - self.last_read_ms,
+                "nodes_ahead": self.order.neighbours_ahead(now_ms),
+                "version": self.store.version,
+            },
+        )
+
     async def _next_document(self) -> Document | None:
         if self.position is None:
             return await self.source.newest()
@@ -309,7 +331,11 @@
         self.source_up = up
         _logger.warning(
             "source.regained" if up else "source.lost",
-            extra={"reason": reason, "version": self.store.version},
+            extra={
+                "reason": reason,
+                "version": self.store.version,
+                "read_ms": self.clock.now_ms() - self.read_started_ms,
+            },
         )
 
     def _read_age_ms(self) -> int:
