Reproduce a version that is late because all readers fell silent

Callers' requests are routed by an older version more than 2 s after a change was acknowledged. The older simulation let the publication end the reads of unresponsive nodes, which hid the fault.

--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import attrs
@@ -57,6 +57,8 @@
         published: Set, and replaced, at every publication.
         rejected: Nodes whose reads the source rejects.
         unresponsive: Nodes whose reads get no response.
+        silenced: Nodes whose reads get no response, those under way included.
+        isolated: Addresses that neither send nor receive frames.
         feeds: The nodes' feeds by address.
         calls: Reads that the source has received.
     """
@@ -68,6 +70,8 @@
     published: asyncio.Event = attrs.field(factory=asyncio.Event)
     rejected: set[str] = attrs.field(factory=set)
     unresponsive: set[str] = attrs.field(factory=set)
+    silenced: set[str] = attrs.field(factory=set)
+    isolated: set[str] = attrs.field(factory=set)
     feeds: dict[str, PublishedFeed] = attrs.field(factory=dict)
     calls: int = 0
 
@@ -96,6 +100,7 @@
     async def _read(self, position: int, wait_s: float) -> Document | None:
         simulation = self.simulation
         simulation.calls += 1
+        timeout_s = simulation.time.now_s + wait_s + RESPONSE_TIMEOUT_S
         await asyncio.sleep(RESPONSE_TIME_S)
         if self.node in simulation.rejected:
             raise SourceError("refused")
@@ -105,6 +110,9 @@
                     await simulation.published.wait()
             except TimeoutError:
                 pass
+        if self.node in simulation.silenced:
+            await asyncio.sleep(timeout_s - simulation.time.now_s)
+            raise SourceError("no answer")
         if self.node in simulation.unresponsive:
             await asyncio.sleep(RESPONSE_TIMEOUT_S)
             raise SourceError("no answer")
@@ -115,9 +123,10 @@
 
 @attrs.define(eq=False)
 class Link:
-    """Delivers frames to one node."""
+    """Delivers one node's frames to another node."""
 
     simulation: Simulation
+    sender: str
     address: str
 
     async def send(self, frame: WireMessage) -> None:
@@ -127,7 +136,8 @@
 
     def _arrive(self, frame: WireMessage) -> None:
         feed = self.simulation.feeds.get(self.address)
-        if feed is not None:
+        ends = {self.sender, self.address}
+        if feed is not None and not ends & self.simulation.isolated:
             feed.receive(frame)
 
 
@@ -136,9 +146,10 @@
     """The streams of one node to its peers."""
 
     simulation: Simulation
+    sender: str
 
     def to(self, address: str) -> Link:
-        return Link(self.simulation, address)
+        return Link(self.simulation, self.sender, address)
 
 
 def create_feeds(simulation: Simulation) -> None:
@@ -154,7 +165,7 @@
             Source(simulation, entry.node),  # type: ignore[arg-type]
             PublishedStore(decode),
             table,
-            Links(simulation),  # type: ignore[arg-type]
+            Links(simulation, entry.peer_address),  # type: ignore[arg-type]
             VirtualClock(simulation.time),
             random.Random(entry.node),
         )
@@ -293,6 +304,9 @@
     assert simulation.calls <= READER_COUNT + reads_for_changes + idle_reads
 
 
+Fault = Callable[[Simulation, list[PublishedFeed]], None]
+
+
 async def publish_after_readers_died(
     simulation: Simulation, killed: set[str]
 ) -> None:
@@ -327,3 +341,72 @@
     simulation = Simulation(random.Random(1), time, MANY_DATA_CENTRES)
     run_in_virtual_time(time, publish_after_readers_died(simulation, killed))
     assert len(killed) == READER_COUNT
+
+
+def draw_affected(simulation: Simulation) -> list[PublishedFeed]:
+    """Returns the feeds of all readers and of some other nodes."""
+    feeds = list(simulation.feeds.values())
+    readers = [feed for feed in feeds if feed.is_reader()]
+    others = [feed for feed in feeds if not feed.is_reader()]
+    return readers + simulation.rng.sample(others, len(others) // 3)
+
+
+def silence_source(
+    simulation: Simulation, affected: list[PublishedFeed]
+) -> None:
+    """Makes the source stop responding to nodes."""
+    simulation.silenced.update(feed.members.own.node for feed in affected)
+
+
+def isolate(simulation: Simulation, affected: list[PublishedFeed]) -> None:
+    """Makes nodes stop, as far as the source and their peers can tell."""
+    silence_source(simulation, affected)
+    simulation.isolated.update(
+        feed.members.own.peer_address for feed in affected
+    )
+
+
+async def publish_after_readers_fell_silent(
+    simulation: Simulation, fault: Fault, outdated: set[str]
+) -> None:
+    async with running_feeds(simulation):
+        await asyncio.sleep(4 + simulation.rng.uniform(0, 3))
+        fault(simulation, draw_affected(simulation))
+        await asyncio.sleep(simulation.rng.uniform(0, 0.2))
+        simulation.publish()
+        await asyncio.sleep(MAX_PROPAGATION_S)
+        outdated.update(
+            feed.members.own.node
+            for address, feed in simulation.feeds.items()
+            if address not in simulation.isolated
+            and feed.store.version < simulation.version
+        )
+
+
+@pytest.mark.parametrize(
+    "nodes",
+    [pytest.param(NODES, id="few"), pytest.param(MANY_DATA_CENTRES, id="many")],
+)
+@pytest.mark.parametrize(
+    "fault",
+    [
+        pytest.param(silence_source, id="source-silent"),
+        pytest.param(isolate, id="nodes-stopped"),
+    ],
+)
+def test_a_version_published_after_all_readers_fell_silent_is_in_time(
+    fault: Fault, nodes: dict[str, int]
+) -> None:
+    """Nodes that wait for the readers' unanswered reads miss the version."""
+    outdated_by_seed = {}
+    for seed in range(20):
+        time = VirtualTime()
+        simulation = Simulation(random.Random(seed), time, nodes)
+        outdated: set[str] = set()
+        run_in_virtual_time(
+            time,
+            publish_after_readers_fell_silent(simulation, fault, outdated),
+        )
+        if outdated:
+            outdated_by_seed[seed] = outdated
+    assert not outdated_by_seed
