Repeat a pull without a response at the next announcement

A node asked for a version only once, whoever announced it, and left the repeat to gossip, which takes up to 1.5 s to carry a peer's version: with the peer gone right after its announcement, callers would be routed by the older version close to the bound of 2 s, while the announcements of other peers, by now at least one in 0.7 s, were ignored.

--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -77,6 +77,10 @@
 # version from a peer of its own data centre. Mostly the document is already on
 # its way, so that no pull is needed.
 PULL_DELAY_MS = 120
+# Time after which a pull may be repeated, to any peer that announces the
+# version. A compressed document of 350 KB takes a quarter of a second on a
+# network link of 2.5 Mbit/s.
+PULL_TIMEOUT_MS = 500
 # Delay before a node pulls a version from another data centre, for each peer
 # that comes before this node in the reading order, up to
 # `_MAX_REMOTE_PULL_DELAYS`. One node fetches the document into the data centre,
@@ -132,6 +136,7 @@
         pulls_sent: Pulls sent to peers, for the metrics.
         pushes_sent: Documents sent in response to pulls, for the metrics.
         requested_version: Newest version that this node pulled.
+        requested_ms: Time of this pull.
         behind_since_ms: Time at which this node noticed a newer version or last
             pulled one; None while no newer version is known.
         newest_remote: Newest version that a node of another data centre
@@ -161,6 +166,7 @@
     pulls_sent: int = 0
     pushes_sent: int = 0
     requested_version: int = 0
+    requested_ms: int = 0
     behind_since_ms: int | None = None
     newest_remote: tuple[int, str] = (0, "")
     check_timer: asyncio.TimerHandle | None = None
@@ -458,9 +464,12 @@
             self.publisher.post(frame.address, document)
 
     def _send_pull(self, address: str, version: int) -> None:
-        if version <= self.requested_version:
+        now_ms = self.clock.now_ms()
+        is_pending = now_ms - self.requested_ms < PULL_TIMEOUT_MS
+        if version <= self.requested_version and is_pending:
             return
         self.requested_version = version
+        self.requested_ms = now_ms
         self.pulls_sent += 1
         self.publisher.post(
             address,
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -17,6 +17,7 @@
 )
 from pomelobank_node.published._feed import (
     PULL_DELAY_MS,
+    PULL_TIMEOUT_MS,
     RANK_DELAY_MS,
     REMOTE_PULL_DELAY_MS,
 )
@@ -195,6 +196,21 @@
     assert len(pulls) == 1
 
 
+async def test_a_pull_without_a_response_goes_to_another_peer() -> None:
+    """The first peer that announced a version stops before it sends it."""
+    peers = [member("near", "hobart"), member("other", "hobart")]
+    feed = create_feed(Source(), *peers)
+    clock = feed.clock
+    assert isinstance(clock, ManualClock)
+    for entry in peers:
+        feed.receive(VersionDigest(version=3, address=entry.peer_address))
+        clock.advance(PULL_TIMEOUT_MS)
+    await asyncio.sleep(0)
+    assert [a for a, f in sent_frames(feed) if isinstance(f, RecordsPull)] == [
+        entry.peer_address for entry in peers
+    ]
+
+
 async def test_a_peer_that_lacks_the_document_gets_it() -> None:
     feed = create_feed(Source())
     feed.store.offer(b"7", "test")
