--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -16,6 +16,7 @@
     SourceError,
 )
 from pomelobank_node.published._feed import (
+    HEARTBEAT_MS,
     PULL_DELAY_MS,
     PULL_TIMEOUT_MS,
     RANK_DELAY_MS,
@@ -385,6 +386,37 @@
     assert feed._may_back_off() is backs_off
 
 
+async def test_a_node_that_takes_over_reads_from_the_readers_position() -> None:
+    """Without the position, every takeover would fetch a large document."""
+    source = Source(None)
+    feed = create_feed(source, member("near", "hobart"))
+    feed.store.offer(b"7", "test")
+    feed.receive(
+        VersionDigest(
+            version=7, next_offset=4, address="near:1", heartbeat=True
+        )
+    )
+    await feed._read_once()
+    assert source.positions == [4]
+
+
+async def test_a_reader_that_backs_off_does_not_seem_able_to_read() -> None:
+    """Its peers would wait for this reader, which the source rejects."""
+    feed = create_feed(Source(), member("near", "hobart"))
+    feed.store.offer(b"7", "test")
+    clock = feed.clock
+    assert isinstance(clock, ManualClock)
+    feed.receive(VersionDigest(address="near:1", heartbeat=True))
+    feed.backoff_until_ms = clock.now_ms() + 5000
+    feed.last_heartbeat_ms = clock.now_ms() - HEARTBEAT_MS
+    await asyncio.sleep(0)
+    sent_frames(feed).clear()
+    assert feed.is_reader()
+    feed.tick(clock.now_ms())
+    await asyncio.sleep(0)
+    assert not sent_frames(feed)
+
+
 LINES = [f"{number} leads to {number * 7919 % 997}" for number in range(5000)]
 
 
