Keep the rate limit that a target names in its responses

Cause: the header was new, and nothing read it. Class: a signal of the target that the mesh passes on without acting on it. Evidence: the targets' own counts are the same before and after the limit (88 to 111 and 97 to 118 a second, limit 37.5), on all nodes, with no restart. Ruled out by the same figures: a limit kept by each entry node alone, and one forgotten at a restart.

Change: the node beside a target reads the limit from every response and holds it with a token bucket. All requests to the target pass through that node, so the limit holds for all entry nodes, retries and calls together without a message between nodes. A request beyond it is rejected as not run at once, also when it gets its slot too late; entry nodes send the target nothing until the next request is allowed, use another target, and reject at once with Retry-After while all targets are at their limits. A response that names no limit ends it; a malformed value counts as none; a limit of 0 leaves a request every 2 s, because only a response can end it.

New metrics pomelobank.target.rate_limit and rate_limited, and the log line target.rate_limit.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -144,6 +144,7 @@
         Rank,
         RankLoad,
     )
+    from pomelobank_core._rate_limit import RateLimit
     from pomelobank_core._reading_order import (
         READER_COUNT,
         ReadingOrder,
@@ -302,6 +303,7 @@
     "Ramp",
     "Rank",
     "RankLoad",
+    "RateLimit",
     "ReadPlan",
     "ReadingOrder",
     "ReadingRole",
@@ -498,6 +500,7 @@
         "Rank",
         "RankLoad",
     ),
+    "_rate_limit": ("RateLimit",),
     "_reading_order": (
         "READER_COUNT",
         "ReadingOrder",
--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -41,6 +41,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     TARGET_REFUSED = "target_refused"
     TARGET_REPLACED = "target_replaced"
+    TARGET_LIMITED = "target_limited"
     UPSTREAM_LOST = "upstream_lost"
     ANSWER_TOO_LARGE = "answer_too_large"
     ANSWER_TRUNCATED = "answer_truncated"
@@ -150,6 +151,12 @@
     ErrorKind.TARGET_REPLACED: ErrorResponse(
         503, _NOT_RUN, 200, "Another instance has taken the target's address."
     ),
+    ErrorKind.TARGET_LIMITED: ErrorResponse(
+        503,
+        _NOT_RUN,
+        500,
+        "The target limits the rate of its requests.",
+    ),
     ErrorKind.UPSTREAM_LOST: ErrorResponse(
         502,
         _UNKNOWN,
--- a/packages/pomelobank-core/src/pomelobank_core/_load_balancer.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_load_balancer.py
@@ -20,6 +20,7 @@
         WOULD_WAIT: The request would wait at the target longer than the entry
             node allowed.
         NOT_ACCEPTING: The target accepts no more requests.
+        LIMITED: The target has got as many requests as it allows for now.
         SLOW: The target has not responded within a multiple of the expected
             time.
         FAILED: The target could not be reached, or the connection to it was
@@ -32,6 +33,7 @@
     FULL = "full"
     WOULD_WAIT = "busy"
     NOT_ACCEPTING = "leaving"
+    LIMITED = "limited"
     SLOW = "slow"
     FAILED = "failed"
     NEUTRAL = "neutral"
@@ -47,6 +49,7 @@
     ErrorKind.UPSTREAM_UNREACHABLE: TargetResult.FAILED,
     ErrorKind.TARGET_REFUSED: TargetResult.FULL,
     ErrorKind.TARGET_REPLACED: TargetResult.NOT_ACCEPTING,
+    ErrorKind.TARGET_LIMITED: TargetResult.LIMITED,
     ErrorKind.UPSTREAM_LOST: TargetResult.FAILED,
     ErrorKind.ANSWER_TRUNCATED: TargetResult.FAILED,
 }
--- a/packages/pomelobank-core/src/pomelobank_core/_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retries.py
@@ -53,6 +53,7 @@
     ErrorKind.PEER_UNREACHABLE: RetryCost.TRANSPARENT,
     ErrorKind.NO_TARGET: RetryCost.TRANSPARENT,
     ErrorKind.NOT_READY: RetryCost.TRANSPARENT,
+    ErrorKind.TARGET_LIMITED: RetryCost.TRANSPARENT,
     ErrorKind.UPSTREAM_UNREACHABLE: RetryCost.NOT_RUN,
     ErrorKind.OVERLOADED: RetryCost.NOT_RUN,
     ErrorKind.TARGET_REFUSED: RetryCost.NOT_RUN,
@@ -68,6 +69,14 @@
 _OVERLOAD_ERRORS = (None, ErrorKind.OVERLOADED, ErrorKind.TARGET_REFUSED)
 
 
+# Rejections of a request that another target may have room for now.
+_REJECTED_BY_LOAD = (
+    ErrorKind.OVERLOADED,
+    ErrorKind.TARGET_REFUSED,
+    ErrorKind.TARGET_LIMITED,
+)
+
+
 @attrs.frozen
 class FailedAttempt:
     """A failed attempt of a request.
@@ -191,6 +200,11 @@
                     attempt.other_has_capacity
                     and attempt.transparent_retries < MAX_OVERLOAD_ATTEMPTS
                 )
+            if (
+                attempt.error is ErrorKind.TARGET_LIMITED
+                and not attempt.other_has_capacity
+            ):
+                return False
             return attempt.transparent_retries < MAX_TRANSPARENT_RETRIES
         sent = attempt.attempts - attempt.transparent_retries
         if attempt.is_retry or sent >= attempt.max_attempts:
@@ -209,7 +223,7 @@
         # bound spreads their attempts (full jitter).
         if cost is RetryCost.TRANSPARENT and attempt.transparent_retries <= 1:
             return 0.0
-        if attempt.error in (ErrorKind.OVERLOADED, ErrorKind.TARGET_REFUSED):
+        if attempt.error in _REJECTED_BY_LOAD:
             # The retry goes to another target that is believed to have a free
             # slot now. A pause would not make a slot more likely; it would only
             # delay the response or the rejection.
--- a/packages/pomelobank-core/src/pomelobank_core/_target_load.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_target_load.py
@@ -11,6 +11,10 @@
 # request, the target has served a thousand requests within 500 ms, so an older
 # report says nothing about the present load.
 REPORT_MAX_AGE_MS = 500
+# When every target has refused a class within this time, the entry node also
+# refuses the class and saves the round trip. A queue of 200 ms does not become
+# empty within 20 ms.
+REJECTION_MAX_AGE_MS = 20
 # Time until a new or returned target gets its full share of requests. Ten
 # seconds cover the cold start of most services and are short compared with a
 # load peak.
@@ -73,6 +77,8 @@
             reserved for interactive requests.
         not_accepting_until_ms: Time until which the target counts as accepting
             no requests.
+        limited_until_ms: Time until which the target's rate limit leaves no
+            room.
         ramp_from_ms: Time at which the target joined or returned.
         ramp: Slow start of the target from that time on.
         ejection: Recent failures of the target.
@@ -85,6 +91,7 @@
     latency_ratio: LatencyRatio = attrs.field(factory=LatencyRatio)
     full_hints: dict[str, FullHint] = attrs.field(factory=dict)
     not_accepting_until_ms: float = 0.0
+    limited_until_ms: float = 0.0
     ramp_from_ms: float = -math.inf
     ramp: "Ramp" = attrs.field(factory=lambda: Ramp())
     ejection: Ejection = attrs.field(factory=Ejection)
@@ -100,11 +107,28 @@
 
     def is_full(self, traffic_class: str, now_ms: float) -> bool:
         """Returns whether the target refused a class or accepts no requests."""
-        if now_ms < self.not_accepting_until_ms:
+        if not self.accepts_requests(now_ms):
             return True
         hint = self.full_hints.get(traffic_class)
         return hint is not None and now_ms < hint.until_ms
 
+    def accepts_requests(self, now_ms: float) -> bool:
+        """Returns whether the target takes requests of any class."""
+        return now_ms >= max(self.not_accepting_until_ms, self.limited_until_ms)
+
+    def refusal_ms(self, traffic_class: str, now_ms: float) -> float:
+        """Returns the time for which the target certainly refuses a class.
+
+        Returns:
+            The time in ms; 0 if the target may accept a request.
+        """
+        if now_ms < self.limited_until_ms:
+            return self.limited_until_ms - now_ms
+        hint = self.full_hints.get(traffic_class)
+        if hint is None or now_ms - hint.at_ms > REJECTION_MAX_AGE_MS:
+            return 0.0
+        return hint.retry_after_ms
+
     def usable_slots(self, slots: int, now_ms: float) -> float:
         """Returns the slots that the slow start allows; at least 1."""
         return max(1.0, slots * self.ramp.fraction(now_ms - self.ramp_from_ms))
--- a/packages/pomelobank-core/src/pomelobank_core/_two_choices.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_two_choices.py
@@ -22,10 +22,11 @@
 # Maximum time for which a target counts as full after it refused a request. A
 # queue of 200 ms is empty by then, and no other event ends the hint.
 FULL_HINT_MS = 250
-# When every target has refused a class within this time, the entry node also
-# refuses the class and saves the round trip. A queue of 200 ms does not become
-# empty within 20 ms.
-REJECTION_MAX_AGE_MS = 20
+# Limits of the time for which a target whose rate limit leaves no room gets no
+# requests from this node. The next request that the limit allows goes to any of
+# the nodes, so each of them tries less often than the limit allows one.
+MIN_LIMITED_HINT_MS = 100
+MAX_LIMITED_HINT_MS = 1000
 # Time for which a target that drains gets no requests. By then, its draining
 # membership entry must have arrived.
 NOT_ACCEPTING_HINT_MS = 5000
@@ -210,15 +211,13 @@
 
         Returns:
             Shortest retry delay of the targets in ms; 0 unless every target
-            refused the class within `REJECTION_MAX_AGE_MS`.
+            has just refused the class or is at its rate limit.
         """
-        soonest = 0
-        for target in candidates.targets:
-            hint = self._load(target).full_hints.get(traffic_class)
-            if hint is None or now_ms - hint.at_ms > REJECTION_MAX_AGE_MS:
-                return 0
-            soonest = min(soonest or hint.retry_after_ms, hint.retry_after_ms)
-        return soonest
+        refusals_ms = [
+            self._load(target).refusal_ms(traffic_class, now_ms)
+            for target in candidates.targets
+        ]
+        return math.ceil(min(refusals_ms, default=0.0))
 
     def ejected_nodes(self) -> list[str]:
         """Returns the nodes whose targets are ejected."""
@@ -337,10 +336,7 @@
 
     def _accepts_requests(self, entry: MemberEntry, now_ms: float) -> bool:
         load = self._load(entry)
-        return (
-            load.ejection.allows(now_ms)
-            and now_ms >= load.not_accepting_until_ms
-        )
+        return load.ejection.allows(now_ms) and load.accepts_requests(now_ms)
 
     def _is_full(
         self, entry: MemberEntry, traffic_class: str, now_ms: float
@@ -409,6 +405,10 @@
     if outcome.result is TargetResult.NOT_ACCEPTING:
         load.not_accepting_until_ms = now_ms + NOT_ACCEPTING_HINT_MS
         return
+    if outcome.result is TargetResult.LIMITED:
+        hint_ms = max(MIN_LIMITED_HINT_MS, outcome.retry_after_ms)
+        load.limited_until_ms = now_ms + min(MAX_LIMITED_HINT_MS, hint_ms)
+        return
     hint_ms = min(outcome.retry_after_ms or FULL_HINT_MS, FULL_HINT_MS)
     until_ms = now_ms + hint_ms
     if outcome.result is TargetResult.FULL:
--- a/packages/pomelobank-node/src/pomelobank_node/_http_conventions.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_conventions.py
@@ -27,6 +27,8 @@
             targets.
         expected_instance: Identifies the instance that may run the request.
         not_run: Marks a target's response to a request that it did not run.
+        rate_limit: In a target's response: the requests per second that the
+            target takes from all nodes together, until a response names none.
         response_marker: Present in every response that the target's own code
             produced. A successful response without the marker did not come
             from the target.
@@ -47,6 +49,7 @@
     origin: bytes = b""
     expected_instance: bytes = b""
     not_run: bytes = b""
+    rate_limit: bytes = b"x-pomelobank-rate-limit"
     response_marker: bytes = b""
     echoes_request_id: bool = False
     allows_close_delimited: bool = False
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -201,6 +201,18 @@
     "Offers that would have waited longer than they were to.",
     monotonic=True,
 )
+TARGET_RATE_LIMIT = Instrument(
+    "pomelobank.target.rate_limit",
+    "1/s",
+    "Requests per second that the target takes, as its responses say; 0"
+    " without a limit.",
+)
+TARGET_RATE_LIMITED = Instrument(
+    "pomelobank.target.rate_limited",
+    "1",
+    "Requests rejected because of the target's rate limit.",
+    monotonic=True,
+)
 TARGET_CRASHES = Instrument(
     "pomelobank.target.crashes",
     "1",
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -253,6 +253,11 @@
     yield instruments.TARGET_REFUSED, lambda: admission.rejected
     yield instruments.TARGET_EXPIRED, lambda: admission.expired
     yield instruments.TARGET_DECLINED, lambda: admission.declined
+    yield (
+        instruments.TARGET_RATE_LIMIT,
+        lambda: owner.rate_limit.per_s if owner.rate_limit.is_limited else 0,
+    )
+    yield instruments.TARGET_RATE_LIMITED, lambda: owner.rate_limited
     yield instruments.TARGET_CRASHES, lambda: owner.crash_detector.crashes
     yield instruments.TARGET_LAPSES, lambda: node.target.lease.lapses
 
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -1,8 +1,10 @@
 """Runs requests on the node's own target."""
 
 import asyncio
+import functools
 import logging
 import math
+import random
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -12,6 +14,7 @@
     Clock,
     ErrorKind,
     QuarantineState,
+    RateLimit,
     ShutdownAdmission,
     TrafficClass,
     WorkResult,
@@ -30,6 +33,7 @@
     error_reply,
 )
 from pomelobank_node._target_call import call_target
+from pomelobank_node._target_signals import TargetSignals
 from pomelobank_node._upstream_client import UpstreamPool
 from pomelobank_schema import parse_address
 from pomelobank_schema.generated.settings import RequestSettings
@@ -49,6 +53,9 @@
 _OFFER_TIMEOUT_S = 0.1
 # Longest time that a slot is reserved while a deferred body arrives.
 _BODY_TIMEOUT_S = 0.5
+# Upper bound of the delay after which a request beyond the target's rate limit
+# is told to come back, as a multiple of the time to the next one allowed.
+MAX_RETRY_JITTER = 2.0
 SlotOfferer = Callable[[], Awaitable[bool]]
 _CONNECTION_LOST_ERRORS = frozenset(
     {ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_TRUNCATED}
@@ -93,8 +100,11 @@
         target: The target, None until the target has announced itself.
         pool: Connections to the target.
         admission_queue: Queue of the requests that wait for a slot.
+        rate_limit: Limit of the requests per second that the target names.
+        rate_limited: Requests rejected because of this limit, for the metrics.
         crash_detector: Detects crashes of the target.
         log_limiter: Limits the rate of log lines.
+        rng: Source of randomness.
         draining: Whether new requests are rejected.
         shutdown_admission: Rejects requests that may outlast a stopping node.
     """
@@ -106,8 +116,11 @@
     target: Target | None = None
     pool: UpstreamPool | None = None
     admission_queue: AdmissionQueue = attrs.field()
+    rate_limit: RateLimit = attrs.field(factory=RateLimit)
+    rate_limited: int = 0
     crash_detector: CrashDetector = attrs.field()
     log_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
+    rng: random.Random = attrs.field(factory=random.Random)
     draining: bool = False
     shutdown_admission: ShutdownAdmission = attrs.field(
         factory=ShutdownAdmission
@@ -148,6 +161,7 @@
             self.http_conventions.allows_close_delimited,
         )
         self.admission_queue.admission.limit.reset()
+        self.rate_limit = RateLimit()
 
     async def serve(
         self, request: ForwardRequest, offer_slot: SlotOfferer | None = None
@@ -166,12 +180,9 @@
         try:
             return await self._serve(request, offer_slot)
         except RequestError as error:
-            # An overload error for a request that has a wait limit or binds
-            # late is a declined offer. The entry node logs it as one of the
-            # request's attempts, so it is not logged here. All other errors are
-            # logged.
-            overloaded = error.kind is ErrorKind.OVERLOADED
-            if not overloaded or not (request.max_wait_ms or request.bind_late):
+            # The entry node logs a declined offer as one of the request's
+            # attempts, so it is not logged here. All other errors are logged.
+            if not _is_declined_offer(request, error):
                 self._log_failure(request, error)
             return error_reply(request.request_id, error)
 
@@ -215,6 +226,7 @@
         now_ms = self.clock.now_ms()
         if not self.shutdown_admission.accepts(request.remaining_ms, now_ms):
             raise RequestError(ErrorKind.DRAINING)
+        self._reject_beyond_rate_limit(self.admission_queue.admission.waiting)
         quarantine_state = self.crash_reports.check(request)
         admission_request = AdmissionRequest(
             _traffic_class(request),
@@ -252,6 +264,8 @@
                 raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
             if remaining_ms != request.remaining_ms:
                 request = attrs.evolve(request, remaining_ms=remaining_ms)
+            self._reject_beyond_rate_limit()
+            self.rate_limit.try_take(self.clock.now_ms())
             reply = await self._run_on_target(pool, request)
             if self._is_shed(admission_request, reply):
                 result = WorkResult.SHED
@@ -268,9 +282,38 @@
             lambda: self.admission_queue.release(admission_request, result),
         )
 
+    def _reject_beyond_rate_limit(self, waiting: int = 0) -> None:
+        wait_ms = self.rate_limit.wait_ms(self.clock.now_ms(), waiting)
+        if not wait_ms:
+            return
+        self.rate_limited += 1
+        # Jitter spreads the rejected requests over the time after the next one
+        # that the limit allows.
+        retry_after_ms = wait_ms * self.rng.uniform(1.0, MAX_RETRY_JITTER)
+        raise RequestError(ErrorKind.TARGET_LIMITED, math.ceil(retry_after_ms))
+
+    def _handle_signals(self, target: Target, signals: TargetSignals) -> None:
+        if self.target is None or _process_identity(
+            self.target
+        ) != _process_identity(target):
+            return
+        if self.rate_limit.set_rate(signals.max_per_s, self.clock.now_ms()):
+            _logger.info(
+                "target.rate_limit",
+                extra={
+                    "instance": target.instance,
+                    "per_s": signals.max_per_s,
+                    "at_target": self.in_flight,
+                    "waiting": self.admission_queue.admission.waiting,
+                },
+            )
+
     async def _run_on_target(
         self, pool: UpstreamPool, request: ForwardRequest
     ) -> ForwardReply:
+        target = self.target
+        if target is None:
+            raise RequestError(ErrorKind.NO_TARGET)
         with self.crash_detector.track(request):
             try:
                 reply = await call_target(
@@ -278,7 +321,8 @@
                     request,
                     self.admission_queue.outstanding,
                     self.http_conventions,
-                    self.target.instance if self.target else "",
+                    target.instance,
+                    functools.partial(self._handle_signals, target),
                 )
             except RequestError as error:
                 if (
@@ -343,6 +387,13 @@
         raise RequestError(ErrorKind.OVERLOADED) from None
 
 
+def _is_declined_offer(request: ForwardRequest, error: RequestError) -> bool:
+    if error.kind is ErrorKind.TARGET_LIMITED:
+        return True
+    is_offer = bool(request.max_wait_ms or request.bind_late)
+    return is_offer and error.kind is ErrorKind.OVERLOADED
+
+
 def _process_identity(target: Target) -> tuple[str, str, int]:
     return target.address, target.instance, target.started_at_ms
 
--- a/packages/pomelobank-node/src/pomelobank_node/_target_call.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_call.py
@@ -1,6 +1,7 @@
 """Sends a request to the target and converts the response into a reply."""
 
 import asyncio
+from collections.abc import Callable
 
 from pomelobank_core import ErrorKind
 from pomelobank_node._bodies import StreamedReply, rest_of
@@ -17,6 +18,7 @@
     ForwardRequest,
     RequestError,
 )
+from pomelobank_node._target_signals import TargetSignals, read_signals
 from pomelobank_node._upstream_client import (
     MAX_IDLE_S,
     ExpectedId,
@@ -44,6 +46,7 @@
     outstanding: int,
     conventions: HttpConventions,
     instance: str = "",
+    on_signals: Callable[[TargetSignals], None] | None = None,
 ) -> ForwardReply:
     """Runs a request on the target.
 
@@ -53,6 +56,7 @@
         outstanding: Number of requests at the target, for the reply.
         conventions: Names of the headers.
         instance: Name of the only instance that may run the request.
+        on_signals: Called with what the target says of itself in its response.
 
     Returns:
         The target's response.
@@ -81,6 +85,10 @@
         expected_id=expected_id,
         max_idle_s=(MAX_IDLE_S if request.idempotent else RUN_ONCE_MAX_IDLE_S),
     )
+    if on_signals is not None:
+        signals = read_signals(response.headers, conventions)
+        if signals is not None:
+            on_signals(signals)
     _raise_if_unusable(response, conventions)
     return _reply(request, response, outstanding)
 
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_forwarder.py
@@ -87,6 +87,7 @@
 UPSTREAM_LOST = ErrorKind.UPSTREAM_LOST
 OVERLOADED = ErrorKind.OVERLOADED
 DRAINING = ErrorKind.DRAINING
+TARGET_LIMITED = ErrorKind.TARGET_LIMITED
 
 
 @pytest.mark.parametrize(
@@ -111,6 +112,12 @@
         pytest.param(
             False, [DRAINING, OVERLOADED, ANSWER], "", 200, id="redirected"
         ),
+        pytest.param(
+            False, [TARGET_LIMITED, ANSWER], "", 200, id="limited_then_answered"
+        ),
+        pytest.param(
+            False, [TARGET_LIMITED] * 4, "target_limited", 0, id="all_limited"
+        ),
         pytest.param(True, [SHED, ANSWER], "", 200, id="shed_then_answered"),
         pytest.param(False, [SHED], "", 503, id="shed_is_an_answer"),
         pytest.param(True, [SHED, OVERLOADED], "", 503, id="shed_then_refused"),
@@ -134,6 +141,18 @@
     assert not links.replies
 
 
+async def test_limited_targets_reject_requests_at_the_entry() -> None:
+    """Each of them would visit every target before its rejection."""
+    links = ScriptedLinks(*[TARGET_LIMITED] * 4)
+    forwarder = _forwarder(links)
+    await forwarder.forward(_request(idempotent=True))
+    assert not links.replies
+    with pytest.raises(RequestError) as caught:
+        await forwarder.forward(_request(idempotent=True))
+    assert caught.value.kind is ErrorKind.OVERLOADED
+    assert caught.value.retry_after_ms
+
+
 class PartlyReadBody:
     """The rest of a body that the first attempt has started to read."""
 
