Drain a target whose response says that it leaves

A request that still reached a target after its departure was cut off when the target ended.

Change: the node beside the target handles the header like the target's call: it notifies all members, rejects requests after half of the drain time at most, and keeps the departure in the log, so that a restart of the node does not bring the target back. Same class of fault as the unread rate limit: a signal of the target that was passed on without being acted on.

--- a/packages/pomelobank-node/src/pomelobank_node/_http_conventions.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_conventions.py
@@ -29,6 +29,7 @@
         not_run: Marks a target's response to a request that it did not run.
         rate_limit: In a target's response: the requests per second that the
             target takes from all nodes together, until a response names none.
+        leaving: Marks the responses of a target that leaves; its value is `1`.
         response_marker: Present in every response that the target's own code
             produced. A successful response without the marker did not come
             from the target.
@@ -50,6 +51,7 @@
     expected_instance: bytes = b""
     not_run: bytes = b""
     rate_limit: bytes = b"x-pomelobank-rate-limit"
+    leaving: bytes = b"x-pomelobank-leaving"
     response_marker: bytes = b""
     echoes_request_id: bool = False
     allows_close_delimited: bool = False
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -104,6 +104,8 @@
         rate_limited: Requests rejected because of this limit, for the metrics.
         crash_detector: Detects crashes of the target.
         log_limiter: Limits the rate of log lines.
+        on_leaving: Called with the target whose response says that it leaves;
+            None if nothing handles it.
         rng: Source of randomness.
         draining: Whether new requests are rejected.
         shutdown_admission: Rejects requests that may outlast a stopping node.
@@ -120,6 +122,7 @@
     rate_limited: int = 0
     crash_detector: CrashDetector = attrs.field()
     log_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
+    on_leaving: Callable[[Target], None] | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     draining: bool = False
     shutdown_admission: ShutdownAdmission = attrs.field(
@@ -297,6 +300,8 @@
             self.target
         ) != _process_identity(target):
             return
+        if signals.leaving and self.on_leaving is not None:
+            self.on_leaving(target)
         if self.rate_limit.set_rate(signals.max_per_s, self.clock.now_ms()):
             _logger.info(
                 "target.rate_limit",
--- a/packages/pomelobank-node/src/pomelobank_node/_target_signals.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_signals.py
@@ -19,12 +19,15 @@
     Attributes:
         max_per_s: Requests per second that the target takes from all nodes
             together; None if it names no limit.
+        leaving: Whether the target leaves.
     """
 
     max_per_s: float | None = None
+    leaving: bool = False
 
 
 _NO_SIGNALS = TargetSignals()
+_IS_LEAVING = b"1"
 
 
 def read_signals(
@@ -41,7 +44,10 @@
         code, or if it has none and may have been written before the target
         began to run the request.
     """
-    signals = TargetSignals(_read_rate(headers, conventions.rate_limit))
+    signals = TargetSignals(
+        _read_rate(headers, conventions.rate_limit),
+        leaving=_is_leaving(headers, conventions.leaving),
+    )
     if conventions.response_marker and not find_header(
         headers, conventions.response_marker
     ):
@@ -53,6 +59,10 @@
     return signals
 
 
+def _is_leaving(headers: Headers, name: bytes) -> bool:
+    return bool(name) and find_header(headers, name) == _IS_LEAVING
+
+
 def _read_rate(headers: Headers, name: bytes) -> float | None:
     value = find_header(headers, name) if name else None
     if value is None:
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -61,6 +61,7 @@
     async def start(self) -> None:
         """Starts to check the lease and to load departures from the log."""
         self.membership.on_tick.append(self._check_lease)
+        self.owner.on_leaving = self._handle_leaving_response
         await self.departures.start()
         self._spawn(self._drain_departed())
 
@@ -194,6 +195,26 @@
             self._spawn(self._drain())
         await self.departures.persist(departure)
 
+    def _handle_leaving_response(self, target: Target) -> None:
+        announced = self.lease.announcement
+        if announced is None or announced.instance != target.instance:
+            return
+        if self.lease.draining or self.departures.has_departed(announced):
+            return
+        _logger.info("target.leaves", extra=self._target_fields())
+        self._spawn(self._drain_leaving())
+
+    async def _drain_leaving(self) -> None:
+        # The target goes on announcing itself as ready if it reports its
+        # departure to the node only at its end or not at all.
+        try:
+            await self.drain()
+        except LogError as error:
+            _logger.warning(
+                "target.leaving_not_kept",
+                extra={**self._target_fields(), "error": str(error)},
+            )
+
     async def drain(self) -> None:
         """Marks the target as draining until the target starts again.
 
