--- a/packages/pomelobank-core/src/pomelobank_core/_rate_limit.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_rate_limit.py
@@ -51,9 +51,11 @@
         was_limited = self.is_limited
         self._refill(now_ms)
         self.per_s = math.inf if per_s is None else max(MIN_RATE_PER_S, per_s)
-        self.tokens = min(self.tokens, self._capacity)
         if not self.is_limited:
             self.tokens = math.inf
+        elif not was_limited:
+            # The target has just got requests without a limit.
+            self.tokens = 0.0
         return was_limited != self.is_limited
 
     def wait_ms(self, now_ms: float, ahead: int = 0) -> float:
