--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -197,9 +197,7 @@
         try:
             return await self._serve(request, offer_slot)
         except RequestError as error:
-            # The entry node logs a declined offer as one of the request's
-            # attempts, so it is not logged here. All other errors are logged.
-            if not _is_declined_offer(request, error):
+            if not _is_logged_at_entry(request, error):
                 self._log_failure(request, error)
             return error_reply(request.request_id, error)
 
@@ -243,7 +241,9 @@
         now_ms = self.clock.now_ms()
         if not self.shutdown_admission.accepts(request.remaining_ms, now_ms):
             raise RequestError(ErrorKind.DRAINING)
-        self._reject_beyond_rate_limit(self.admission_queue.admission.waiting)
+        waiting = self.admission_queue.admission.waiting
+        if self.rate_limit.wait_ms(now_ms, waiting):
+            raise self._rate_limit_error(waiting)
         quarantine_state = self.crash_reports.check(request)
         admission_request = AdmissionRequest(
             _traffic_class(request),
@@ -281,8 +281,8 @@
                 raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
             if remaining_ms != request.remaining_ms:
                 request = attrs.evolve(request, remaining_ms=remaining_ms)
-            self._reject_beyond_rate_limit()
-            self.rate_limit.try_take(self.clock.now_ms())
+            if not self.rate_limit.try_take(self.clock.now_ms()):
+                raise self._rate_limit_error()
             reply = await self._run_on_target(pool, request)
             if self._is_shed(admission_request, reply):
                 result = WorkResult.SHED
@@ -299,15 +299,13 @@
             lambda: self.admission_queue.release(admission_request, result),
         )
 
-    def _reject_beyond_rate_limit(self, waiting: int = 0) -> None:
-        wait_ms = self.rate_limit.wait_ms(self.clock.now_ms(), waiting)
-        if not wait_ms:
-            return
+    def _rate_limit_error(self, waiting: int = 0) -> RequestError:
         self.rate_limited += 1
+        wait_ms = self.rate_limit.wait_ms(self.clock.now_ms(), waiting)
         # Jitter spreads the rejected requests over the time after the next one
         # that the limit allows.
         retry_after_ms = wait_ms * self.rng.uniform(1.0, MAX_RETRY_JITTER)
-        raise RequestError(ErrorKind.TARGET_LIMITED, math.ceil(retry_after_ms))
+        return RequestError(ErrorKind.TARGET_LIMITED, math.ceil(retry_after_ms))
 
     def _handle_signals(self, target: Target, signals: TargetSignals) -> None:
         if not self._is_present_start(target):
@@ -415,7 +413,9 @@
         raise RequestError(ErrorKind.OVERLOADED) from None
 
 
-def _is_declined_offer(request: ForwardRequest, error: RequestError) -> bool:
+def _is_logged_at_entry(request: ForwardRequest, error: RequestError) -> bool:
+    # The entry node logs declined offers, and rejections that send a request to
+    # another target, as the request's attempts.
     if error.kind is ErrorKind.TARGET_LIMITED:
         return True
     is_offer = bool(request.max_wait_ms or request.bind_late)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -425,9 +425,9 @@
         """Handles a peer's version digest; pulls a newer version."""
         if frame.heartbeat:
             self._handle_heartbeat(frame)
-        if frame.version <= self.store.version and self.store.ready:
-            self.peer_position = max(self.peer_position, frame.next_offset)
         if frame.version <= self.store.version:
+            if self.store.ready:
+                self.peer_position = max(self.peer_position, frame.next_offset)
             return
         if self._is_remote(frame.address):
             self.newest_remote = max(
