Replay targets that limit their rate in the experiment

Load pattern limits: two of four targets of an upstream that needs 60% of its slots name 30 requests a second each.

--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -14,6 +14,7 @@
     DeadlineAdmission,
     Rank,
     RankLoad,
+    RateLimit,
     SlotLimit,
     TwoChoices,
 )
@@ -52,6 +53,13 @@
         return 1.0
 
 
+class _NoRateLimit(RateLimit):
+    """Ignores the limits that targets name."""
+
+    def set_rate(self, per_s: float | None, now_ms: float) -> bool:
+        return False
+
+
 class _NoElapsedTime(CallerTimeouts):
     """Treats every attempt as its caller's first."""
 
@@ -135,6 +143,10 @@
     node.forwarder.deferred_body_min_bytes = sys.maxsize
 
 
+def _without_rate_limits(node: ModelNode) -> None:
+    node.owner.rate_limit = _NoRateLimit()
+
+
 def _without_hedging(node: ModelNode) -> None:
     node.forwarder.hedging = None
 
@@ -148,5 +160,6 @@
     "offers": _without_free_rejections,
     "overtaking": _without_rank_load,
     "patience": _without_caller_timeouts,
+    "rate-limits": _without_rate_limits,
     "ranks": lambda node: _use_admission(node, _Unranked),
 }
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -218,7 +218,7 @@
         links = cast(PeerLinks, _Links(self, own.node, own.data_centre))
         reports = CrashReports(table, links, clock)
         settings = RequestSettings(admission="by_deadline", slots=own.slots)
-        owner = Owner(settings, clock, reports)
+        owner = Owner(settings, clock, reports, rng=self.rng)
         forwarder = Forwarder(
             table,
             owner,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_outcomes.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_outcomes.py
@@ -62,10 +62,12 @@
     Attributes:
         pattern: The load pattern.
         by_route: Outcomes by route.
+        arrival_times_s: When requests reached each target, by its node.
     """
 
     pattern: Pattern
     by_route: dict[str, RouteOutcome] = attrs.field(factory=dict)
+    arrival_times_s: dict[str, list[float]] = attrs.field(factory=dict)
 
     def for_route(self, route: str) -> RouteOutcome:
         """Returns the outcome of one route."""
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -89,6 +89,8 @@
         work_factor: Further factor on the service time.
         shed_ratio: Fraction of the requests that the targets refuse unrun.
         removed: Whether the targets have left the mesh.
+        limit_per_s: Requests per second that each target names as its rate
+            limit; 0 for none.
     """
 
     upstream: str
@@ -98,6 +100,7 @@
     work_factor: float = 1.0
     shed_ratio: float = 0.0
     removed: bool = False
+    limit_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -302,6 +305,13 @@
         # callers, membership and configurations.
         link_bytes_per_s=350_000,
     ),
+    "limits": Pattern(
+        "half of one upstream's targets limit the rate of their requests",
+        _ROUTES,
+        _GROUPS,
+        faults=(Fault("booking", 2.0, _WHOLE_RUN_S, 2, limit_per_s=30.0),),
+        duration_s=10.0,
+    ),
     "shedding": Pattern(
         "targets refuse half of their requests unrun",
         _ROUTES,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
@@ -7,7 +7,11 @@
 import attrs
 
 from pomelobank_core import ErrorKind
-from pomelobank_node.platform_api import RequestError, UpstreamResponse
+from pomelobank_node.platform_api import (
+    HttpConventions,
+    RequestError,
+    UpstreamResponse,
+)
 from pomelobank_testing.experiment._patterns import (
     Fault,
     Pattern,
@@ -16,6 +20,7 @@
 )
 
 _MS_PER_S = 1000
+_RATE_LIMIT_HEADER = HttpConventions().rate_limit
 # A request's service time is uniformly distributed around the route's mean, up
 # to this fraction of the mean above and below.
 _WORK_SPREAD_RATIO = 0.4
@@ -36,6 +41,7 @@
         call: Makes a call through the mesh; tells whether the call succeeded.
         slots: Limits the requests that run at once.
         arrivals: Requests that reached the target, by route.
+        arrival_times_s: When these requests reached the target.
     """
 
     pattern: Pattern
@@ -45,10 +51,16 @@
     call: Call
     slots: asyncio.Semaphore = attrs.field(init=False)
     arrivals: dict[str, int] = attrs.field(factory=dict)
+    arrival_times_s: list[float] = attrs.field(factory=list)
 
     def __attrs_post_init__(self) -> None:
         self.slots = asyncio.Semaphore(self.group.slots)
 
+    @property
+    def node(self) -> str:
+        """Name of the node beside the target."""
+        return f"{self.group.upstream}-{self.number}"
+
     async def request(
         self, data: bytes, deadline_s: float, *_: object, **__: object
     ) -> UpstreamResponse:
@@ -67,6 +79,7 @@
         """
         route = self.pattern.route(data.split(b" ", 2)[1].decode())
         self.arrivals[route.name] = self.arrivals.get(route.name, 0) + 1
+        self.arrival_times_s.append(asyncio.get_running_loop().time())
         try:
             async with asyncio.timeout_at(deadline_s):
                 return await self._run(route, deadline_s)
@@ -90,8 +103,14 @@
                 route.work_ms * work_factor * spread / _MS_PER_S
             )
             if await self._calls_succeed(route, deadline_s):
-                return UpstreamResponse(200, [], b"")
-        return UpstreamResponse(500, [], b"")
+                return UpstreamResponse(200, self._headers(), b"")
+        return UpstreamResponse(500, self._headers(), b"")
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        fault = self._current_fault()
+        if fault is None or not fault.limit_per_s:
+            return []
+        return [(_RATE_LIMIT_HEADER, str(fault.limit_per_s).encode())]
 
     async def _calls_succeed(self, route: RouteLoad, deadline_s: float) -> bool:
         calls = route.calls
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -158,3 +158,27 @@
         PATTERNS["thin-lines"], SEED, frozenset({"held-back-bodies"})
     )
     assert deferred.value_ratio > sent.value_ratio + 0.05
+
+
+def test_limited_targets_get_their_limit_and_callers_learn_at_once() -> None:
+    """Guards against requests beyond the limits that targets name."""
+    outcomes = run_pattern(PATTERNS["limits"], SEED)
+    (fault,) = outcomes.pattern.faults
+    steady_from_s = fault.from_s + 3.0
+    for number in range(fault.target_count):
+        arrivals_s = [
+            at_s
+            for at_s in outcomes.arrival_times_s[f"{fault.upstream}-{number}"]
+            if at_s >= steady_from_s
+        ]
+        most = max(
+            sum(begun_s <= at_s < begun_s + 4.0 for at_s in arrivals_s)
+            for begun_s in arrivals_s
+        )
+        # All of the limit is used, and no window has half more than it allows.
+        assert 0.95 <= most / (4.0 * fault.limit_per_s) <= 1.5
+    order = outcomes.for_route("order")
+    assert order.within_objective > 0.95 * order.requests
+    for route in outcomes.pattern.routes:
+        refusals = outcomes.for_route(route.name)
+        assert refusals.refusal_time_p95_ms < route.aim_ms
