--- a/packages/pomelobank-core/src/pomelobank_core/_two_choices.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_two_choices.py
@@ -23,8 +23,8 @@
 # queue of 200 ms is empty by then, and no other event ends the hint.
 FULL_HINT_MS = 250
 # Limits of the time for which a target whose rate limit leaves no room gets no
-# requests from this node. The next request that the limit allows goes to any of
-# the nodes, so each of them tries less often than the limit allows one.
+# requests from this node. The next request that the limit allows may come from
+# any node; if each node tried then, most of them would be rejected again.
 MIN_LIMITED_HINT_MS = 100
 MAX_LIMITED_HINT_MS = 1000
 # Time for which a target that drains gets no requests. By then, its draining
--- a/packages/pomelobank-node/src/pomelobank_node/_target_signals.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_signals.py
@@ -40,9 +40,9 @@
         conventions: Names of the headers.
 
     Returns:
-        The signals; None if the response is certainly not by the target's own
-        code, or if it has none and may have been written before the target
-        began to run the request.
+        The signals; None if the response is not the target's own, or if it is a
+        rejection without signals: only a response to a request that ran can
+        end a limit.
     """
     signals = TargetSignals(
         _read_rate(headers, conventions.rate_limit),
