Bound the requests before a first response only where slots are fixed

Cause: gave a new target three slots until its first response. The adaptive limit of the product's own node starts at a quarter of the slots, so it started at one and stayed there while responses that nobody reads held it; the fourth archive waited for its time-out. Class: one restraint applied on top of another. Change: the bound is part of SlotLimit, which has no cold start; ConcurrencyLimit keeps its own.

--- a/packages/pomelobank-core/src/pomelobank_core/_concurrency.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_concurrency.py
@@ -33,6 +33,11 @@
 # the limit then recovers.
 RECENT_SAMPLE_WEIGHT = 0.05
 BASELINE_SAMPLE_WEIGHT = 0.01
+# Maximum concurrent requests until the first response of a target with a fixed
+# number of slots. The response shows whether the target limits its rate; a node
+# that has just started would otherwise fill all slots of a target that takes
+# two requests a second.
+MAX_BEFORE_FIRST_RESPONSE = 3
 
 
 @attrs.define
@@ -121,6 +126,10 @@
             self.last_shed_limit = self.current
             self._step_down("target sheds", 1)
 
+    def on_new_target(self) -> None:
+        """Begins with a cold start at a target that starts or is found."""
+        self.reset()
+
     def reset(self) -> None:
         """Resets the limit to a cold start after the target was lost."""
         self.current = max(1, self.slots // COLD_START_DIVISOR)
@@ -173,17 +182,31 @@
     left up to three quarters of the slots idle while callers were rejected.
 
     Attributes:
-        current: Number of concurrent requests that the node allows.
+        slots: Number of concurrent requests that the target announced.
+        has_responded: Whether the target has responded to this process.
     """
 
-    current: int
+    slots: int
+    has_responded: bool = True
+
+    @property
+    def current(self) -> int:
+        """Number of concurrent requests that the node allows."""
+        if self.has_responded:
+            return self.slots
+        return min(self.slots, MAX_BEFORE_FIRST_RESPONSE)
 
     def set_slots(self, slots: int) -> None:
         """Sets the number of slots that the target announced."""
-        self.current = slots
+        self.slots = slots
+
+    def on_new_target(self) -> None:
+        """Allows few requests until the target's first response."""
+        self.has_responded = False
 
     def on_response(self, route: str, took_ms: float, busy: int) -> None:
-        """Ignores a response; the limit is fixed."""
+        """Allows all slots after the first response."""
+        self.has_responded = True
 
     def on_shed(self) -> None:
         """Ignores a shed request; the limit is fixed."""
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -53,10 +53,6 @@
 _OFFER_TIMEOUT_S = 0.1
 # Longest time that a slot is reserved while a deferred body arrives.
 _BODY_TIMEOUT_S = 0.5
-# Maximum concurrent requests until the target's first response, which shows
-# whether the target limits its rate. A node that has just started would
-# otherwise fill all slots of a target that takes two requests a second.
-MAX_BEFORE_FIRST_RESPONSE = 3
 # Upper bound of the delay after which a request beyond the target's rate limit
 # is told to come back, as a multiple of the time to the next one allowed.
 MAX_RETRY_JITTER = 2.0
@@ -106,8 +102,6 @@
         admission_queue: Queue of the requests that wait for a slot.
         rate_limit: Limit of the requests per second that the target names.
         rate_limited: Requests rejected because of this limit, for the metrics.
-        has_responded: Whether the present start of the target has responded to
-            this process.
         crash_detector: Detects crashes of the target.
         log_limiter: Limits the rate of log lines.
         on_leaving: Called with the target whose response says that it leaves;
@@ -126,7 +120,6 @@
     admission_queue: AdmissionQueue = attrs.field()
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     rate_limited: int = 0
-    has_responded: bool = False
     crash_detector: CrashDetector = attrs.field()
     log_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
     on_leaving: Callable[[Target], None] | None = None
@@ -154,17 +147,11 @@
         if target == self.target:
             return
         previous, self.target = self.target, target
+        self.admission_queue.set_slots(target.slots)
         if previous is None or _process_identity(previous) != _process_identity(
             target
         ):
             self._connect(target)
-        self._update_slots(target)
-
-    def _update_slots(self, target: Target) -> None:
-        slots = target.slots
-        if not self.has_responded:
-            slots = min(slots, MAX_BEFORE_FIRST_RESPONSE)
-        self.admission_queue.set_slots(slots)
 
     def _connect(self, target: Target) -> None:
         if self.pool is not None:
@@ -176,9 +163,8 @@
             self.settings.max_body_bytes,
             self.http_conventions.allows_close_delimited,
         )
-        self.admission_queue.admission.limit.reset()
+        self.admission_queue.admission.limit.on_new_target()
         self.rate_limit = RateLimit()
-        self.has_responded = False
 
     async def serve(
         self, request: ForwardRequest, offer_slot: SlotOfferer | None = None
@@ -349,14 +335,8 @@
                     )
                 raise
         self.crash_reports.on_request_completed(request)
-        self._handle_response_of(target)
         return reply
 
-    def _handle_response_of(self, target: Target) -> None:
-        if not self.has_responded and self._is_present_start(target):
-            self.has_responded = True
-            self._update_slots(target)
-
     def _is_present_start(self, target: Target) -> bool:
         return self.target is not None and _process_identity(
             self.target
