--- a/packages/pomelobank-core/src/pomelobank_core/_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retries.py
@@ -195,17 +195,17 @@
         if cost is RetryCost.NEVER:
             return False
         if cost is RetryCost.TRANSPARENT:
-            if attempt.error is ErrorKind.OVERLOADED:
-                return (
-                    attempt.other_has_capacity
-                    and attempt.transparent_retries < MAX_OVERLOAD_ATTEMPTS
-                )
             if (
-                attempt.error is ErrorKind.TARGET_LIMITED
+                attempt.error in _REJECTED_BY_LOAD
                 and not attempt.other_has_capacity
             ):
                 return False
-            return attempt.transparent_retries < MAX_TRANSPARENT_RETRIES
+            max_retries = (
+                MAX_OVERLOAD_ATTEMPTS
+                if attempt.error is ErrorKind.OVERLOADED
+                else MAX_TRANSPARENT_RETRIES
+            )
+            return attempt.transparent_retries < max_retries
         sent = attempt.attempts - attempt.transparent_retries
         if attempt.is_retry or sent >= attempt.max_attempts:
             return False
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -146,11 +146,10 @@
         """Handles an announcement of the target."""
         if target == self.target:
             return
-        previous, self.target = self.target, target
+        is_new_start = not self._is_present_start(target)
+        self.target = target
         self.admission_queue.set_slots(target.slots)
-        if previous is None or _process_identity(previous) != _process_identity(
-            target
-        ):
+        if is_new_start:
             self._connect(target)
 
     def _connect(self, target: Target) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -305,7 +305,7 @@
         self.last_read_ms = self.clock.now_ms()
         if document is None:
             # The source has no document at all, or none after the position.
-            self.position = max(self.position or 0, self.peer_position)
+            self.position = self._known_position()
             return False
         self.position = document.position
         previous_version = self.store.version
@@ -332,11 +332,14 @@
         )
 
     async def _next_document(self) -> Document | None:
-        position = max(self.position or 0, self.peer_position)
+        position = self._known_position()
         if self.position is None and not position:
             return await self.source.newest()
         return await self.source.newest_after(position, self._poll_wait_ms())
 
+    def _known_position(self) -> int:
+        return max(self.position or 0, self.peer_position)
+
     def _poll_wait_ms(self) -> int:
         # While no recent read is known, changes may have been missed, and peers
         # wait for a read that ends.
@@ -374,7 +377,7 @@
         digest = self.publisher.digest(
             read_age_ms,
             heartbeat=True,
-            position=max(self.position or 0, self.peer_position),
+            position=self._known_position(),
         )
         self.publisher.send(recipients, digest)
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_callers.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_callers.py
@@ -44,7 +44,8 @@
         departures.cancel()
         await asyncio.gather(departures, return_exceptions=True)
         for target in self.mesh.targets:
-            self.outcomes.arrival_times_s[target.node] = target.arrival_times_s
+            node = target.group.node(target.number)
+            self.outcomes.arrival_times_s[node] = target.arrival_times_s
             for route, count in target.arrivals.items():
                 self.outcomes.for_route(route).arrivals += count
 
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -316,7 +316,7 @@
             await asyncio.sleep(_DEPARTURE_CHECK_INTERVAL_S)
 
     def _node_beside(self, group: TargetGroup, number: int) -> ModelNode:
-        name = _node_name(group, number)
+        name = group.node(number)
         return next(item for item in self.nodes if item.name == name)
 
     def _update_membership(self, target: ModelTarget) -> None:
@@ -332,13 +332,9 @@
                 other.forwarder.members.merge([node.forwarder.members.own])
 
 
-def _node_name(group: TargetGroup, number: int) -> str:
-    return f"{group.upstream}-{number}"
-
-
 def _entry(group: TargetGroup, number: int, port: int) -> MemberEntry:
     return MemberEntry(
-        node=_node_name(group, number),
+        node=group.node(number),
         incarnation=1,
         state="ready",
         data_centre=_DATA_CENTRES[number % len(_DATA_CENTRES)],
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -76,6 +76,10 @@
     work_factors: tuple[float, ...]
     slots: int = 12
 
+    def node(self, number: int) -> str:
+        """Returns the name of the node beside a target."""
+        return f"{self.upstream}-{number}"
+
 
 @attrs.frozen
 class Fault:
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
@@ -56,11 +56,6 @@
     def __attrs_post_init__(self) -> None:
         self.slots = asyncio.Semaphore(self.group.slots)
 
-    @property
-    def node(self) -> str:
-        """Name of the node beside the target."""
-        return f"{self.group.upstream}-{self.number}"
-
     async def request(
         self, data: bytes, deadline_s: float, *_: object, **__: object
     ) -> UpstreamResponse:
