--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -333,6 +333,24 @@
     "Reads of published configurations.",
     monotonic=True,
 )
+CONFIG_DELAY = Instrument(
+    "pomelobank.config.delay",
+    "ms",
+    "Time from the first node's read of the published configuration in force"
+    " until it came into force on this node.",
+)
+CONFIG_PULLS = Instrument(
+    "pomelobank.config.pulls",
+    "1",
+    "Published configurations that this node requested from a peer.",
+    monotonic=True,
+)
+CONFIG_PUSHES = Instrument(
+    "pomelobank.config.pushes",
+    "1",
+    "Published configurations that this node sent at the request of a peer.",
+    monotonic=True,
+)
 LINES_DROPPED = Instrument(
     "pomelobank.log_lines.dropped",
     "1",
@@ -353,4 +371,11 @@
 )
 
 # Metrics of only those nodes whose configuration is published by a platform.
-SIDECAR_ONLY = (SOURCE_UP, SOURCE_READS, OUTPUT_DROPPED)
+SIDECAR_ONLY = (
+    SOURCE_UP,
+    SOURCE_READS,
+    CONFIG_DELAY,
+    CONFIG_PULLS,
+    CONFIG_PUSHES,
+    OUTPUT_DROPPED,
+)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -177,7 +177,7 @@
     def __attrs_post_init__(self) -> None:
         self.order = ReadingOrder(self.members)
         self.publisher = PeerPublisher(
-            self.store, self.members, self.links, self.rng
+            self.store, self.members, self.links, self.clock, self.rng
         )
 
     async def start(self) -> None:
@@ -309,7 +309,10 @@
             return False
         self.position = document.position
         previous_version = self.store.version
-        if not document.data or not self.store.offer(document.data, "source"):
+        self.store.propagation.on_read(self.last_read_ms)
+        if not document.data or not self.store.offer(
+            document.data, "source", self.last_read_ms
+        ):
             return False
         relays = self.order.remote_relays(self.clock.now_ms())
         self.publisher.publish_version(
@@ -406,6 +409,10 @@
         """Applies a document that a peer pushed."""
         if frame.version <= self.store.version and self.store.ready:
             return
+        now_ms = self.clock.now_ms()
+        self.store.propagation.on_received(
+            frame.version, frame.version_age_ms, now_ms
+        )
         base = b""
         if frame.base_version:
             base = self.store.document(frame.base_version)
@@ -420,7 +427,7 @@
                 extra={"origin": frame.address, "error": str(error)},
             )
             return
-        if self.store.offer(data, frame.address):
+        if self.store.offer(data, frame.address, now_ms):
             digest = self.publisher.digest(self._read_age_ms(), heartbeat=False)
             self.publisher.send(self.publisher.local_members(), digest)
 
@@ -432,6 +439,9 @@
             if self.store.ready:
                 self.peer_position = max(self.peer_position, frame.next_offset)
             return
+        self.store.propagation.on_announced(
+            frame.version, frame.version_age_ms, self.clock.now_ms()
+        )
         if self._is_remote(frame.address):
             self.newest_remote = max(
                 self.newest_remote, (frame.version, frame.address)
@@ -474,6 +484,8 @@
         self.requested_version = version
         self.requested_ms = now_ms
         self.pulls_sent += 1
+        self._log_repeated_pull(address, version)
+        self.store.propagation.on_pull(now_ms)
         self.publisher.post(
             address,
             RecordsPull(
@@ -482,6 +494,19 @@
             ),
         )
 
+    def _log_repeated_pull(self, address: str, version: int) -> None:
+        if not self.store.propagation.pulls:
+            return
+        _logger.info(
+            "config.pull_repeated",
+            extra={
+                "peer": address,
+                "version": version,
+                "before": self.store.version,
+                **self.store.propagation.durations(self.clock.now_ms()),
+            },
+        )
+
     def _check_for_newer(self) -> None:
         # Gossip carries every member's version. This check finds a newer
         # version also when its digest or document was lost; otherwise this
--- a/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from pomelobank_core import MemberState, MemberTable
+from pomelobank_core import Clock, MemberState, MemberTable
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_node.published._packing import pack
@@ -39,6 +39,7 @@
         store: The configuration in force.
         members: The members known to this node.
         links: Streams to peers.
+        clock: Monotonic clock.
         rng: Source of randomness.
         pushes: The document in force, compressed, by the version that the
             receiver has. Compressing takes milliseconds, and many peers may
@@ -49,6 +50,7 @@
     store: PublishedStore
     members: MemberTable
     links: PeerLinks
+    clock: Clock
     rng: random.Random
     pushes: dict[int, DocumentPush] = attrs.field(factory=dict)
     send_tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -135,8 +137,12 @@
             log_age_ms=read_age_ms,
             heartbeat=heartbeat,
             ready=self.store.ready,
+            version_age_ms=self._version_age_ms(),
         )
 
+    def _version_age_ms(self) -> int:
+        return self.store.propagation.age_ms(self.clock.now_ms())
+
     def document_push(self, base_version: int) -> DocumentPush:
         """Returns the push of the document in force.
 
@@ -144,15 +150,14 @@
             base_version: The version that the receiver has; 0 for none.
         """
         push = self.pushes.get(base_version)
-        if push is not None and push.version == self.store.version:
-            return push
-        self.pushes = {
-            base: item
-            for base, item in self.pushes.items()
-            if item.version == self.store.version
-        }
-        push = self.pushes[base_version] = self._pack(base_version)
-        return push
+        if push is None or push.version != self.store.version:
+            self.pushes = {
+                base: item
+                for base, item in self.pushes.items()
+                if item.version == self.store.version
+            }
+            push = self.pushes[base_version] = self._pack(base_version)
+        return attrs.evolve(push, version_age_ms=self._version_age_ms())
 
     def _pack(self, base_version: int) -> DocumentPush:
         base = self.store.document(base_version)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_store.py
@@ -9,6 +9,7 @@
 from pomelobank_core import RouteTable
 from pomelobank_node.callers import HttpLimits
 from pomelobank_node.published._packing import DocumentHistory
+from pomelobank_node.published._propagation import Propagation
 from pomelobank_schema import SchemaError
 
 _logger = logging.getLogger(__name__)
@@ -55,6 +56,7 @@
         config: The configuration in force.
         data: The document of that configuration, sent to peers.
         history: Earlier documents, as bases for deltas.
+        propagation: Measures the way of each version to this node.
         ready: Whether any configuration is in force.
         changed: Set, and replaced by a new event, whenever a newer
             configuration comes into force.
@@ -68,6 +70,7 @@
     config: PublishedConfig = attrs.field(factory=_empty_config)
     data: bytes = b""
     history: DocumentHistory = attrs.field(factory=DocumentHistory)
+    propagation: Propagation = attrs.field(factory=Propagation)
     ready: bool = False
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     applied: int = 0
@@ -90,12 +93,13 @@
             return self.data
         return self.history.get(version)
 
-    def offer(self, data: bytes, origin: str) -> bool:
+    def offer(self, data: bytes, origin: str, now_ms: int) -> bool:
         """Applies a document if it is valid and newer than the one in force.
 
         Args:
             data: The document.
             origin: `source` or the address of the sending peer, for the log.
+            now_ms: Current time.
 
         Returns:
             Whether the document came into force.
@@ -123,6 +127,7 @@
                 "before": previous_version,
                 "origin": origin,
                 "bytes": len(data),
+                **self.propagation.on_in_force(now_ms),
             },
         )
         signal, self.changed = self.changed, asyncio.Event()
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -1,6 +1,7 @@
 """Published configurations: versions never decrease and reach every peer."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 import attrs
@@ -135,7 +136,7 @@
     """
     store = PublishedStore(decode)
     for data in offered:
-        store.offer(data, "test")
+        store.offer(data, "test", 0)
     assert (store.version, store.ready) == (version, True)
 
 
@@ -145,7 +146,7 @@
     A node without a configuration must not report that it is ready.
     """
     store = PublishedStore(decode)
-    assert not store.offer(b"cut of", "test")
+    assert not store.offer(b"cut of", "test", 0)
     assert (store.ready, store.unreadable) == (False, 1)
 
 
@@ -214,7 +215,7 @@
 
 async def test_a_peer_that_lacks_the_document_gets_it() -> None:
     feed = create_feed(Source())
-    feed.store.offer(b"7", "test")
+    feed.store.offer(b"7", "test", 0)
     feed.receive(RecordsPull(from_offset=3, address="far:1"))
     feed.receive(RecordsPull(from_offset=7, address="near:1"))
     await asyncio.sleep(0)
@@ -230,7 +231,7 @@
     The node must keep its configuration.
     """
     feed = create_feed(Source())
-    feed.store.offer(b"7", "test")
+    feed.store.offer(b"7", "test", 0)
     feed.receive(DocumentPush(data=b"rubbish", version=9))
     assert feed.store.version == 7
 
@@ -347,7 +348,7 @@
     """
     local = [member(f"n{number}", "hobart") for number in range(neighbours)]
     feed = create_feed(Source(), *local)
-    feed.store.offer(b"7", "test")
+    feed.store.offer(b"7", "test", 0)
     feed.publisher.publish_version(read_age_ms=0, previous_version=0, relays=[])
     await asyncio.sleep(0)
     documents = [f for _, f in sent_frames(feed) if isinstance(f, DocumentPush)]
@@ -370,7 +371,7 @@
     """
     local = member("near", "hobart")
     feed = create_feed(Source(), local)
-    feed.store.offer(b"7", "test")
+    feed.store.offer(b"7", "test", 0)
     clock = feed.clock
     assert isinstance(clock, ManualClock)
     clock.advance(20_000)
@@ -390,7 +391,7 @@
     """Without the position, every takeover would fetch a large document."""
     source = Source(None)
     feed = create_feed(source, member("near", "hobart"))
-    feed.store.offer(b"7", "test")
+    feed.store.offer(b"7", "test", 0)
     feed.receive(
         VersionDigest(
             version=7, next_offset=4, address="near:1", heartbeat=True
@@ -403,7 +404,7 @@
 async def test_a_reader_that_backs_off_does_not_seem_able_to_read() -> None:
     """Its peers would wait for this reader, which the source rejects."""
     feed = create_feed(Source(), member("near", "hobart"))
-    feed.store.offer(b"7", "test")
+    feed.store.offer(b"7", "test", 0)
     clock = feed.clock
     assert isinstance(clock, ManualClock)
     feed.receive(VersionDigest(address="near:1", heartbeat=True))
@@ -417,6 +418,34 @@
     assert not sent_frames(feed)
 
 
+async def test_each_hop_of_a_version_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Without the hops' times, the log cannot tell why a version was late."""
+    caplog.set_level(logging.INFO)
+    feed = create_feed(Source(), member("near", "hobart"))
+    clock = feed.clock
+    assert isinstance(clock, ManualClock)
+    digest = VersionDigest(version=3, address="near:1", version_age_ms=40)
+    feed.receive(digest)
+    clock.advance(PULL_TIMEOUT_MS)
+    feed.receive(digest)
+    clock.advance(30)
+    feed.receive(
+        DocumentPush(
+            data=pack(b"3"), version=3, address="near:1", version_age_ms=90
+        )
+    )
+    line = next(r for r in caplog.records if r.message == "config.in_force")
+    fields = vars(line)
+    assert fields["age_ms"] == 40 + PULL_TIMEOUT_MS + 30
+    assert fields["announced_ms"] == PULL_TIMEOUT_MS + 30
+    assert (fields["pulled_ms"], fields["pulls"]) == (30, 2)
+    assert "config.pull_repeated" in [r.message for r in caplog.records]
+    push = feed.publisher.document_push(0)
+    assert push.version_age_ms == fields["age_ms"]
+
+
 LINES = [f"{number} leads to {number * 7919 % 997}" for number in range(5000)]
 
 
@@ -449,14 +478,14 @@
     """
     reader = create_feed(Source())
     reader.store.decode = first_line
-    reader.store.offer(document(1), "test")
-    reader.store.offer(document(2), "test")
+    reader.store.offer(document(1), "test", 0)
+    reader.store.offer(document(2), "test", 0)
     push = reader.publisher.document_push(base_version=1)
     assert len(push.data) < max_bytes
     feed = create_feed(Source())
     feed.store.decode = first_line
     for version in known_versions:
-        feed.store.offer(document(version), "test")
+        feed.store.offer(document(version), "test", 0)
     feed.receive(push)
     assert feed.store.version == expected_version
     assert feed.pulls_sent == (not known_versions)
@@ -470,10 +499,10 @@
     reader = create_feed(Source())
     reader.store.decode = first_line
     for version in range(1, 10):
-        reader.store.offer(document(version), "test")
+        reader.store.offer(document(version), "test", 0)
     feed = create_feed(Source())
     feed.store.decode = first_line
-    feed.store.offer(document(1), "test")
+    feed.store.offer(document(1), "test", 0)
     feed.receive(reader.publisher.document_push(base_version=8))
     await asyncio.sleep(0)
     (pull,) = [f for _, f in sent_frames(feed) if isinstance(f, RecordsPull)]
@@ -551,7 +580,7 @@
     for own in nodes:
         feed = create_feed(Source(), *(node for node in nodes if node != own))
         feed.members.own = own
-        feed.store.offer(b"7", "test")
+        feed.store.offer(b"7", "test", 0)
         feed.position = 4
         clock = feed.clock
         assert isinstance(clock, ManualClock)
