--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -11,7 +11,7 @@
 import attrs
 import pytest
 
-from pomelobank_core import READER_COUNT, MemberTable
+from pomelobank_core import READER_COUNT, MemberState, MemberTable
 from pomelobank_node.published import (
     Document,
     PublishedFeed,
@@ -59,6 +59,7 @@
         unresponsive: Nodes whose reads get no response.
         silenced: Nodes whose reads get no response, those under way included.
         isolated: Addresses that neither send nor receive frames.
+        transfer_s: Time that a document takes from the source, by node.
         feeds: The nodes' feeds by address.
         calls: Reads that the source has received.
     """
@@ -72,6 +73,7 @@
     unresponsive: set[str] = attrs.field(factory=set)
     silenced: set[str] = attrs.field(factory=set)
     isolated: set[str] = attrs.field(factory=set)
+    transfer_s: dict[str, float] = attrs.field(factory=dict)
     feeds: dict[str, PublishedFeed] = attrs.field(factory=dict)
     calls: int = 0
 
@@ -116,9 +118,11 @@
         if self.node in simulation.unresponsive:
             await asyncio.sleep(RESPONSE_TIMEOUT_S)
             raise SourceError("no answer")
-        if simulation.version <= position:
+        version = simulation.version
+        if version <= position:
             return None
-        return Document(str(simulation.version).encode(), simulation.version)
+        await asyncio.sleep(simulation.transfer_s.get(self.node, 0.0))
+        return Document(str(version).encode(), version)
 
 
 @attrs.define(eq=False)
@@ -233,16 +237,15 @@
 
 @asynccontextmanager
 async def running_feeds(
-    simulation: Simulation,
+    simulation: Simulation, gossips: bool = True
 ) -> AsyncIterator[set[asyncio.Task[None]]]:
     """Starts every feed and the background tasks; stops all at the end."""
     create_feeds(simulation)
     for feed in simulation.feeds.values():
         await feed.start()
-    tasks = {
-        asyncio.create_task(gossip(simulation)),
-        asyncio.create_task(run_ticks(simulation)),
-    }
+    tasks = {asyncio.create_task(run_ticks(simulation))}
+    if gossips:
+        tasks.add(asyncio.create_task(gossip(simulation)))
     try:
         yield tasks
     finally:
@@ -410,3 +413,89 @@
         if outdated:
             outdated_by_seed[seed] = outdated
     assert not outdated_by_seed
+
+
+# Time that a document of 350 KB takes on a network link of 5 Mbit/s.
+SLOW_TRANSFER_S = 0.56
+# A data centre in which the last node waits longest before it reads the source.
+LARGE_DATA_CENTRE = {"hobart": 9, "burnie": 3, "launceston": 3}
+CHANGES = 20
+
+
+def suspect(simulation: Simulation, own: MemberEntry) -> None:
+    """Lets all other nodes suspect a node that can still be reached."""
+    suspected = attrs.evolve(own, state=MemberState.SUSPECT.value)
+    for feed in simulation.feeds.values():
+        if feed.members.own is not own:
+            feed.members.merge([suspected])
+
+
+def forget(simulation: Simulation, own: MemberEntry) -> None:
+    """Lets no other node know a node, as if it had just started."""
+    for feed in simulation.feeds.values():
+        if feed.members.own is not own:
+            feed.members.remove(own.node)
+
+
+def suspect_and_reject(simulation: Simulation, own: MemberEntry) -> None:
+    """Lets the source reject a node that all other nodes suspect."""
+    suspect(simulation, own)
+    simulation.rejected.add(own.node)
+
+
+Exclusion = Callable[[Simulation, MemberEntry], None]
+
+
+async def publish_while_a_node_is_left_out(
+    simulation: Simulation, exclude: Exclusion, delays_s: list[float]
+) -> None:
+    """Measures when the last node of a data centre has each of many versions.
+
+    Without gossip, whose order is random, the test decides alone whether the
+    node is told.
+    """
+    async with running_feeds(simulation, gossips=False):
+        left_out = max(
+            simulation.feeds.values(),
+            key=lambda feed: feed.order.neighbours_ahead(0),
+        )
+        simulation.transfer_s[left_out.members.own.node] = SLOW_TRANSFER_S
+        exclude(simulation, left_out.members.own)
+        for _ in range(CHANGES):
+            await asyncio.sleep(simulation.rng.uniform(0.5, 3))
+            simulation.publish()
+            published_s = simulation.time.now_s
+            await wait_for_version(left_out, simulation.version)
+            delays_s.append(simulation.time.now_s - published_s)
+
+
+async def wait_for_version(feed: PublishedFeed, version: int) -> None:
+    """Waits until a node has a version, or for twice the time it may take."""
+    try:
+        async with asyncio.timeout(2 * MAX_PROPAGATION_S):
+            while feed.store.version < version:
+                await feed.store.changed.wait()
+    except TimeoutError:
+        return
+
+
+@pytest.mark.parametrize(
+    "exclude",
+    [
+        pytest.param(suspect, id="suspected"),
+        pytest.param(forget, id="unknown"),
+        pytest.param(suspect_and_reject, id="suspected-and-rejected"),
+    ],
+)
+def test_a_node_that_its_peers_leave_out_gets_each_version_in_time(
+    exclude: Exclusion,
+) -> None:
+    """Peers send nothing to a node that they suspect or do not know."""
+    time = VirtualTime()
+    simulation = Simulation(random.Random(1), time, LARGE_DATA_CENTRE)
+    delays_s: list[float] = []
+    run_in_virtual_time(
+        time, publish_while_a_node_is_left_out(simulation, exclude, delays_s)
+    )
+    assert len(delays_s) == CHANGES
+    assert max(delays_s) < MAX_PROPAGATION_S
