--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -339,6 +339,13 @@
     "Time from the first node's read of the published configuration in force"
     " until it came into force on this node.",
 )
+CONFIG_QUERIES = Instrument(
+    "pomelobank.config.queries",
+    "1",
+    "Times that this node queried peers for the newest read of the source,"
+    " because no heartbeat had arrived.",
+    monotonic=True,
+)
 CONFIG_PULLS = Instrument(
     "pomelobank.config.pulls",
     "1",
@@ -374,6 +381,7 @@
 SIDECAR_ONLY = (
     SOURCE_UP,
     SOURCE_READS,
+    CONFIG_QUERIES,
     CONFIG_DELAY,
     CONFIG_PULLS,
     CONFIG_PUSHES,
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -159,6 +159,7 @@
     yield instruments.CONFIG_READER, lambda: int(feed.is_reader())
     yield instruments.SOURCE_UP, lambda: int(feed.source_up)
     yield instruments.SOURCE_READS, lambda: feed.reads
+    yield instruments.CONFIG_QUERIES, lambda: feed.queries_sent
     yield instruments.CONFIG_DELAY, lambda: store.propagation.delay_ms
     yield instruments.CONFIG_PULLS, lambda: feed.pulls_sent
     yield instruments.CONFIG_PUSHES, lambda: feed.pushes_sent
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -92,6 +92,13 @@
 # nodes.
 REMOTE_PULL_DELAY_MS = 250
 _MAX_REMOTE_PULL_DELAYS = 4
+# Age of the newest known read at which a node queries peers for a newer one.
+# Heartbeats arrive more often, unless the peers suspect the node or do not know
+# it yet. On a network link of 5 Mbit/s, a document takes up to a second from
+# the source, during which probes time out and more peers suspect the node; a
+# peer replies with a delta or with the age of its newest read.
+QUERY_AGE_MS = 1000
+_QUERIED_PEERS = 2
 _FIRST_RETRY_MS = 50
 _MAX_RETRY_MS = 1000
 _MS_PER_S = 1000
@@ -133,6 +140,8 @@
         took_over: Whether this node, which is no reader, has logged that it
             reads the source because no recent read is known.
         reads: Reads of the source, for the metrics.
+        queried_ms: Time at which this node last queried peers.
+        queries_sent: Number of these queries, for the metrics.
         pulls_sent: Pulls sent to peers, for the metrics.
         pushes_sent: Documents sent in response to pulls, for the metrics.
         requested_version: Newest version that this node pulled.
@@ -163,6 +172,8 @@
     read_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     took_over: bool = False
     reads: int = 0
+    queried_ms: int = 0
+    queries_sent: int = 0
     pulls_sent: int = 0
     pushes_sent: int = 0
     requested_version: int = 0
@@ -203,6 +214,7 @@
         self._forward_heartbeat(HEARTBEAT_MS)
         if self._must_read():
             self.read_due.set()
+        self._query_peers_if_due()
         self._check_for_newer()
 
     # Reading the source.
@@ -435,6 +447,8 @@
         """Handles a peer's version digest; pulls a newer version."""
         if frame.heartbeat:
             self._handle_heartbeat(frame)
+        elif frame.version == self.store.version:
+            self._note_read(frame.log_age_ms)
         if frame.version <= self.store.version:
             if self.store.ready:
                 self.peer_position = max(self.peer_position, frame.next_offset)
@@ -457,12 +471,14 @@
             self.read_due.set()
             return
         self.order.note_able(frame.address)
-        self.last_peer_read_ms = max(
-            self.last_peer_read_ms, now_ms - frame.log_age_ms
-        )
-        self.last_read_ms = max(self.last_read_ms, now_ms - frame.log_age_ms)
+        self._note_read(frame.log_age_ms)
         self._forward_heartbeat(FORWARD_INTERVAL_MS)
 
+    def _note_read(self, age_ms: int) -> None:
+        read_ms = self.clock.now_ms() - age_ms
+        self.last_peer_read_ms = max(self.last_peer_read_ms, read_ms)
+        self.last_read_ms = max(self.last_read_ms, read_ms)
+
     def _is_remote(self, address: str) -> bool:
         return any(
             entry.peer_address == address
@@ -470,11 +486,36 @@
         )
 
     def handle_pull(self, frame: RecordsPull) -> None:
-        """Sends the document to a peer that has an older version."""
+        """Sends the document, or the newest read's age if there is no newer."""
         if frame.from_offset < self.store.version:
             self.pushes_sent += 1
             document = self.publisher.document_push(frame.from_offset)
             self.publisher.post(frame.address, document)
+        elif frame.from_offset == self.store.version:
+            digest = self.publisher.digest(self._read_age_ms(), heartbeat=False)
+            self.publisher.post(frame.address, digest)
+
+    def _query_peers_if_due(self) -> None:
+        now_ms = self.clock.now_ms()
+        read_age_ms = now_ms - self.last_read_ms
+        if read_age_ms < QUERY_AGE_MS:
+            return
+        # During an outage of the source no peer knows of a newer read, so the
+        # node queries them less and less often.
+        if now_ms - self.queried_ms < read_age_ms / 2:
+            return
+        self.queried_ms = now_ms
+        self.queries_sent += 1
+        peers = self.publisher.healthy_local_members()
+        peers = peers or self.publisher.healthy_members()
+        queried = self.rng.sample(peers, min(_QUERIED_PEERS, len(peers)))
+        self.publisher.send(queried, self._pull_frame())
+
+    def _pull_frame(self) -> RecordsPull:
+        return RecordsPull(
+            from_offset=self.store.version,
+            address=self.members.own.peer_address,
+        )
 
     def _send_pull(self, address: str, version: int) -> None:
         now_ms = self.clock.now_ms()
@@ -486,13 +527,7 @@
         self.pulls_sent += 1
         self._log_repeated_pull(address, version)
         self.store.propagation.on_pull(now_ms)
-        self.publisher.post(
-            address,
-            RecordsPull(
-                from_offset=self.store.version,
-                address=self.members.own.peer_address,
-            ),
-        )
+        self.publisher.post(address, self._pull_frame())
 
     def _log_repeated_pull(self, address: str, version: int) -> None:
         if not self.store.propagation.pulls:
--- a/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
@@ -63,6 +63,16 @@
         await asyncio.gather(*send_tasks, return_exceptions=True)
 
     def local_members(self) -> list[MemberEntry]:
+        """Returns the present members of this node's data centre.
+
+        The suspected members come last. Most of them are alive, and one that
+        got no digests would read large documents from the source itself, which
+        delays its replies to probes further.
+        """
+        local = [item for item in self.members.present() if self.is_local(item)]
+        return sorted(local, key=_is_suspect)
+
+    def healthy_local_members(self) -> list[MemberEntry]:
         """Returns the healthy members of this node's data centre."""
         return [item for item in self.healthy_members() if self.is_local(item)]
 
@@ -78,9 +88,8 @@
 
     def healthy_members(self) -> list[MemberEntry]:
         """Returns the present members that are not suspected."""
-        suspect = MemberState.SUSPECT.value
         return [
-            item for item in self.members.present() if item.state != suspect
+            item for item in self.members.present() if not _is_suspect(item)
         ]
 
     def publish_version(
@@ -104,7 +113,7 @@
         }
         digest = self.digest(read_age_ms, heartbeat=False)
         self.send(digest_recipients.values(), digest)
-        local = self.local_members()
+        local = self.healthy_local_members()
         push_recipients = self.rng.sample(
             local, min(MAX_LOCAL_PUSHES, len(local))
         )
@@ -191,3 +200,7 @@
                 "config.not_told",
                 extra={"peer": address, "error": error.kind.value},
             )
+
+
+def _is_suspect(entry: MemberEntry) -> bool:
+    return entry.state == MemberState.SUSPECT.value
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -219,10 +219,12 @@
     feed.receive(RecordsPull(from_offset=3, address="far:1"))
     feed.receive(RecordsPull(from_offset=7, address="near:1"))
     await asyncio.sleep(0)
-    assert [address for address, _ in sent_frames(feed)] == ["far:1"]
-    frame = sent_frames(feed)[0][1]
-    assert isinstance(frame, DocumentPush)
-    assert unpack(frame.data) == b"7"
+    (far, document_push), (near, digest) = sent_frames(feed)
+    assert (far, near) == ("far:1", "near:1")
+    assert isinstance(document_push, DocumentPush)
+    assert unpack(document_push.data) == b"7"
+    assert isinstance(digest, VersionDigest)
+    assert (digest.version, digest.heartbeat) == (7, False)
 
 
 async def test_a_corrupt_push_changes_nothing() -> None:
