--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -39,6 +39,8 @@
 # The source answers in 4 ms; a node gives up a lost response after 0.5 s.
 RESPONSE_TIME_S = 0.004
 RESPONSE_TIMEOUT_S = 0.5
+# Time between two parts of a response on a slow network link.
+PART_S = 0.07
 # Every node must have a version within this time of its publication, whichever
 # nodes the source rejects or leaves without a response, as long as the source
 # serves at least one node.
@@ -89,7 +91,7 @@
 
     simulation: Simulation
     node: str
-    on_progress: object = None
+    on_progress: Callable[[], None] | None = None
 
     async def newest(self) -> Document | None:
         return await self._read(0, 0.0)
@@ -121,7 +123,10 @@
         version = simulation.version
         if version <= position:
             return None
-        await asyncio.sleep(simulation.transfer_s.get(self.node, 0.0))
+        for _ in range(round(simulation.transfer_s.get(self.node, 0) / PART_S)):
+            assert self.on_progress is not None
+            self.on_progress()
+            await asyncio.sleep(PART_S)
         return Document(str(version).encode(), version)
 
 
@@ -499,3 +504,41 @@
     )
     assert len(delays_s) == CHANGES
     assert max(delays_s) < MAX_PROPAGATION_S
+
+
+async def publish_during_a_slow_response(
+    simulation: Simulation, outdated: set[str]
+) -> None:
+    """Publishes while one reader's link is slow and the others are cut off."""
+    async with running_feeds(simulation):
+        await asyncio.sleep(4 + simulation.rng.uniform(0, 1))
+        feeds = list(simulation.feeds.values())
+        slow, *others = (feed.members.own for feed in feeds if feed.is_reader())
+        lost_centres = {own.data_centre for own in others}
+        lost = [f for f in feeds if f.members.own.data_centre in lost_centres]
+        isolate(simulation, lost)
+        simulation.transfer_s[slow.node] = 2 * MAX_PROPAGATION_S
+        simulation.publish()
+        await asyncio.sleep(MAX_PROPAGATION_S)
+        outdated.update(
+            feed.members.own.node
+            for feed in feeds
+            if feed.members.own is not slow
+            and feed not in lost
+            and feed.store.version < simulation.version
+        )
+
+
+def test_a_slow_response_does_not_hold_back_other_readers() -> None:
+    """Nodes do not take over from a response in progress that seems fresh."""
+    outdated_by_seed = {}
+    for seed in range(20):
+        time = VirtualTime()
+        simulation = Simulation(random.Random(seed), time, MANY_DATA_CENTRES)
+        outdated: set[str] = set()
+        run_in_virtual_time(
+            time, publish_during_a_slow_response(simulation, outdated)
+        )
+        if outdated:
+            outdated_by_seed[seed] = outdated
+    assert not outdated_by_seed
