--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -128,10 +128,13 @@
         position: Position up to which the source was read; None if unknown.
         peer_position: Highest position that a peer has read up to, if this
             node has the version read there; 0 if unknown.
-        last_read_ms: Time at which the newest read of the source, by any node,
-            ended that this node knows of.
+        last_read_ms: Time of the newest read of the source, by any node, that
+            this node knows of. A read shows the source's state at the beginning
+            of its response.
         last_peer_read_ms: Time of the newest read that a peer reported.
         read_started_ms: Time at which this node's last read began.
+        response_began_ms: Time at which the response to this node's last read
+            began; None if it has not begun or arrived at once.
         source_up: Whether this node's last read succeeded.
         last_heartbeat_ms: Time at which this node sent its last heartbeat.
         backoff_until_ms: Time until which this node leaves reading to a peer
@@ -166,6 +169,7 @@
     last_read_ms: int = 0
     last_peer_read_ms: float = -math.inf
     read_started_ms: int = 0
+    response_began_ms: int | None = None
     source_up: bool = True
     last_heartbeat_ms: int = 0
     backoff_until_ms: int = 0
@@ -287,11 +291,13 @@
     def _on_progress(self) -> None:
         # A long response keeps this node from sending heartbeats after its
         # reads. Without this heartbeat peers would assume that the node has
-        # failed.
+        # failed. The response shows the source's state at its beginning.
         now_ms = self.clock.now_ms()
-        self.last_read_ms = now_ms
+        if self.response_began_ms is None:
+            self.response_began_ms = now_ms
+        self.last_read_ms = max(self.last_read_ms, self.response_began_ms)
         if now_ms - self.last_heartbeat_ms >= FORWARD_INTERVAL_MS:
-            self._send_heartbeat(ReadingRole.READER, 0)
+            self._send_heartbeat(ReadingRole.READER, self._read_age_ms())
 
     def _may_back_off(self) -> bool:
         now_ms = self.clock.now_ms()
@@ -313,17 +319,21 @@
         self._log_takeover()
         self.reads += 1
         self.read_started_ms = self.clock.now_ms()
+        self.response_began_ms = None
         document = await self._next_document()
-        self.last_read_ms = self.clock.now_ms()
+        now_ms = self.clock.now_ms()
+        began_ms = self.response_began_ms
+        read_ms = now_ms if began_ms is None else began_ms
+        self.last_read_ms = max(self.last_read_ms, read_ms)
         if document is None:
             # The source has no document at all, or none after the position.
             self.position = self._known_position()
             return False
         self.position = document.position
         previous_version = self.store.version
-        self.store.propagation.on_read(self.last_read_ms)
+        self.store.propagation.on_read(now_ms)
         if not document.data or not self.store.offer(
-            document.data, "source", self.last_read_ms
+            document.data, "source", now_ms
         ):
             return False
         relays = self.order.remote_relays(self.clock.now_ms())
@@ -448,7 +458,7 @@
         if frame.heartbeat:
             self._handle_heartbeat(frame)
         elif frame.version == self.store.version:
-            self._note_read(frame.log_age_ms)
+            self._note_peer_read(frame.log_age_ms)
         if frame.version <= self.store.version:
             if self.store.ready:
                 self.peer_position = max(self.peer_position, frame.next_offset)
@@ -471,10 +481,10 @@
             self.read_due.set()
             return
         self.order.note_able(frame.address)
-        self._note_read(frame.log_age_ms)
+        self._note_peer_read(frame.log_age_ms)
         self._forward_heartbeat(FORWARD_INTERVAL_MS)
 
-    def _note_read(self, age_ms: int) -> None:
+    def _note_peer_read(self, age_ms: int) -> None:
         read_ms = self.clock.now_ms() - age_ms
         self.last_peer_read_ms = max(self.last_peer_read_ms, read_ms)
         self.last_read_ms = max(self.last_read_ms, read_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_source.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_source.py
@@ -36,7 +36,7 @@
 
     Attributes:
         on_progress: Called with each chunk of a response that takes long to
-            arrive; None for no call.
+            arrive, the first one included; None for no call.
     """
 
     on_progress: Callable[[], None] | None
