--- a/packages/pomelobank-core/src/pomelobank_core/_bootstrap_contacts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_bootstrap_contacts.py
@@ -146,6 +146,11 @@
         window_ms = max(_MIN_WAIT_WINDOW_MS, _WAIT_WINDOW_READS * read_ms)
         return self.random.randrange(min(window_ms, _MAX_WAIT_WINDOW_MS))
 
+    def require_refresh(self) -> None:
+        """Makes a refresh due, because the newest record may be lost."""
+        self.newest_at_ms = 0
+        self.newest_addresses = frozenset()
+
     def needs_refresh(self, present: Collection[str], wall_ms: int) -> bool:
         """Returns whether a new contacts record should be written.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_contact_finder.py
@@ -70,6 +70,15 @@
     next_offset: int = 0
     announcements: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.log.era.on_change.append(self._on_new_era)
+
+    def _on_new_era(self) -> None:
+        # The announcements that this node read or wrote may be lost.
+        self.next_offset = 0
+        self.announced = False
+        self.contacts.require_refresh()
+
     async def run(self) -> None:
         """Joins the mesh, then maintains the contacts until cancelled."""
         retry_ms = _FIRST_RETRY_MS
--- a/packages/pomelobank-node/src/pomelobank_node/_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from pomelobank_node._log_era import LogEra
+
 CONFIG_STREAM = "config"
 DEPARTURES_STREAM = "departures"
 MEMBERS_STREAM = "members"
@@ -64,11 +66,13 @@
     """Appends to and reads from streams of the log.
 
     Attributes:
+        era: The log's era.
         long_poll_ms: Maximum time in ms that one read waits for new records.
         reads: Reads sent, for the metrics.
         appends: Appends sent, for the metrics.
     """
 
+    era: LogEra
     long_poll_ms: int
     reads: int
     appends: int
--- a/packages/pomelobank-node/src/pomelobank_node/_log_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log_client.py
@@ -5,6 +5,7 @@
 import msgpack
 
 from pomelobank_node._log import LogError, LogErrorKind, LogPage
+from pomelobank_node._log_era import LogEra
 from pomelobank_schema.generated.settings import LogSettings
 
 _MS_PER_S = 1000
@@ -23,10 +24,13 @@
         appends: Number of appends sent, for the metrics.
         bytes_read: Bytes in responses to reads, for the metrics.
         session: The HTTP session; None before `start`.
+        era: The log's era, which does not change: the service loses no record
+            that it has acknowledged.
         long_poll_ms: Maximum time in ms that one read waits for new records.
     """
 
     settings: LogSettings
+    era: LogEra = attrs.field(factory=LogEra)
     reads: int = 0
     appends: int = 0
     bytes_read: int = 0
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -117,7 +117,12 @@
         )
         self.table = MemberTable(identity.entry)
         self.feed = PublishedFeed(
-            adapter.source, self.store, self.table, self.links, self.clock
+            adapter.source,
+            self.store,
+            self.table,
+            self.links,
+            self.clock,
+            era=adapter.log.era,
         )
         self.crash_reports = CrashReports(self.table, self.links, self.clock)
         self.owner = Owner(
--- a/packages/pomelobank-node/src/pomelobank_node/platform_api.py
+++ b/packages/pomelobank-node/src/pomelobank_node/platform_api.py
@@ -6,7 +6,9 @@
     tune_garbage_collector,
 )
 from pomelobank_node._http_conventions import HttpConventions
+from pomelobank_node._http_messages import find_header
 from pomelobank_node._log import Log, LogError, LogErrorKind, LogPage
+from pomelobank_node._log_era import LogEra
 from pomelobank_node._log_output import BoundedOutput
 from pomelobank_node._logging import set_up_logging
 from pomelobank_node._requests import RequestError
@@ -38,6 +40,7 @@
     "HttpRequest",
     "HttpResponse",
     "Log",
+    "LogEra",
     "LogError",
     "LogErrorKind",
     "LogPage",
@@ -51,6 +54,7 @@
     "UpstreamResponse",
     "encode_request",
     "end_process",
+    "find_header",
     "run_program",
     "set_up_logging",
     "tune_garbage_collector",
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -10,6 +10,7 @@
 import attrs
 
 from pomelobank_core import Clock, MemberTable, ReadingOrder, ReadingRole
+from pomelobank_node._log_era import LogEra
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node.published._packing import PackingError, unpack
 from pomelobank_node.published._peer_publisher import (
@@ -125,6 +126,7 @@
         links: Streams to peers.
         clock: Monotonic clock.
         rng: Source of randomness.
+        era: Era of the source, to which positions belong.
         position: Position up to which the source was read; None if unknown.
         peer_position: Highest position that a peer has read up to, if this
             node has the version read there; 0 if unknown.
@@ -164,6 +166,7 @@
     links: PeerLinks
     clock: Clock
     rng: random.Random = attrs.field(factory=random.Random)
+    era: LogEra = attrs.field(factory=LogEra)
     position: int | None = None
     peer_position: int = 0
     last_read_ms: int = 0
@@ -190,11 +193,16 @@
     publisher: PeerPublisher = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.era.on_change.append(self._on_new_era)
         self.order = ReadingOrder(self.members)
         self.publisher = PeerPublisher(
             self.store, self.members, self.links, self.clock, self.rng
         )
 
+    def _on_new_era(self) -> None:
+        self.position = None
+        self.peer_position = 0
+
     async def start(self) -> None:
         """Starts to read the source."""
         self.last_read_ms = self.clock.now_ms()
@@ -403,6 +411,7 @@
             read_age_ms,
             heartbeat=True,
             position=self._known_position(),
+            era=self.era.number,
         )
         self.publisher.send(recipients, digest)
 
@@ -455,12 +464,13 @@
 
     def handle_digest(self, frame: VersionDigest) -> None:
         """Handles a peer's version digest; pulls a newer version."""
+        is_current_era = self.era.advance(frame.log_era)
         if frame.heartbeat:
             self._handle_heartbeat(frame)
         elif frame.version == self.store.version:
             self._note_peer_read(frame.log_age_ms)
         if frame.version <= self.store.version:
-            if self.store.ready:
+            if self.store.ready and is_current_era:
                 self.peer_position = max(self.peer_position, frame.next_offset)
             return
         self.store.propagation.on_announced(
--- a/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
@@ -127,7 +127,11 @@
         return list({entry.data_centre: entry for entry in remote}.values())
 
     def digest(
-        self, read_age_ms: int, heartbeat: bool, position: int = 0
+        self,
+        read_age_ms: int,
+        heartbeat: bool,
+        position: int = 0,
+        era: int = 0,
     ) -> VersionDigest:
         """Returns this node's version and the age of the newest read.
 
@@ -137,6 +141,7 @@
             heartbeat: Whether the digest is a heartbeat.
             position: Position up to which the source was read when it held this
                 version; 0 if unknown.
+            era: Era of the source that the position belongs to; 0 if unknown.
         """
         return VersionDigest(
             version=self.store.version,
@@ -147,6 +152,7 @@
             heartbeat=heartbeat,
             ready=self.store.ready,
             version_age_ms=self._version_age_ms(),
+            log_era=era,
         )
 
     def _version_age_ms(self) -> int:
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -403,6 +403,35 @@
     assert source.positions == [4]
 
 
+@pytest.mark.parametrize(
+    ("known_era", "reported_era", "position"),
+    [
+        pytest.param(2, 2, 4, id="same era"),
+        pytest.param(2, 1, 0, id="earlier era"),
+        pytest.param(1, 2, 4, id="new era"),
+        pytest.param(0, 0, 4, id="unknown era"),
+    ],
+)
+async def test_positions_of_an_earlier_era_are_ignored(
+    known_era: int, reported_era: int, position: int
+) -> None:
+    """A node that reads from such a position misses records or never waits."""
+    feed = create_feed(Source(), member("near", "hobart"))
+    feed.era.advance(known_era)
+    feed.store.offer(b"7", "test", 0)
+    feed.receive(
+        VersionDigest(
+            version=7,
+            next_offset=4,
+            address="near:1",
+            heartbeat=True,
+            log_era=reported_era,
+        )
+    )
+    assert feed._known_position() == position
+    assert feed.era.number == max(known_era, reported_era)
+
+
 async def test_a_reader_that_backs_off_does_not_seem_able_to_read() -> None:
     """Its peers would wait for this reader, which the source rejects."""
     feed = create_feed(Source(), member("near", "hobart"))
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_contact_finder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_contact_finder.py
@@ -8,6 +8,7 @@
 from pomelobank_core import BootstrapContacts, MemberTable, Swim
 from pomelobank_node._contact_finder import ContactFinder
 from pomelobank_node._log import LogPage
+from pomelobank_node._log_era import LogEra
 from pomelobank_node.tests.virtual_time import (
     VirtualClock,
     VirtualTime,
@@ -29,6 +30,7 @@
     supports_long_poll: bool = True
     records: list[bytes] = attrs.field(factory=list)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+    era: LogEra = attrs.field(factory=LogEra)
     long_poll_ms: int = 0
     reads: int = 0
     appends: int = 0
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_departure_log.py
@@ -5,6 +5,7 @@
 
 from pomelobank_node._departure_log import DepartureLog
 from pomelobank_node._log import LogPage
+from pomelobank_node._log_era import LogEra
 from pomelobank_schema import encode
 from pomelobank_schema.generated.records import (
     DepartureRecord,
@@ -18,6 +19,7 @@
 class LogWithOneDeparture:
     """A log that holds one departure record."""
 
+    era: LogEra = attrs.field(factory=LogEra)
     long_poll_ms: int = 0
     reads: int = 0
     appends: int = 0
