--- a/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_upstream_connection.py
@@ -27,6 +27,12 @@
 from pomelobank_node._socket_options import enable_dead_peer_detection
 
 _FIRST_FINAL_STATUS = 200
+# Maximum size of all that is not a body: heads, trailers and the framing of
+# chunks. Common servers limit a head to 8 to 64 KiB.
+_MAX_OVERHEAD_BYTES = 64 * 1024
+# Overhead that is allowed for each byte of a body, because a chunk of one byte
+# has five bytes of framing.
+_MAX_OVERHEAD_RATIO = 8
 _HEAD = b"HEAD "
 
 
@@ -101,6 +107,8 @@
         close_delimited: Whether the end of the connection ends the response
             body.
         started: Whether a response to the current request has begun.
+        received_bytes: Bytes received since the current request was sent.
+        body_bytes: Bytes of bodies among them, also of other responses.
     """
 
     def __init__(self, pool: ConnectionPool) -> None:
@@ -127,6 +135,8 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.chunks: list[bytes] = []
         self.size = 0
+        self.received_bytes = 0
+        self.body_bytes = 0
         self.started = False
         self.is_other_response = False
         self.close_delimited = False
@@ -221,10 +231,20 @@
             # treated as the response to the next request.
             self.close()
             return
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self.fail(ErrorKind.ANSWER_TRUNCATED)
+        self._limit_overhead()
+
+    def _limit_overhead(self) -> None:
+        # A faulty target may send a head without end, or any number of
+        # responses to other requests.
+        overhead_bytes = self.received_bytes - self.body_bytes
+        max_bytes = _MAX_OVERHEAD_BYTES + _MAX_OVERHEAD_RATIO * self.body_bytes
+        if self.busy and overhead_bytes > max_bytes:
+            self.fail(ErrorKind.ANSWER_TRUNCATED)
 
     def eof_received(self) -> None:
         """Completes a response whose body ends with the connection.
@@ -300,11 +320,16 @@
 
     def on_body(self, data: bytes) -> None:
         """Collects the body, or streams the body once it is large."""
-        if not self.busy or self.is_other_response:
+        if not self.busy:
             return
-        self.size += len(data)
-        if self.size > self.pool.max_body_bytes:
+        self.body_bytes += len(data)
+        if not self.is_other_response:
+            self.size += len(data)
+        max_bytes = self.pool.max_body_bytes
+        if max(self.size, self.body_bytes - self.size) > max_bytes:
             self.fail(ErrorKind.ANSWER_TOO_LARGE)
+        elif self.is_other_response:
+            return
         elif self.rest is not None:
             self._buffer_part(self.rest, data)
         else:
