--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -30,7 +30,11 @@
     run_in_virtual_time,
 )
 from pomelobank_schema import WireMessage
-from pomelobank_schema.generated.peer import MemberEntry, MemberVersion
+from pomelobank_schema.generated.peer import (
+    MemberEntry,
+    MemberVersion,
+    RecordsPull,
+)
 
 NODES = {"hobart": 5, "burnie": 4, "launceston": 1}
 # More data centres than readers.
@@ -61,6 +65,8 @@
         unresponsive: Nodes whose reads get no response.
         silenced: Nodes whose reads get no response, those under way included.
         isolated: Addresses that neither send nor receive frames.
+        unlucky: Address of a node whose peers stop when it pulls a new version
+            from them: the first one after each publication.
         transfer_s: Time that a document takes from the source, by node.
         feeds: The nodes' feeds by address.
         calls: Reads that the source has received.
@@ -75,6 +81,7 @@
     unresponsive: set[str] = attrs.field(factory=set)
     silenced: set[str] = attrs.field(factory=set)
     isolated: set[str] = attrs.field(factory=set)
+    unlucky: str = ""
     transfer_s: dict[str, float] = attrs.field(factory=dict)
     feeds: dict[str, PublishedFeed] = attrs.field(factory=dict)
     calls: int = 0
@@ -84,6 +91,11 @@
         published, self.published = self.published, asyncio.Event()
         published.set()
 
+    def on_pull(self, sender: str, address: str) -> None:
+        is_behind = self.feeds[sender].store.version < self.version
+        if sender == self.unlucky and is_behind and not self.isolated:
+            self.isolated.add(address)
+
 
 @attrs.define(eq=False)
 class Source:
@@ -139,6 +151,8 @@
     address: str
 
     async def send(self, frame: WireMessage) -> None:
+        if isinstance(frame, RecordsPull):
+            self.simulation.on_pull(self.sender, self.address)
         asyncio.get_running_loop().call_later(
             self.simulation.rng.uniform(0.001, 0.02), self._arrive, frame
         )
@@ -542,3 +556,37 @@
         if outdated:
             outdated_by_seed[seed] = outdated
     assert not outdated_by_seed
+
+
+async def publish_while_pulled_peers_stop(
+    simulation: Simulation, delays_s: list[float]
+) -> None:
+    """Measures when a node whose pulls get no response has each version."""
+    async with running_feeds(simulation):
+        unlucky = max(
+            simulation.feeds.values(),
+            key=lambda feed: feed.order.neighbours_ahead(0),
+        )
+        simulation.unlucky = unlucky.members.own.peer_address
+        for _ in range(CHANGES):
+            await asyncio.sleep(simulation.rng.uniform(0.5, 3))
+            simulation.isolated.clear()
+            simulation.publish()
+            published_s = simulation.time.now_s
+            await wait_for_version(unlucky, simulation.version)
+            delays_s.append(simulation.time.now_s - published_s)
+
+
+def test_a_node_whose_pull_gets_no_response_pulls_from_another_peer() -> None:
+    """A node that repeats its pull to the same peer waits until it is gone."""
+    delays_by_seed = {}
+    for seed in range(20):
+        time = VirtualTime()
+        simulation = Simulation(random.Random(seed), time, LARGE_DATA_CENTRE)
+        delays_s: list[float] = []
+        run_in_virtual_time(
+            time, publish_while_pulled_peers_stop(simulation, delays_s)
+        )
+        assert len(delays_s) == CHANGES
+        delays_by_seed[seed] = max(delays_s)
+    assert max(delays_by_seed.values()) < MAX_PROPAGATION_S
