--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -5,7 +5,6 @@
 import logging
 import math
 import random
-from collections.abc import Iterable
 
 import attrs
 
@@ -26,7 +25,6 @@
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     DocumentPush,
-    MemberEntry,
     RecordsPull,
     VersionDigest,
 )
@@ -151,6 +149,10 @@
         pushes_sent: Documents sent in response to pulls, for the metrics.
         requested_version: Newest version that this node pulled.
         requested_ms: Time of this pull.
+        announcers: Peers of the data centre that announced a newer version, by
+            address.
+        unanswered: Addresses from which this node pulled since it got its
+            version; they come last for the next pull.
         behind_since_ms: Time at which this node noticed a newer version or last
             pulled one; None while no newer version is known.
         newest_remote: Newest version that a node of another data centre
@@ -185,6 +187,8 @@
     pushes_sent: int = 0
     requested_version: int = 0
     requested_ms: int = 0
+    announcers: dict[str, int] = attrs.field(factory=dict)
+    unanswered: set[str] = attrs.field(factory=set)
     behind_since_ms: int | None = None
     newest_remote: tuple[int, str] = (0, "")
     check_timer: asyncio.TimerHandle | None = None
@@ -459,6 +463,7 @@
             )
             return
         if self.store.offer(data, frame.address, now_ms):
+            self.unanswered.clear()
             digest = self.publisher.digest(self._read_age_ms(), heartbeat=False)
             self.publisher.send(self.publisher.local_members(), digest)
 
@@ -482,6 +487,9 @@
             )
             self._check_for_newer()
         else:
+            self.announcers[frame.address] = frame.version
+            if self.behind_since_ms is None:
+                self.behind_since_ms = self.clock.now_ms()
             self._send_pull(frame.address, frame.version)
 
     def _handle_heartbeat(self, frame: VersionDigest) -> None:
@@ -544,6 +552,8 @@
             return
         self.requested_version = version
         self.requested_ms = now_ms
+        self.unanswered.add(address)
+        self._schedule_check(PULL_TIMEOUT_MS)
         self.pulls_sent += 1
         self._log_repeated_pull(address, version)
         self.store.propagation.on_pull(now_ms)
@@ -566,29 +576,41 @@
         # Gossip carries every member's version. This check finds a newer
         # version also when its digest or document was lost; otherwise this
         # node would stay behind until the next change.
-        version = self.store.version
-        newer = [
-            e for e in self.publisher.healthy_members() if e.version > version
-        ]
-        if not newer and self.newest_remote[0] <= version:
+        local, remote = self._newer_peers()
+        now_ms = self.clock.now_ms()
+        if not local and not remote:
             self.behind_since_ms = None
+            self.unanswered.clear()
             return
-        local = _newest(e for e in newer if self.publisher.is_local(e))
-        remote = _newest(e for e in newer if not self.publisher.is_local(e))
-        is_local_newer = local[0] > version
-        now_ms = self.clock.now_ms()
         if self.behind_since_ms is None:
             self.behind_since_ms = now_ms
-        pause_ms = (
-            PULL_DELAY_MS if is_local_newer else self._remote_pull_delay_ms()
-        )
-        remaining_ms = self.behind_since_ms + pause_ms - now_ms
-        if remaining_ms > 0:
-            self._schedule_check(remaining_ms)
+        pause_ms = PULL_DELAY_MS if local else self._remote_pull_delay_ms()
+        due_ms = self.behind_since_ms + pause_ms
+        if self.unanswered:
+            due_ms = max(due_ms, self.requested_ms + PULL_TIMEOUT_MS)
+        if due_ms > now_ms:
+            self._schedule_check(due_ms - now_ms)
         else:
-            self._pull_newest(
-                local if is_local_newer else max(remote, self.newest_remote)
-            )
+            self._pull_newest(local or remote)
+
+    def _newer_peers(self) -> tuple[dict[str, int], dict[str, int]]:
+        """Returns the versions of peers that have a newer one, by address.
+
+        Returns:
+            The peers of this data centre and those of the others.
+        """
+        version = self.store.version
+        local = {a: v for a, v in self.announcers.items() if v > version}
+        self.announcers = dict(local)
+        remote: dict[str, int] = {}
+        for entry in self.publisher.healthy_members():
+            if entry.version > version:
+                peers = local if self.publisher.is_local(entry) else remote
+                peers[entry.peer_address] = entry.version
+        newest_remote, address = self.newest_remote
+        if newest_remote > version:
+            remote[address] = newest_remote
+        return local, remote
 
     def _schedule_check(self, delay_ms: int) -> None:
         if self.check_timer is not None:
@@ -607,18 +629,18 @@
         ) + self.order.has_local_reader(now_ms)
         return REMOTE_PULL_DELAY_MS * min(delays, _MAX_REMOTE_PULL_DELAYS)
 
-    def _pull_newest(self, newest: tuple[int, str]) -> None:
-        version, address = newest
+    def _pull_newest(self, peers: dict[str, int]) -> None:
+        # A peer that has not responded may have stopped, long before the other
+        # members suspect it.
+        choices = peers.keys() - self.unanswered or peers.keys()
+        newest = max(peers[address] for address in choices)
+        address = self.rng.choice(
+            sorted(item for item in choices if peers[item] == newest)
+        )
         self.behind_since_ms = self.clock.now_ms()
         self.newest_remote = (0, "")
         self.requested_version = 0
-        self._send_pull(address, version)
-
-
-def _newest(entries: Iterable[MemberEntry]) -> tuple[int, str]:
-    """Returns the newest version among members, and its member's address."""
-    versions = ((entry.version, entry.peer_address) for entry in entries)
-    return max(versions, default=(0, ""))
+        self._send_pull(address, newest)
 
 
 @functools.singledispatch
