--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -129,8 +129,10 @@
         peer_position: Highest position that a peer has read up to, if this
             node has the version read there; 0 if unknown.
         last_read_ms: Time of the newest read of the source, by any node, that
-            this node knows of. A read shows the source's state at the beginning
-            of its response.
+            this node knows of; 0 if it knows of none. A read shows the source's
+            state at the beginning of its response.
+        started_ms: Time at which this node started. It then waits for others
+            to read as if a read had ended, but reports none.
         last_peer_read_ms: Time of the newest read that a peer reported.
         read_started_ms: Time at which this node's last read began.
         response_began_ms: Time at which the response to this node's last read
@@ -172,6 +174,7 @@
     position: int | None = None
     peer_position: int = 0
     last_read_ms: int = 0
+    started_ms: int = 0
     last_peer_read_ms: float = -math.inf
     read_started_ms: int = 0
     response_began_ms: int | None = None
@@ -209,7 +212,7 @@
 
     async def start(self) -> None:
         """Starts to read the source."""
-        self.last_read_ms = self.clock.now_ms()
+        self.started_ms = self.clock.now_ms()
         self.source.on_progress = self._on_progress
         self.task = asyncio.create_task(self._read(), name="published-reader")
 
@@ -281,8 +284,7 @@
 
     async def _wait_until_read_due(self) -> None:
         self.read_due.clear()
-        read_age_ms = self.clock.now_ms() - self.last_read_ms
-        remaining_ms = max(1, self._max_read_age_ms() - read_age_ms)
+        remaining_ms = max(1, self._max_read_age_ms() - self._waited_ms())
         try:
             async with asyncio.timeout(remaining_ms / _MS_PER_S):
                 await self.read_due.wait()
@@ -292,8 +294,7 @@
     def _must_read(self) -> bool:
         if self.is_reader():
             return True
-        read_age_ms = self.clock.now_ms() - self.last_read_ms
-        return read_age_ms >= self._max_read_age_ms()
+        return self._waited_ms() >= self._max_read_age_ms()
 
     def _max_read_age_ms(self) -> int:
         nodes_ahead = self.order.neighbours_ahead(self.clock.now_ms())
@@ -362,7 +363,7 @@
         _logger.info(
             "source.taken_over",
             extra={
-                "read_age_ms": now_ms - self.last_read_ms,
+                "read_age_ms": self._waited_ms(),
                 "nodes_ahead": self.order.neighbours_ahead(now_ms),
                 "version": self.store.version,
             },
@@ -380,7 +381,7 @@
     def _poll_wait_ms(self) -> int:
         # While no recent read is known, changes may have been missed, and peers
         # wait for a read that ends.
-        is_recent = self._read_age_ms() < MAX_READ_AGE_MS
+        is_recent = self._waited_ms() < MAX_READ_AGE_MS
         return LONG_POLL_MS if is_recent and self.is_reader() else 0
 
     def _set_source_up(self, up: bool, reason: str = "") -> None:
@@ -406,6 +407,11 @@
         # and peers that trust it would not read meanwhile.
         return self.clock.now_ms() - self.last_read_ms
 
+    def _waited_ms(self) -> int:
+        """Returns how long this node has been without a newer read."""
+        since_ms = max(self.last_read_ms, self.started_ms)
+        return self.clock.now_ms() - since_ms
+
     def _send_heartbeat(self, role: ReadingRole, read_age_ms: int) -> None:
         now_ms = self.last_heartbeat_ms = self.clock.now_ms()
         recipients = self.publisher.local_members()
@@ -525,12 +531,12 @@
 
     def _query_peers_if_due(self) -> None:
         now_ms = self.clock.now_ms()
-        read_age_ms = now_ms - self.last_read_ms
-        if read_age_ms < QUERY_AGE_MS:
+        waited_ms = self._waited_ms()
+        if waited_ms < QUERY_AGE_MS:
             return
         # During an outage of the source no peer knows of a newer read, so the
         # node queries them less and less often.
-        if now_ms - self.queried_ms < read_age_ms / 2:
+        if now_ms - self.queried_ms < waited_ms / 2:
             return
         self.queried_ms = now_ms
         self.queries_sent += 1
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -18,6 +18,7 @@
 )
 from pomelobank_node.published._feed import (
     HEARTBEAT_MS,
+    MAX_READ_AGE_MS,
     PULL_DELAY_MS,
     PULL_TIMEOUT_MS,
     RANK_DELAY_MS,
@@ -389,6 +390,21 @@
     assert feed._may_back_off() is backs_off
 
 
+async def test_a_node_that_has_just_started_reports_no_recent_read() -> None:
+    """Peers that take a start for a read do not replace silent readers."""
+    feed = create_feed(Source(), member("near", "hobart"))
+    clock = feed.clock
+    assert isinstance(clock, ManualClock)
+    clock.advance(MAX_READ_AGE_MS)
+    await feed.start()
+    feed.store.offer(b"7", "test", clock.now_ms())
+    feed.receive(RecordsPull(from_offset=7, address="near:1"))
+    await asyncio.sleep(0)
+    await feed.stop()
+    digests = [f for _, f in sent_frames(feed) if isinstance(f, VersionDigest)]
+    assert [item.log_age_ms >= MAX_READ_AGE_MS for item in digests] == [True]
+
+
 async def test_a_node_that_takes_over_reads_from_the_readers_position() -> None:
     """Without the position, every takeover would fetch a large document."""
     source = Source(None)
