--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -5,8 +5,9 @@
 
 import asyncio
 import random
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from typing import Any
 
 import attrs
 import pytest
@@ -405,6 +406,24 @@
         )
 
 
+Scenario = Callable[[Simulation, set[str]], Coroutine[Any, Any, None]]
+
+
+def find_outdated(
+    nodes: dict[str, int], scenario: Scenario
+) -> dict[int, set[str]]:
+    """Runs a scenario with many seeds; returns the outdated nodes by seed."""
+    outdated_by_seed = {}
+    for seed in range(20):
+        time = VirtualTime()
+        simulation = Simulation(random.Random(seed), time, nodes)
+        outdated: set[str] = set()
+        run_in_virtual_time(time, scenario(simulation, outdated))
+        if outdated:
+            outdated_by_seed[seed] = outdated
+    return outdated_by_seed
+
+
 @pytest.mark.parametrize(
     "nodes",
     [pytest.param(NODES, id="few"), pytest.param(MANY_DATA_CENTRES, id="many")],
@@ -420,18 +439,12 @@
     fault: Fault, nodes: dict[str, int]
 ) -> None:
     """Nodes that wait for the readers' unanswered reads miss the version."""
-    outdated_by_seed = {}
-    for seed in range(20):
-        time = VirtualTime()
-        simulation = Simulation(random.Random(seed), time, nodes)
-        outdated: set[str] = set()
-        run_in_virtual_time(
-            time,
-            publish_after_readers_fell_silent(simulation, fault, outdated),
-        )
-        if outdated:
-            outdated_by_seed[seed] = outdated
-    assert not outdated_by_seed
+    assert not find_outdated(
+        nodes,
+        lambda simulation, outdated: publish_after_readers_fell_silent(
+            simulation, fault, outdated
+        ),
+    )
 
 
 # Time that a document of 350 KB takes on a network link of 5 Mbit/s.
@@ -474,18 +487,31 @@
     node is told.
     """
     async with running_feeds(simulation, gossips=False):
-        left_out = max(
-            simulation.feeds.values(),
-            key=lambda feed: feed.order.neighbours_ahead(0),
-        )
+        left_out = last_in_reading_order(simulation)
         simulation.transfer_s[left_out.members.own.node] = SLOW_TRANSFER_S
         exclude(simulation, left_out.members.own)
-        for _ in range(CHANGES):
-            await asyncio.sleep(simulation.rng.uniform(0.5, 3))
-            simulation.publish()
-            published_s = simulation.time.now_s
-            await wait_for_version(left_out, simulation.version)
-            delays_s.append(simulation.time.now_s - published_s)
+        await measure_delays(simulation, left_out, delays_s)
+
+
+def last_in_reading_order(simulation: Simulation) -> PublishedFeed:
+    """Returns the node that waits longest before it reads the source."""
+    return max(
+        simulation.feeds.values(),
+        key=lambda feed: feed.order.neighbours_ahead(0),
+    )
+
+
+async def measure_delays(
+    simulation: Simulation, feed: PublishedFeed, delays_s: list[float]
+) -> None:
+    """Publishes many versions and measures when a node has each of them."""
+    for _ in range(CHANGES):
+        await asyncio.sleep(simulation.rng.uniform(0.5, 3))
+        simulation.isolated.clear()
+        simulation.publish()
+        published_s = simulation.time.now_s
+        await wait_for_version(feed, simulation.version)
+        delays_s.append(simulation.time.now_s - published_s)
 
 
 async def wait_for_version(feed: PublishedFeed, version: int) -> None:
@@ -545,17 +571,7 @@
 
 def test_a_slow_response_does_not_hold_back_other_readers() -> None:
     """Nodes do not take over from a response in progress that seems fresh."""
-    outdated_by_seed = {}
-    for seed in range(20):
-        time = VirtualTime()
-        simulation = Simulation(random.Random(seed), time, MANY_DATA_CENTRES)
-        outdated: set[str] = set()
-        run_in_virtual_time(
-            time, publish_during_a_slow_response(simulation, outdated)
-        )
-        if outdated:
-            outdated_by_seed[seed] = outdated
-    assert not outdated_by_seed
+    assert not find_outdated(MANY_DATA_CENTRES, publish_during_a_slow_response)
 
 
 async def publish_while_pulled_peers_stop(
@@ -563,18 +579,9 @@
 ) -> None:
     """Measures when a node whose pulls get no response has each version."""
     async with running_feeds(simulation):
-        unlucky = max(
-            simulation.feeds.values(),
-            key=lambda feed: feed.order.neighbours_ahead(0),
-        )
+        unlucky = last_in_reading_order(simulation)
         simulation.unlucky = unlucky.members.own.peer_address
-        for _ in range(CHANGES):
-            await asyncio.sleep(simulation.rng.uniform(0.5, 3))
-            simulation.isolated.clear()
-            simulation.publish()
-            published_s = simulation.time.now_s
-            await wait_for_version(unlucky, simulation.version)
-            delays_s.append(simulation.time.now_s - published_s)
+        await measure_delays(simulation, unlucky, delays_s)
 
 
 def test_a_node_whose_pull_gets_no_response_pulls_from_another_peer() -> None:
