--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -28,6 +28,9 @@
     BODY_TOO_LARGE = "body_too_large"
     BODY_INCOMPLETE = "body_incomplete"
     NO_ROUTE = "no_route"
+    UNAUTHENTICATED = "unauthenticated"
+    STALE_CONFIGURATION = "stale_configuration"
+    USAGE_CAP = "usage_cap"
     NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
@@ -97,6 +100,18 @@
     ErrorKind.NO_ROUTE: ErrorResponse(
         404, _NOT_RUN, 0, "No route matches the service and path."
     ),
+    ErrorKind.UNAUTHENTICATED: ErrorResponse(
+        401, _NOT_RUN, 0, "The request has no valid API key."
+    ),
+    ErrorKind.STALE_CONFIGURATION: ErrorResponse(
+        503,
+        _NOT_RUN,
+        1000,
+        "This node cannot tell at the moment whether the API key is valid.",
+    ),
+    ErrorKind.USAGE_CAP: ErrorResponse(
+        429, _NOT_RUN, 1000, "The workspace has reached its usage cap."
+    ),
     ErrorKind.NOT_READY: ErrorResponse(
         503,
         _NOT_RUN,
