Identify workspaces by API keys at the entry node

Cause: no code reads a key, and keys reach targets.

Change: `identify` and `request_rank` decide in core; `WorkspaceGate` checks identity, freshness and usage cap between the route and the forwarding, and the dispatcher gives a token back when the request has not run. The time in the gate counts against the request's deadline. Authentication ignores the trailers of a chunked body, which the parser adds to the headers.

--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -28,8 +28,10 @@
     ForwardRequest,
     Headers,
     RequestError,
+    reply_error,
 )
 from pomelobank_node._tracing import current_trace
+from pomelobank_node.workspaces import AdmittedCall, WorkspaceGate
 from pomelobank_schema.generated.peer import Header
 from pomelobank_schema.generated.records import RouteObject
 
@@ -52,6 +54,7 @@
         timeout_ms: The caller's own time-out; 0 if the caller set none.
         idempotency_key: The caller's key; empty if the caller sent none.
         rest: The rest of the body, None if `body` is the whole body.
+        received: Headers of the head as the caller sent them, without trailers.
     """
 
     service: str
@@ -64,6 +67,7 @@
     timeout_ms: int = 0
     idempotency_key: str = ""
     rest: BodySource | None = None
+    received: Headers = ()
 
 
 class RoutesInForce(Protocol):
@@ -99,6 +103,8 @@
             handle the keys themselves.
         caller_timeouts: Estimates the time that callers spent on earlier
             attempts of the same request.
+        gate: Checks API keys and usage caps; None if the node has no
+            workspaces.
     """
 
     store: RoutesInForce
@@ -110,6 +116,7 @@
     )
     claims: "ClaimService | None" = None
     caller_timeouts: CallerTimeouts = attrs.field(factory=CallerTimeouts)
+    gate: WorkspaceGate | None = None
 
     async def dispatch(self, call: CallerRequest) -> ForwardReply:
         """Routes and forwards one request.
@@ -129,17 +136,55 @@
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
         request = with_rest(self._forward_request(route, call), call.rest)
-        if not self.shutdown_admission.accepts(
-            request.remaining_ms, request.sent_ms
-        ):
-            retry_after_ms = self.shutdown_admission.retry_after_ms(
-                request.sent_ms
-            )
-            raise RequestError(ErrorKind.DRAINING, retry_after_ms)
+        self._reject_if_stopping(request)
         trace = current_trace()
         trace.route = route.name
         trace.version = request.version
         trace.deadline_ms = request.remaining_ms
+        if self.gate is None or not self.gate.enabled:
+            return await self._run(route, call, request)
+        admitted = await self.gate.admit(route, call)
+        try:
+            request = self._admitted_request(request, admitted)
+            reply = await self._run(route, call, request)
+        except RequestError as error:
+            self.gate.on_not_run(admitted, error.kind)
+            raise
+        failure = reply_error(reply)
+        if failure is not None:
+            self.gate.on_not_run(admitted, failure.kind)
+        return reply
+
+    def _reject_if_stopping(self, request: ForwardRequest) -> None:
+        shutdown = self.shutdown_admission
+        if not shutdown.accepts(request.remaining_ms, request.sent_ms):
+            retry_after_ms = shutdown.retry_after_ms(request.sent_ms)
+            raise RequestError(ErrorKind.DRAINING, retry_after_ms)
+
+    def _admitted_request(
+        self, request: ForwardRequest, admitted: AdmittedCall
+    ) -> ForwardRequest:
+        """Returns the request to forward, less the time spent in the gate."""
+        now_ms = self.clock.now_ms()
+        waited_ms = now_ms - request.sent_ms
+        if waited_ms >= request.remaining_ms:
+            raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
+        evolved = attrs.evolve(
+            request,
+            sent_ms=now_ms,
+            remaining_ms=request.remaining_ms - waited_ms,
+            spent_ms=request.spent_ms + waited_ms,
+            headers=_wire_headers(admitted.headers),
+            priority=admitted.rank,
+        )
+        if waited_ms:
+            # The stop of the node may have begun during the wait.
+            self._reject_if_stopping(evolved)
+        return evolved
+
+    async def _run(
+        self, route: RouteObject, call: CallerRequest, request: ForwardRequest
+    ) -> ForwardReply:
         # The node looks up the key before it selects a target. The request may
         # have run earlier, and a resend must then get the stored response even
         # if no target is available now.
@@ -221,9 +266,7 @@
             traffic_class=route.traffic_class,
             method=call.method,
             target=call.target,
-            headers=tuple(
-                Header(name=name, value=value) for name, value in call.headers
-            ),
+            headers=_wire_headers(call.headers),
             body=call.body,
             idempotent=is_idempotent(route, call.method),
             version=self.store.version,
@@ -233,3 +276,7 @@
             priority=route.priority,
             spent_ms=spent_ms,
         )
+
+
+def _wire_headers(headers: Headers) -> tuple[Header, ...]:
+    return tuple(Header(name=name, value=value) for name, value in headers)
--- a/packages/pomelobank-node/src/pomelobank_node/_http_conventions.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_conventions.py
@@ -26,6 +26,9 @@
         origin: Upstream of the instance that the request came from; sent to
             targets.
         expected_instance: Identifies the instance that may run the request.
+        workspace: Names the workspace of a request to its target. Without
+            workspaces in the configuration, a caller's value is forwarded like
+            any other header.
         not_run: Marks a target's response to a request that it did not run.
         rate_limit: In a target's response: the requests per second that the
             target takes from all nodes together, until a response names none.
@@ -49,6 +52,7 @@
     idempotency_key: bytes = b"idempotency-key"
     origin: bytes = b""
     expected_instance: bytes = b""
+    workspace: bytes = b"x-pomelobank-workspace"
     not_run: bytes = b""
     rate_limit: bytes = b"x-pomelobank-rate-limit"
     leaving: bytes = b"x-pomelobank-leaving"
--- a/packages/pomelobank-node/src/pomelobank_node/_requests.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_requests.py
@@ -18,10 +18,12 @@
         kind: Kind of the error.
         retry_after_ms: Time after which the caller may retry; None for the
             default of the kind.
+        reason: Reason within the kind, for the caller; empty without one.
     """
 
     kind: ErrorKind
     retry_after_ms: int | None = None
+    reason: str = ""
 
 
 def error_reply(request_id: int, error: RequestError) -> ForwardReply:
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,6 +47,7 @@
     PublishedSource,
     PublishedStore,
 )
+from pomelobank_node.workspaces import WorkspaceGate
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
@@ -167,12 +168,16 @@
             or math.inf,
             shutdown_admission=self.owner.shutdown_admission,
         )
+        self.gate = WorkspaceGate(
+            self.store, self.table, self.clock, conventions
+        )
         self.dispatcher = Dispatcher(
             self.store,
             self.forwarder,
             self.clock,
             exact_weights=True,
             shutdown_admission=self.owner.shutdown_admission,
+            gate=self.gate,
         )
         self.stop_delay = StopDelay(
             self.membership,
--- a/packages/pomelobank-node/src/pomelobank_node/_tracing.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_tracing.py
@@ -52,6 +52,10 @@
         version: Configuration version that the request was routed with.
         upstream: Upstream that the route's weights selected.
         deadline_ms: Time that the request had until its deadline.
+        workspace: Workspace whose key the request carries; empty without one.
+        rejection_reason: Why the request's key was rejected; empty otherwise.
+        key_digest: First bytes of the digest of an unknown key, in hexadecimal;
+            empty otherwise.
         attempts: Attempts, in the order of their begin.
     """
 
@@ -59,8 +63,20 @@
     version: int = 0
     upstream: str = ""
     deadline_ms: int = 0
+    workspace: str = ""
+    rejection_reason: str = ""
+    key_digest: str = ""
     attempts: list[AttemptTrace] = attrs.field(factory=list)
 
+    def describe_key(self) -> dict[str, str]:
+        """Returns the log fields about the request's key; empty without."""
+        fields = {
+            "workspace": self.workspace,
+            "reason": self.rejection_reason,
+            "key_digest": self.key_digest,
+        }
+        return {name: value for name, value in fields.items() if value}
+
     def begin_attempt(
         self, node: str, incarnation: int, now_ms: int
     ) -> AttemptTrace:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_error_responses.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_error_responses.py
@@ -2,7 +2,7 @@
 
 import json
 
-from pomelobank_core import ERROR_RESPONSES
+from pomelobank_core import ERROR_RESPONSES, ErrorKind
 from pomelobank_node._http_conventions import HttpConventions
 from pomelobank_node._http_messages import ERROR_HEADER, RUN_HEADER
 from pomelobank_node._requests import RequestError
@@ -31,6 +31,8 @@
         "retry_after_ms": retry_after_ms,
         "message": response.message,
     }
+    if error.reason:
+        document["reason"] = error.reason
     headers = [
         (b"content-type", b"application/json"),
         (ERROR_HEADER, error.kind.value.encode()),
@@ -38,6 +40,8 @@
     ]
     if retry_after_ms:
         headers.append((b"retry-after", _seconds(retry_after_ms, conventions)))
+    if error.kind is ErrorKind.UNAUTHENTICATED:
+        headers.append((b"www-authenticate", b"Bearer"))
     body = json.dumps(document).encode()
     return HttpResponse(response.status, headers, body, closes=closes)
 
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_exchange.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_exchange.py
@@ -17,6 +17,8 @@
         method: HTTP method.
         target: Raw path with query.
         headers: Headers with lower-case names.
+        head_length: Number of headers that belong to the head. The parser adds
+            the trailers of a chunked body to the headers.
         keep_alive: Whether the connection stays open after the response.
         parts: Body data received before the handler is called.
         size: Bytes of the body received so far.
@@ -35,6 +37,11 @@
     upload: BodyBuffer | None = None
     task: asyncio.Task[None] | None = None
     response: HttpResponse | None = None
+    head_length: int = attrs.field(init=False)
+
+    @head_length.default
+    def _initial_length(self) -> int:
+        return len(self.headers)
 
     def request(self) -> HttpRequest:
         """Returns the request with the body data received so far."""
@@ -44,6 +51,7 @@
             self.headers,
             b"".join(self.parts),
             self.upload,
+            self.head_length,
         )
 
     def cancel(self) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_ingress.py
@@ -150,6 +150,7 @@
             timeout_ms=self._timeout_ms(headers.get(conventions.timeout, b"")),
             idempotency_key=key,
             rest=request.rest,
+            received=request.head_headers,
         )
 
     def _forwarded_headers(
@@ -246,5 +247,6 @@
                 "took_ms": now_ms - start_ms,
                 "tries": [item.describe(now_ms) for item in trace.attempts],
                 "lines_dropped": self.log_limiter.pop_dropped(),
+                **trace.describe_key(),
             },
         )
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_messages.py
@@ -55,6 +55,8 @@
         headers: Headers with lower-case names.
         body: The whole body, or its first part.
         rest: The remaining body; None if `body` is the whole body.
+        head_length: Number of headers that belong to the head; the others are
+            trailers. None if all headers belong to the head.
     """
 
     method: str
@@ -62,6 +64,14 @@
     headers: Headers
     body: bytes = b""
     rest: BodySource | None = None
+    head_length: int | None = None
+
+    @property
+    def head_headers(self) -> Headers:
+        """Headers without trailers, which must not authenticate a request."""
+        if self.head_length in (None, len(self.headers)):
+            return self.headers
+        return self.headers[: self.head_length]
 
 
 @attrs.frozen(eq=False)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_store.py
@@ -7,6 +7,7 @@
 import attrs
 
 from pomelobank_core import RouteTable
+from pomelobank_core.workspaces import WorkspaceTable
 from pomelobank_node.callers import HttpLimits
 from pomelobank_node.published._packing import DocumentHistory
 from pomelobank_node.published._propagation import Propagation
@@ -22,10 +23,12 @@
     Attributes:
         routes: The document's routes, with the document's version.
         limits: Limits on callers' HTTP requests.
+        workspaces: The document's workspaces.
     """
 
     routes: RouteTable
     limits: HttpLimits
+    workspaces: WorkspaceTable = attrs.field(factory=WorkspaceTable)
 
     @property
     def version(self) -> int:
@@ -33,6 +36,16 @@
         return self.routes.version
 
 
+def _describe_workspaces(table: WorkspaceTable) -> dict[str, int]:
+    """Returns the log fields about the workspaces; empty without any."""
+    if not table.enabled:
+        return {}
+    return {
+        "workspaces": len(table.by_name),
+        "keys": len(table.by_key_digest),
+    }
+
+
 Decoder = Callable[[bytes], PublishedConfig]
 
 
@@ -68,7 +81,8 @@
 
     decode: Decoder
     config: PublishedConfig = attrs.field(factory=_empty_config)
-    data: bytes = b""
+    # The document contains API keys.
+    data: bytes = attrs.field(default=b"", repr=False)
     history: DocumentHistory = attrs.field(factory=DocumentHistory)
     propagation: Propagation = attrs.field(factory=Propagation)
     ready: bool = False
@@ -87,6 +101,11 @@
         """Routes in force."""
         return self.config.routes
 
+    @property
+    def workspaces(self) -> WorkspaceTable:
+        """Workspaces in force."""
+        return self.config.workspaces
+
     def document(self, version: int) -> bytes:
         """Returns the document of a version; empty if it is not kept."""
         if self.ready and version == self.version:
@@ -127,6 +146,7 @@
                 "before": previous_version,
                 "origin": origin,
                 "bytes": len(data),
+                **_describe_workspaces(config.workspaces),
                 **self.propagation.on_in_force(now_ms),
             },
         )
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
@@ -6,10 +6,20 @@
     UncheckedFreshness,
     UsageCaps,
 )
+from pomelobank_node.workspaces._gate import (
+    AdmittedCall,
+    WorkspaceGate,
+    WorkspacesInForce,
+)
+from pomelobank_node.workspaces._usage import WorkspaceUsage
 
 __all__ = [
+    "AdmittedCall",
     "KeyFreshness",
     "UncappedUsage",
     "UncheckedFreshness",
     "UsageCaps",
+    "WorkspaceGate",
+    "WorkspaceUsage",
+    "WorkspacesInForce",
 ]
