--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -371,6 +371,31 @@
     monotonic=True,
 )
 
+WORKSPACE_REQUESTS = Instrument(
+    "pomelobank.workspaces.requests",
+    "1",
+    "Accepted requests with an API key, by workspace; '(other)' for the"
+    " workspaces that are not named.",
+    label="workspace",
+    monotonic=True,
+)
+WORKSPACE_REJECTED = Instrument(
+    "pomelobank.workspaces.rejected",
+    "1",
+    "Requests with a known API key that were rejected by the usage cap or"
+    " because the node's keys were too old, by workspace.",
+    label="workspace",
+    monotonic=True,
+)
+KEYS_REJECTED = Instrument(
+    "pomelobank.keys.rejected",
+    "1",
+    "Requests rejected for want of a known API key, by reason;"
+    " 'newer_version' where a newer configuration may contain the key.",
+    label="reason",
+    monotonic=True,
+)
+
 ALL = tuple(
     value
     for name, value in sorted(globals().items())
@@ -386,4 +411,7 @@
     CONFIG_PULLS,
     CONFIG_PUSHES,
     OUTPUT_DROPPED,
+    WORKSPACE_REQUESTS,
+    WORKSPACE_REJECTED,
+    KEYS_REJECTED,
 )
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -27,6 +27,7 @@
     from pomelobank_node._target_watch import TargetWatch
     from pomelobank_node.callers import Ingress
     from pomelobank_node.published import PublishedFeed, PublishedStore
+    from pomelobank_node.workspaces import WorkspaceGate
     from pomelobank_schema.generated.settings import NodeSettings
 
 Readings = Iterator[tuple[Instrument, ValueCallback]]
@@ -87,6 +88,10 @@
     def feed(self) -> PublishedFeed:
         """Reads published configurations into the store."""
 
+    @property
+    def gate(self) -> WorkspaceGate:
+        """Checks API keys and usage caps."""
+
     @property
     def log(self) -> Log:
         """Log in which nodes announce themselves as first contacts."""
@@ -144,6 +149,7 @@
         _requests(node),
         _load_balancing(node),
         _quarantine(node),
+        _workspaces(node),
     ):
         for instrument, read in readings:
             metrics.observe(instrument, read)
@@ -299,6 +305,13 @@
     yield instruments.QUARANTINE_REFUSED, lambda: reports.rejected
 
 
+def _workspaces(node: ObservedSidecar) -> Readings:
+    usage = node.gate.usage
+    yield instruments.WORKSPACE_REQUESTS, usage.accepted.reading
+    yield instruments.WORKSPACE_REJECTED, usage.rejected.reading
+    yield instruments.KEYS_REJECTED, lambda: usage.rejected_keys
+
+
 def _claims(node: ObservedApplication) -> Readings:
     claims = node.claims
     yield instruments.CLAIM_KEYS, lambda: claims.keys
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -10,6 +10,7 @@
 
 from pomelobank_node.callers import (
     CallerServer,
+    Handler,
     HttpLimits,
     HttpRequest,
     HttpResponse,
@@ -64,7 +65,7 @@
 
 
 @asynccontextmanager
-async def running_server(handler: HeldHandler) -> AsyncIterator[CallerServer]:
+async def running_server(handler: Handler) -> AsyncIterator[CallerServer]:
     server = CallerServer("127.0.0.1:0", handler, limits=LIMITS)
     await server.start()
     try:
@@ -329,3 +330,24 @@
             server.final_write_timeout_ms = 10 * TEST_TIMEOUT_S * 1000
             await server.stop()
         writer.close()
+
+
+async def test_trailers_do_not_belong_to_the_head() -> None:
+    """Guards against a request that a trailer of its body authenticates."""
+    requests: list[HttpRequest] = []
+
+    async def handler(request: HttpRequest) -> HttpResponse:
+        requests.append(request)
+        return HttpResponse(200)
+
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked"
+            b"\r\n\r\n1\r\na\r\n0\r\nAuthorization: Bearer k\r\n\r\n"
+        )
+        await read_response(reader)
+        writer.close()
+    (request,) = requests
+    names = [name for name, _ in request.head_headers]
+    assert names == [b"host", b"transfer-encoding"]
