Build an admitted request once

Cause: the dispatcher built the request before the gate and copied it with the gate's headers afterwards, so each header was converted twice.

Change: the dispatcher determines the times first, and builds the request with the headers and the rank that the gate returns.

--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -1,6 +1,6 @@
 """Routes callers' requests to upstreams and forwards them."""
 
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 from urllib.parse import unquote_to_bytes
 
 import attrs
@@ -31,7 +31,7 @@
     reply_error,
 )
 from pomelobank_node._tracing import current_trace
-from pomelobank_node.workspaces import AdmittedCall, WorkspaceGate
+from pomelobank_node.workspaces import WorkspaceGate
 from pomelobank_schema.generated.peer import Header
 from pomelobank_schema.generated.records import RouteObject
 
@@ -70,6 +70,20 @@
     received: Headers = ()
 
 
+class RequestTimes(NamedTuple):
+    """Times of a request at the dispatcher.
+
+    Attributes:
+        now_ms: Time at which the other times were determined.
+        remaining_ms: Time left until the caller's deadline.
+        spent_ms: Estimated time that the caller has waited before.
+    """
+
+    now_ms: int
+    remaining_ms: int
+    spent_ms: int
+
+
 class RoutesInForce(Protocol):
     """The routes that a node forwards requests by."""
 
@@ -135,52 +149,67 @@
         route = self.store.routes.match(call.service, call.path)
         if route is None:
             raise RequestError(ErrorKind.NO_ROUTE)
-        request = with_rest(self._forward_request(route, call), call.rest)
-        self._reject_if_stopping(request)
+        times = self._request_times(route, call)
+        self._reject_if_stopping(times)
         trace = current_trace()
         trace.route = route.name
-        trace.version = request.version
-        trace.deadline_ms = request.remaining_ms
-        if self.gate is None or not self.gate.enabled:
-            return await self._run(route, call, request)
-        admitted = await self.gate.admit(route, call)
+        trace.version = self.store.version
+        trace.deadline_ms = times.remaining_ms
+        if self.gate is not None and self.gate.enabled:
+            return await self._run_admitted(self.gate, route, call, times)
+        request = self._forward_request(
+            route, call, times, self.store.version, call.headers, route.priority
+        )
+        return await self._run(route, call, request)
+
+    def _reject_if_stopping(self, times: RequestTimes) -> None:
+        shutdown = self.shutdown_admission
+        if not shutdown.accepts(times.remaining_ms, times.now_ms):
+            retry_after_ms = shutdown.retry_after_ms(times.now_ms)
+            raise RequestError(ErrorKind.DRAINING, retry_after_ms)
+
+    async def _run_admitted(
+        self,
+        gate: WorkspaceGate,
+        route: RouteObject,
+        call: CallerRequest,
+        times: RequestTimes,
+    ) -> ForwardReply:
+        # The version may change while the gate waits for the usage cap.
+        version = self.store.version
+        admitted = await gate.admit(route, call)
         try:
-            request = self._admitted_request(request, admitted)
+            request = self._forward_request(
+                route,
+                call,
+                self._times_after_wait(times),
+                version,
+                admitted.headers,
+                admitted.rank,
+            )
             reply = await self._run(route, call, request)
         except RequestError as error:
-            self.gate.on_not_run(admitted, error.kind)
+            gate.on_not_run(admitted, error.kind)
             raise
         failure = reply_error(reply)
         if failure is not None:
-            self.gate.on_not_run(admitted, failure.kind)
+            gate.on_not_run(admitted, failure.kind)
         return reply
 
-    def _reject_if_stopping(self, request: ForwardRequest) -> None:
-        shutdown = self.shutdown_admission
-        if not shutdown.accepts(request.remaining_ms, request.sent_ms):
-            retry_after_ms = shutdown.retry_after_ms(request.sent_ms)
-            raise RequestError(ErrorKind.DRAINING, retry_after_ms)
-
-    def _admitted_request(
-        self, request: ForwardRequest, admitted: AdmittedCall
-    ) -> ForwardRequest:
-        """Returns the request to forward, less the time spent in the gate."""
+    def _times_after_wait(self, times: RequestTimes) -> RequestTimes:
+        """Returns the times of a request that has waited in the gate."""
         now_ms = self.clock.now_ms()
-        waited_ms = now_ms - request.sent_ms
-        if waited_ms >= request.remaining_ms:
+        waited_ms = now_ms - times.now_ms
+        if not waited_ms:
+            return times
+        if waited_ms >= times.remaining_ms:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
-        evolved = attrs.evolve(
-            request,
-            sent_ms=now_ms,
-            remaining_ms=request.remaining_ms - waited_ms,
-            spent_ms=request.spent_ms + waited_ms,
-            headers=_wire_headers(admitted.headers),
-            priority=admitted.rank,
+        times = RequestTimes(
+            now_ms, times.remaining_ms - waited_ms, times.spent_ms + waited_ms
         )
-        if waited_ms:
-            # The stop of the node may have begun during the wait.
-            self._reject_if_stopping(evolved)
-        return evolved
+        # The stop of the node may have begun during the wait.
+        self._reject_if_stopping(times)
+        return times
 
     async def _run(
         self, route: RouteObject, call: CallerRequest, request: ForwardRequest
@@ -248,9 +277,9 @@
         retry_after_ms = self.shutdown_admission.retry_after_ms(now_ms)
         return attrs.evolve(reply, retry_after_ms=retry_after_ms)
 
-    def _forward_request(
+    def _request_times(
         self, route: RouteObject, call: CallerRequest
-    ) -> ForwardRequest:
+    ) -> RequestTimes:
         remaining_ms = route.timeout_ms
         spent_ms = 0
         if call.timeout_ms:
@@ -258,25 +287,35 @@
             spent_ms = self.caller_timeouts.elapsed_ms(
                 route.name, call.timeout_ms
             )
-        return ForwardRequest(
+        return RequestTimes(self.clock.now_ms(), remaining_ms, spent_ms)
+
+    def _forward_request(
+        self,
+        route: RouteObject,
+        call: CallerRequest,
+        times: RequestTimes,
+        version: int,
+        headers: Headers,
+        rank: int,
+    ) -> ForwardRequest:
+        request = ForwardRequest(
             trace_id=call.trace_id,
-            sent_ms=self.clock.now_ms(),
-            remaining_ms=remaining_ms,
+            sent_ms=times.now_ms,
+            remaining_ms=times.remaining_ms,
             route=route.name,
             traffic_class=route.traffic_class,
             method=call.method,
             target=call.target,
-            headers=_wire_headers(call.headers),
+            headers=tuple(
+                Header(name=name, value=value) for name, value in headers
+            ),
             body=call.body,
             idempotent=is_idempotent(route, call.method),
-            version=self.store.version,
+            version=version,
             idempotency_key=call.idempotency_key,
             max_attempts=route.max_attempts,
             aim_ms=route.aim_ms,
-            priority=route.priority,
-            spent_ms=spent_ms,
+            priority=rank,
+            spent_ms=times.spent_ms,
         )
-
-
-def _wire_headers(headers: Headers) -> tuple[Header, ...]:
-    return tuple(Header(name=name, value=value) for name, value in headers)
+        return with_rest(request, call.rest)
