Bound the age of the configuration whose keys a node accepts

Cause: a node that is cut off, frozen or restarted does not learn that a key was removed, and nothing bounded how long it went on accepting the key.

The feed reports the reads whose state the configuration in force contains: a document that was published unreadable right after a contained one counts, one that may have replaced an unread document does not.

No test of the new code yet.

--- a/packages/pomelobank-core/src/pomelobank_core/_reading_order.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_reading_order.py
@@ -92,6 +92,15 @@
         relays = self._relays(now_ms)
         return [entry for centre, entry in relays.items() if centre != own]
 
+    def local_relay(self, now_ms: int) -> MemberEntry:
+        """Returns the relay of this node's data centre."""
+        return self._relays(now_ms)[self.members.own.data_centre]
+
+    def readers(self, now_ms: int) -> list[MemberEntry]:
+        """Returns the nodes that read the source."""
+        relays = self._relays(now_ms)
+        return [entry for entry in relays.values() if _is_reader(entry, relays)]
+
     def _relays(self, now_ms: int) -> dict[str, MemberEntry]:
         relays = {}
         for centre, entries in self._ranked_by_centre().items():
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -33,6 +33,8 @@
     DocumentPush,
     ForwardReply,
     ForwardRequest,
+    FreshnessQuery,
+    FreshnessReply,
     Gossip,
     Hello,
     IndirectProbe,
@@ -82,6 +84,16 @@
         """Handles one frame."""
 
 
+class FreshnessFrames(Protocol):
+    """Handles peers' frames about the age of their knowledge of the source."""
+
+    def receive_query(self, frame: FreshnessQuery) -> None:
+        """Replies to a peer's query."""
+
+    def receive_reply(self, frame: FreshnessReply) -> None:
+        """Handles a peer's reply."""
+
+
 @attrs.define(eq=False)
 class Upload:
     """The rest of a request's body while it is received.
@@ -106,6 +118,8 @@
         feed: Handles the peer's frames about the configuration.
         claims: Runs the peer's requests with an idempotency key once; None if
             the targets handle the keys themselves.
+        freshness: Handles the peer's frames about the age of its knowledge;
+            None if this node has no published configuration.
         running: Tasks of the peer's requests, by request id.
         uploads: Request bodies that are being received, by request id.
         credits: Credit that the peer granted for response bodies, by request
@@ -125,6 +139,7 @@
     membership: Membership
     feed: ConfigFrames
     claims: "ClaimService | None"
+    freshness: FreshnessFrames | None = None
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -395,6 +410,18 @@
     connection.feed.receive(frame)
 
 
+@handle_frame.register
+def _(frame: FreshnessQuery, connection: PeerConnection) -> None:
+    if connection.freshness is not None:
+        connection.freshness.receive_query(frame)
+
+
+@handle_frame.register
+def _(frame: FreshnessReply, connection: PeerConnection) -> None:
+    if connection.freshness is not None:
+        connection.freshness.receive_reply(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -406,6 +433,8 @@
         feed: Handles peers' frames about the configuration.
         claims: Runs peers' requests with an idempotency key once; None if the
             targets handle the keys themselves.
+        freshness: Handles peers' frames about the age of their knowledge; None
+            if this node has no published configuration.
         address: The bound address, once the server listens.
         connections: Accepted streams and their tasks.
         rejected_streams: Number of streams closed because of `MAX_STREAMS`.
@@ -417,6 +446,7 @@
     membership: Membership
     feed: ConfigFrames
     claims: "ClaimService | None"
+    freshness: FreshnessFrames | None = None
     stop_timeout_ms: int = _STOP_TIMEOUT_MS
     address: str = ""
     server: asyncio.Server | None = None
@@ -445,7 +475,12 @@
             stream.abort()
             return
         connection = PeerConnection(
-            stream, self.owner, self.membership, self.feed, self.claims
+            stream,
+            self.owner,
+            self.membership,
+            self.feed,
+            self.claims,
+            self.freshness,
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,6 +47,7 @@
     PublishedSource,
     PublishedStore,
 )
+from pomelobank_node.workspaces import FreshnessQueries
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
@@ -124,6 +125,7 @@
             self.clock,
             era=adapter.log.era,
         )
+        self.freshness = FreshnessQueries.of(self.feed, settings.workspaces)
         self.crash_reports = CrashReports(self.table, self.links, self.clock)
         self.owner = Owner(
             settings.requests,
@@ -212,7 +214,12 @@
             auto_check_timeouts=False,
         )
         self.peers = PeerServer(
-            listen.peer, self.owner, self.membership, self.feed, None
+            listen.peer,
+            self.owner,
+            self.membership,
+            self.feed,
+            None,
+            self.freshness,
         )
         self.limits = LimitsWatch(self.store, self.http)
         self.membership.on_tick += [self.feed.tick, self._check_timeouts]
@@ -254,6 +261,7 @@
             self.target,
             self.control_server,
             self.feed,
+            self.freshness,
             self.membership,
             self.limits,
             self.readiness_server,
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -5,6 +5,7 @@
 import logging
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -144,6 +145,14 @@
         read_due: Set when this node has to read.
         took_over: Whether this node, which is no reader, has logged that it
             reads the source because no recent read is known.
+        read_requested: Whether a read was requested that has not begun.
+        contains_source: Whether the configuration in force contains the newest
+            state of the source that this node has read.
+        tolerated: Position and hash of the last unreadable document before
+            which the configuration in force contained the source's state; None
+            if there was none in this era.
+        on_read: Callbacks that get the beginning, in ms, of each read whose
+            state is contained in the configuration in force.
         reads: Reads of the source, for the metrics.
         queried_ms: Time at which this node last queried peers.
         queries_sent: Number of these queries, for the metrics.
@@ -183,6 +192,10 @@
     backoff_until_ms: int = 0
     read_due: asyncio.Event = attrs.field(factory=asyncio.Event)
     took_over: bool = False
+    read_requested: bool = False
+    contains_source: bool = True
+    tolerated: tuple[int, int] | None = None
+    on_read: list[Callable[[int], None]] = attrs.field(factory=list)
     reads: int = 0
     queried_ms: int = 0
     queries_sent: int = 0
@@ -209,6 +222,7 @@
     def _on_new_era(self) -> None:
         self.position = None
         self.peer_position = 0
+        self.tolerated = None
 
     async def start(self) -> None:
         """Starts to read the source."""
@@ -246,7 +260,7 @@
                 self.took_over = False
                 await self._wait_until_read_due()
                 continue
-            if self._may_back_off():
+            if self._may_back_off() and not self.read_requested:
                 self._send_unable_heartbeat()
                 await asyncio.sleep(self._backoff_pause_ms() / _MS_PER_S)
                 continue
@@ -291,8 +305,13 @@
         except TimeoutError:
             return
 
+    def request_read(self) -> None:
+        """Makes this node read the source soon, whatever peers have read."""
+        self.read_requested = True
+        self.read_due.set()
+
     def _must_read(self) -> bool:
-        if self.is_reader():
+        if self.read_requested or self.is_reader():
             return True
         return self._waited_ms() >= self._max_read_age_ms()
 
@@ -331,6 +350,8 @@
     async def _read_once(self) -> bool:
         self._log_takeover()
         self.reads += 1
+        self.read_requested = False
+        start = self._known_position()
         self.read_started_ms = self.clock.now_ms()
         self.response_began_ms = None
         document = await self._next_document()
@@ -341,13 +362,18 @@
         if document is None:
             # The source has no document at all, or none after the position.
             self.position = self._known_position()
+            self._report_read()
             return False
         self.position = document.position
         previous_version = self.store.version
         self.store.propagation.on_read(now_ms)
-        if not document.data or not self.store.offer(
+        updated = bool(document.data) and self.store.offer(
             document.data, "source", now_ms
-        ):
+        )
+        if document.data:
+            self._note_contained(document, start)
+        self._report_read()
+        if not updated:
             return False
         relays = self.order.remote_relays(self.clock.now_ms())
         self.publisher.publish_version(
@@ -355,6 +381,36 @@
         )
         return True
 
+    def _note_contained(self, document: Document, start: int) -> None:
+        """Notes whether the configuration in force contains a read document.
+
+        The store does not apply a document with an earlier version: the source
+        has lost its newest records, and the configuration in force stays until
+        the operator writes again. An unreadable document comes into force
+        nowhere, but it may have replaced a readable one that this node has not
+        read.
+        """
+        version = self.store.offered_version
+        if version is not None:
+            self.contains_source = version < self.store.version or (
+                document.data == self.store.data
+            )
+            return
+        unreadable = (document.position, hash(document.data))
+        if unreadable == self.tolerated:
+            self.contains_source = True
+            return
+        is_next = bool(start) and document.position == start + 1
+        self.contains_source = self.contains_source and is_next
+        if self.contains_source:
+            self.tolerated = unreadable
+
+    def _report_read(self) -> None:
+        if not self.contains_source:
+            return
+        for callback in self.on_read:
+            callback(self.read_started_ms)
+
     def _log_takeover(self) -> None:
         if self.took_over or self.is_reader():
             return
@@ -420,7 +476,7 @@
         digest = self.publisher.digest(
             read_age_ms,
             heartbeat=True,
-            position=self._known_position(),
+            position=self._known_position() if self.contains_source else 0,
             era=self.era.number,
         )
         self.publisher.send(recipients, digest)
@@ -484,19 +540,26 @@
             if self.store.ready and is_current_era:
                 self.peer_position = max(self.peer_position, frame.next_offset)
             return
-        self.store.propagation.on_announced(
-            frame.version, frame.version_age_ms, self.clock.now_ms()
-        )
-        if self._is_remote(frame.address):
-            self.newest_remote = max(
-                self.newest_remote, (frame.version, frame.address)
-            )
+        self.fetch_version(frame.version, frame.address, frame.version_age_ms)
+
+    def fetch_version(self, version: int, address: str, age_ms: int) -> None:
+        """Fetches a version that a peer has announced.
+
+        Args:
+            version: The version, newer than the one in force.
+            address: Address of the peer.
+            age_ms: Least time in ms since a node first read the version.
+        """
+        now_ms = self.clock.now_ms()
+        self.store.propagation.on_announced(version, age_ms, now_ms)
+        if self._is_remote(address):
+            self.newest_remote = max(self.newest_remote, (version, address))
             self._check_for_newer()
         else:
-            self.announcers[frame.address] = frame.version
+            self.announcers[address] = version
             if self.behind_since_ms is None:
-                self.behind_since_ms = self.clock.now_ms()
-            self._send_pull(frame.address, frame.version)
+                self.behind_since_ms = now_ms
+            self._send_pull(address, version)
 
     def _handle_heartbeat(self, frame: VersionDigest) -> None:
         now_ms = self.clock.now_ms()
--- a/packages/pomelobank-node/src/pomelobank_node/published/_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_store.py
@@ -7,6 +7,7 @@
 import attrs
 
 from pomelobank_core import RouteTable
+from pomelobank_core.workspaces import WorkspaceTable
 from pomelobank_node.callers import HttpLimits
 from pomelobank_node.published._packing import DocumentHistory
 from pomelobank_node.published._propagation import Propagation
@@ -22,10 +23,12 @@
     Attributes:
         routes: The document's routes, with the document's version.
         limits: Limits on callers' HTTP requests.
+        workspaces: Workspaces and the digests of their keys.
     """
 
     routes: RouteTable
     limits: HttpLimits
+    workspaces: WorkspaceTable = attrs.field(factory=WorkspaceTable)
 
     @property
     def version(self) -> int:
@@ -64,6 +67,8 @@
         unreadable: Documents that could not be decoded, for the metrics.
         last_unreadable_hash: Hash of the last document that could not be
             decoded. The same document is logged only once in a row.
+        offered_version: Version of the last document that was offered; None if
+            it could not be decoded.
     """
 
     decode: Decoder
@@ -76,6 +81,7 @@
     applied: int = 0
     unreadable: int = 0
     last_unreadable_hash: int = 0
+    offered_version: int | None = None
 
     @property
     def version(self) -> int:
@@ -105,12 +111,15 @@
             Whether the document came into force.
         """
         if data == self.data:
+            self.offered_version = self.version
             return False
+        self.offered_version = None
         try:
             config = self.decode(data)
         except SchemaError as error:
             self._handle_unreadable(data, error, origin)
             return False
+        self.offered_version = config.version
         if self.ready and config.version <= self.version:
             return False
         previous_version = self.version
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
@@ -6,8 +6,10 @@
     UncheckedFreshness,
     UsageCaps,
 )
+from pomelobank_node.workspaces._freshness_queries import FreshnessQueries
 
 __all__ = [
+    "FreshnessQueries",
     "KeyFreshness",
     "UncappedUsage",
     "UncheckedFreshness",
