--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -358,6 +358,25 @@
     "Published configurations that this node sent at the request of a peer.",
     monotonic=True,
 )
+KEYS_AGE = Instrument(
+    "pomelobank.keys.age",
+    "ms",
+    "Age of this node's knowledge of the source, which bounds the acceptance of"
+    " keys; -1 if it has none.",
+)
+KEYS_QUERIES = Instrument(
+    "pomelobank.keys.queries",
+    "1",
+    "Queries sent to peers for the age of their knowledge of the source.",
+    monotonic=True,
+)
+KEYS_REJECTED = Instrument(
+    "pomelobank.keys.rejected",
+    "1",
+    "Requests with a key that were rejected because the node's knowledge of the"
+    " source was too old.",
+    monotonic=True,
+)
 LINES_DROPPED = Instrument(
     "pomelobank.log_lines.dropped",
     "1",
@@ -385,5 +404,8 @@
     CONFIG_DELAY,
     CONFIG_PULLS,
     CONFIG_PUSHES,
+    KEYS_AGE,
+    KEYS_QUERIES,
+    KEYS_REJECTED,
     OUTPUT_DROPPED,
 )
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -27,6 +27,7 @@
     from pomelobank_node._target_watch import TargetWatch
     from pomelobank_node.callers import Ingress
     from pomelobank_node.published import PublishedFeed, PublishedStore
+    from pomelobank_node.workspaces import FreshnessQueries
     from pomelobank_schema.generated.settings import NodeSettings
 
 Readings = Iterator[tuple[Instrument, ValueCallback]]
@@ -87,6 +88,10 @@
     def feed(self) -> PublishedFeed:
         """Reads published configurations into the store."""
 
+    @property
+    def freshness(self) -> FreshnessQueries:
+        """Bounds the age of the configuration whose keys are accepted."""
+
     @property
     def log(self) -> Log:
         """Log in which nodes announce themselves as first contacts."""
@@ -163,6 +168,10 @@
     yield instruments.CONFIG_DELAY, lambda: store.propagation.delay_ms
     yield instruments.CONFIG_PULLS, lambda: feed.pulls_sent
     yield instruments.CONFIG_PUSHES, lambda: feed.pushes_sent
+    freshness = node.freshness
+    yield instruments.KEYS_AGE, freshness.known_age_ms
+    yield instruments.KEYS_QUERIES, lambda: freshness.queries_sent
+    yield instruments.KEYS_REJECTED, lambda: freshness.rejected
 
 
 def observe_node(metrics: Metrics, node: ObservedApplication) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_hand_over.py
@@ -71,6 +71,8 @@
         transfer_s: Time that a document takes from the source, by node.
         feeds: The nodes' feeds by address.
         calls: Reads that the source has received.
+        on_frame: Called with each frame that arrives, after the feed, and with
+            the address of its receiver.
     """
 
     rng: random.Random
@@ -86,6 +88,7 @@
     transfer_s: dict[str, float] = attrs.field(factory=dict)
     feeds: dict[str, PublishedFeed] = attrs.field(factory=dict)
     calls: int = 0
+    on_frame: Callable[[str, WireMessage], None] = lambda _, __: None
 
     def publish(self) -> None:
         self.version += 1
@@ -163,6 +166,7 @@
         ends = {self.sender, self.address}
         if feed is not None and not ends & self.simulation.isolated:
             feed.receive(frame)
+            self.simulation.on_frame(self.address, frame)
 
 
 @attrs.define(eq=False)
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_freshness_queries.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_freshness_queries.py
@@ -12,6 +12,7 @@
 
 from pomelobank_core import ReadingRole
 from pomelobank_core.workspaces import (
+    NEVER_KNOWN_MS,
     ConfigFreshness,
     FreshnessSchedule,
     QueryScope,
@@ -110,6 +111,11 @@
         """Returns the delay after which keys are probably accepted again."""
         return self.freshness.retry_after_ms(now_ms)
 
+    def known_age_ms(self) -> int:
+        """Returns the age of the node's knowledge in ms; -1 if it has none."""
+        age_ms = self.freshness.age_ms(self.feed.clock.now_ms())
+        return NEVER_KNOWN_MS if age_ms is None else age_ms
+
     # Queries and reads.
 
     async def _run(self) -> None:
