Do not date the configuration by a response that holds a part of the records

Cause: a response of the store may end before the stream does. The read was counted as knowledge of the whole stream, so keys that the rest had removed were accepted for another `revoke_ms`.

Change: `Document.complete` tells whether the stream ended with the response; the feed reports complete reads only. A response without records that ends before the stream is no longer taken for "nothing new".

--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -372,7 +372,8 @@
         )
         if document.data:
             self._note_contained(document, start)
-        self._report_read()
+        if document.complete:
+            self._report_read()
         if not updated:
             return False
         relays = self.order.remote_relays(self.clock.now_ms())
--- a/packages/pomelobank-node/src/pomelobank_node/published/_source.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_source.py
@@ -25,10 +25,13 @@
         data: The document's bytes.
         position: Position in the source after this document. A read after this
             position returns newer documents only.
+        complete: Whether the source held nothing after the position. A response
+            may end before the source does.
     """
 
     data: bytes
     position: int
+    complete: bool = True
 
 
 class PublishedSource(Protocol):
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/test_freshness_queries.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/test_freshness_queries.py
@@ -445,6 +445,7 @@
         pytest.param([Document(b"6", 4)], 1, id="an older version"),
         pytest.param([Document(b"7 b", 4)], 0, id="a version used twice"),
         pytest.param([Document(b"?", 4)], 0, id="unreadable"),
+        pytest.param([Document(b"8", 4, False)], 0, id="a part of the records"),
         pytest.param(
             [
                 Document(b"7", 4),
