--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/__init__.py
@@ -1,5 +1,13 @@
 """Workspaces: API keys, revocation and usage caps."""
 
+from pomelobank_core.workspaces._freshness import (
+    NEVER_KNOWN_MS,
+    ConfigFreshness,
+)
+from pomelobank_core.workspaces._freshness_schedule import (
+    FreshnessSchedule,
+    QueryScope,
+)
 from pomelobank_core.workspaces._identity import (
     Anonymous,
     Rejected,
@@ -16,7 +24,11 @@
 
 __all__ = [
     "LOTTERY_FRACTION",
+    "NEVER_KNOWN_MS",
     "Anonymous",
+    "ConfigFreshness",
+    "FreshnessSchedule",
+    "QueryScope",
     "Rejected",
     "RejectionReason",
     "UsageCounts",
--- a/packages/pomelobank-node/src/pomelobank_node/published/_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_store.py
@@ -77,6 +77,8 @@
         unreadable: Documents that could not be decoded, for the metrics.
         last_unreadable_hash: Hash of the last document that could not be
             decoded. The same document is logged only once in a row.
+        offered_version: Version of the last document that was offered; None if
+            it could not be decoded.
     """
 
     decode: Decoder
@@ -90,6 +92,7 @@
     applied: int = 0
     unreadable: int = 0
     last_unreadable_hash: int = 0
+    offered_version: int | None = None
 
     @property
     def version(self) -> int:
@@ -124,12 +127,15 @@
             Whether the document came into force.
         """
         if data == self.data:
+            self.offered_version = self.version
             return False
+        self.offered_version = None
         try:
             config = self.decode(data)
         except SchemaError as error:
             self._handle_unreadable(data, error, origin)
             return False
+        self.offered_version = config.version
         if self.ready and config.version <= self.version:
             return False
         previous_version = self.version
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
@@ -6,6 +6,7 @@
     UncheckedFreshness,
     UsageCaps,
 )
+from pomelobank_node.workspaces._freshness_queries import FreshnessQueries
 from pomelobank_node.workspaces._gate import (
     AdmittedCall,
     WorkspaceGate,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "AdmittedCall",
+    "FreshnessQueries",
     "KeyFreshness",
     "UncappedUsage",
     "UncheckedFreshness",
