Load no OpenSSL for the queries of freshness

Cause: `test_unused_library_is_not_loaded[_hashlib]` failed, because every node now imports the workspaces, and with them `secrets` and `hashlib`, which load OpenSSL.

Change: the number of the first query comes from `os.urandom`; `key_digest` imports `hashlib` when it is first called.

Measured: the tests of loaded libraries pass.

--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/_workspace.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/_workspace.py
@@ -1,6 +1,5 @@
 """Workspaces of a configuration, indexed by the digests of their API keys."""
 
-import hashlib
 from collections.abc import Mapping
 
 import attrs
@@ -52,4 +51,8 @@
     >>> len(key_digest(b"secret"))
     32
     """
+    # The module loads OpenSSL, several megabytes that a node without workspaces
+    # does not need.
+    import hashlib
+
     return hashlib.sha256(key).digest()
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_freshness_queries.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_freshness_queries.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
+import os
 import random
-import secrets
 from typing import TYPE_CHECKING
 
 import attrs
@@ -34,10 +34,15 @@
 _MIN_PAUSE_MS = 10
 _MAX_PAUSE_MS = 300
 _MS_PER_S = 1000
-# Number of bits of the first query's number. A reply to an earlier process of
-# this node may arrive late; a random start makes sure that no query of this
+# Length of the random number of the first query. A reply to an earlier process
+# of this node may arrive late; a random start makes sure that no query of this
 # process has the same number. The numbers stay below 2**63.
-_FIRST_ID_BITS = 62
+_FIRST_ID_BYTES = 7
+
+
+def _first_id() -> int:
+    # The `secrets` module would load OpenSSL, which takes megabytes.
+    return int.from_bytes(os.urandom(_FIRST_ID_BYTES), "big")
 
 
 @attrs.define(eq=False)
@@ -65,7 +70,7 @@
     freshness: ConfigFreshness
     rng: random.Random = attrs.field(factory=random.Random)
     schedule: FreshnessSchedule | None = None
-    last_id: int = attrs.field(factory=lambda: secrets.randbits(_FIRST_ID_BITS))
+    last_id: int = attrs.field(factory=_first_id)
     task: asyncio.Task[None] | None = None
     fresh: bool | None = None
     queries_sent: int = 0
