Hold usage caps with tokens leased from an authority

Cause: no part of the mesh limited the requests of a workspace over all nodes, so a workspace that sends 3 to 9 times its usual rate fills the queues of the targets.

Change: the first reachable member by rendezvous hash keeps a token bucket for each workspace and grants leases of 250 ms, counted from the sending of the request. An authority grants only the part of the cap for the members that it reaches and that accept it as an authority, which it estimates from ten random members every 0.4 s. Buckets start almost empty after a pause of the process and after a change of the members that come before it. An authority that is not the first in its own view grants by the number of nodes that ask it.

--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -31,6 +31,7 @@
     UNAUTHENTICATED = "unauthenticated"
     STALE_CONFIGURATION = "stale_configuration"
     USAGE_CAP = "usage_cap"
+    CAP_UNAVAILABLE = "cap_unavailable"
     NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
@@ -112,6 +113,12 @@
     ErrorKind.USAGE_CAP: ErrorResponse(
         429, _NOT_RUN, 1000, "The workspace has reached its usage cap."
     ),
+    ErrorKind.CAP_UNAVAILABLE: ErrorResponse(
+        503,
+        _NOT_RUN,
+        500,
+        "This node cannot tell at the moment whether the usage cap is reached.",
+    ),
     ErrorKind.NOT_READY: ErrorResponse(
         503,
         _NOT_RUN,
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -147,6 +147,18 @@
         outgoing = await self.connect()
         outgoing.stream.send(message)
 
+    def send_if_open(self, message: WireMessage) -> bool:
+        """Sends a frame that expects no reply if the link has a stream.
+
+        Returns:
+            Whether the frame was sent.
+        """
+        if self.current is None or self.current.closing:
+            return False
+        self.used_s = self.loop.time()
+        self.current.stream.send(message)
+        return True
+
     async def forward(
         self, request: ForwardRequest, on_slot: SlotAcceptor | None = None
     ) -> ForwardReply:
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -46,6 +46,8 @@
     StreamClosing,
     SyncReply,
     SyncRequest,
+    TokenGrant,
+    TokenRequest,
     VersionDigest,
     WithdrawRequest,
 )
@@ -75,8 +77,8 @@
 _MS_PER_S = 1000
 
 
-class ConfigFrames(Protocol):
-    """Handles peers' frames about the configuration."""
+class PeerFrames(Protocol):
+    """Handles peers' frames about one subject."""
 
     def receive(self, frame: WireMessage) -> None:
         """Handles one frame."""
@@ -106,6 +108,8 @@
         feed: Handles the peer's frames about the configuration.
         claims: Runs the peer's requests with an idempotency key once; None if
             the targets handle the keys themselves.
+        usage_caps: Handles the peer's frames about usage caps; None if the node
+            has none.
         running: Tasks of the peer's requests, by request id.
         uploads: Request bodies that are being received, by request id.
         credits: Credit that the peer granted for response bodies, by request
@@ -123,8 +127,9 @@
     stream: FrameStream
     owner: Owner
     membership: Membership
-    feed: ConfigFrames
+    feed: PeerFrames
     claims: "ClaimService | None"
+    usage_caps: PeerFrames | None = None
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -395,6 +400,13 @@
     connection.feed.receive(frame)
 
 
+@handle_frame.register(TokenRequest)
+@handle_frame.register(TokenGrant)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    if connection.usage_caps is not None:
+        connection.usage_caps.receive(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -406,6 +418,8 @@
         feed: Handles peers' frames about the configuration.
         claims: Runs peers' requests with an idempotency key once; None if the
             targets handle the keys themselves.
+        usage_caps: Handles peers' frames about usage caps; None if the node has
+            none.
         address: The bound address, once the server listens.
         connections: Accepted streams and their tasks.
         rejected_streams: Number of streams closed because of `MAX_STREAMS`.
@@ -415,8 +429,9 @@
     listen: str
     owner: Owner
     membership: Membership
-    feed: ConfigFrames
+    feed: PeerFrames
     claims: "ClaimService | None"
+    usage_caps: PeerFrames | None = None
     stop_timeout_ms: int = _STOP_TIMEOUT_MS
     address: str = ""
     server: asyncio.Server | None = None
@@ -445,7 +460,12 @@
             stream.abort()
             return
         connection = PeerConnection(
-            stream, self.owner, self.membership, self.feed, self.claims
+            stream,
+            self.owner,
+            self.membership,
+            self.feed,
+            self.claims,
+            self.usage_caps,
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,6 +47,7 @@
     PublishedSource,
     PublishedStore,
 )
+from pomelobank_node.workspaces import LeasedUsageCaps
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
@@ -147,6 +148,9 @@
             TargetLease(settings.membership.target_lease_ms),
             int(min(REJECT_AFTER_MS, settings.target.drain_ms / 2)),
         )
+        self.usage_caps = LeasedUsageCaps(
+            self.table, self.links, self.store, self.clock, settings.workspaces
+        )
         self._build_request_path()
         self._build_servers()
 
@@ -212,7 +216,12 @@
             auto_check_timeouts=False,
         )
         self.peers = PeerServer(
-            listen.peer, self.owner, self.membership, self.feed, None
+            listen.peer,
+            self.owner,
+            self.membership,
+            self.feed,
+            None,
+            self.usage_caps,
         )
         self.limits = LimitsWatch(self.store, self.http)
         self.membership.on_tick += [self.feed.tick, self._check_timeouts]
@@ -255,6 +264,7 @@
             self.control_server,
             self.feed,
             self.membership,
+            self.usage_caps,
             self.limits,
             self.readiness_server,
         ):
--- a/packages/pomelobank-node/src/pomelobank_node/published/_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_store.py
@@ -7,6 +7,7 @@
 import attrs
 
 from pomelobank_core import RouteTable
+from pomelobank_core.workspaces import WorkspaceTable
 from pomelobank_node.callers import HttpLimits
 from pomelobank_node.published._packing import DocumentHistory
 from pomelobank_node.published._propagation import Propagation
@@ -22,10 +23,12 @@
     Attributes:
         routes: The document's routes, with the document's version.
         limits: Limits on callers' HTTP requests.
+        workspaces: Workspaces with their keys and usage caps.
     """
 
     routes: RouteTable
     limits: HttpLimits
+    workspaces: WorkspaceTable = attrs.field(factory=WorkspaceTable)
 
     @property
     def version(self) -> int:
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
@@ -6,9 +6,11 @@
     UncheckedFreshness,
     UsageCaps,
 )
+from pomelobank_node.workspaces._usage_caps import LeasedUsageCaps
 
 __all__ = [
     "KeyFreshness",
+    "LeasedUsageCaps",
     "UncappedUsage",
     "UncheckedFreshness",
     "UsageCaps",
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/cap_mesh.py
@@ -0,0 +1,406 @@
+"""A mesh of entry nodes and authorities in virtual time, with faults."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+import attrs
+
+from pomelobank_core import MemberState, MemberTable, RouteTable
+from pomelobank_core.workspaces import CapRules, Workspace, WorkspaceTable
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import RequestError
+from pomelobank_node.callers import HttpLimits
+from pomelobank_node.published import PublishedConfig, PublishedStore
+from pomelobank_node.tests.virtual_time import (
+    VirtualClock,
+    VirtualTime,
+    run_in_virtual_time,
+)
+from pomelobank_node.workspaces import LeasedUsageCaps
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import MemberEntry
+
+RULES = CapRules()
+LARGE = Workspace("large", None, 118.0, 118)
+SMALL = Workspace("small", None, 1.0, 1)
+# Time in which the members learn of a change of another one: joins and
+# refutations spread by gossip, losses are suspected after some probes. Measured
+# with `MemberFleet`: 2.4 to 3.9 s until all suspect a dead member, 1.7 s (13
+# nodes) to 5.2 s (194 nodes) until all are known after a common start.
+_LEARN_MS = (50, 900)
+_SUSPECT_MS = (1500, 3900)
+_FIND_MS = (300, 3000)
+_TRANSIT_MS = (0.2, 1.4)
+_MS_PER_S = 1000
+
+
+def _decode(data: bytes) -> PublishedConfig:
+    raise AssertionError("the mesh sets its configuration itself")
+
+
+@attrs.define(eq=False)
+class _Link:
+    mesh: "CapMesh"
+    sender: "CapNode"
+    address: str
+
+    def send_if_open(self, frame: WireMessage) -> bool:
+        self.mesh.send(self.sender, self.address, frame)
+        return True
+
+
+@attrs.define(eq=False)
+class _Links:
+    mesh: "CapMesh"
+    sender: "CapNode"
+
+    def to(self, address: str) -> _Link:
+        return _Link(self.mesh, self.sender, address)
+
+
+@attrs.define(eq=False)
+class CapNode:
+    """One node of the mesh.
+
+    Attributes:
+        name: Id and address.
+        caps: The node's caps; replaced when the node restarts.
+        up: Whether the process exists.
+        frozen: Whether the process stands still.
+        incarnation: Number of the process.
+        sequence: Number of the newest news about the node.
+        inbox: Frames that arrived while it stood still.
+    """
+
+    name: str
+    caps: LeasedUsageCaps = attrs.field(init=False)
+    up: bool = True
+    frozen: bool = False
+    incarnation: int = 1
+    sequence: int = 0
+    inbox: list[WireMessage] = attrs.field(factory=list)
+
+    def entry(self, state: MemberState = MemberState.READY) -> MemberEntry:
+        """Returns the node's entry in the tables of other members."""
+        return MemberEntry(
+            node=self.name,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            state=state.value,
+            peer_address=self.name,
+        )
+
+
+@attrs.define(eq=False)
+class CapMesh:
+    """Nodes with the product's usage caps, messages and callers.
+
+    Attributes:
+        seed: Seed of all draws.
+        size: Number of nodes.
+        workspaces: The configuration in force everywhere.
+        ran_ms: Times at which requests of each workspace ran.
+        refused: Number of requests of each workspace with 429.
+        unavailable: The same with 503.
+        sent_ms: Times at which callers sent requests.
+        frames: Number of frames between nodes.
+        blocked: Tells whether a frame between two nodes is held back.
+    """
+
+    seed: int
+    size: int = 62
+    workspaces: tuple[Workspace, ...] = (LARGE,)
+    time: VirtualTime = attrs.field(factory=VirtualTime)
+    nodes: dict[str, CapNode] = attrs.field(factory=dict)
+    ran_ms: dict[str, list[float]] = attrs.field(factory=dict)
+    sent_ms: dict[str, list[float]] = attrs.field(factory=dict)
+    refused: dict[str, int] = attrs.field(factory=dict)
+    unavailable: dict[str, int] = attrs.field(factory=dict)
+    held: list[tuple[str, str, WireMessage]] = attrs.field(factory=list)
+    frames: int = 0
+    blocked: Callable[[str, str], bool] = lambda _, __: False
+    rng: random.Random = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.rng = random.Random(self.seed)
+
+    def run(self, scenario: Coroutine[Any, Any, None]) -> None:
+        """Runs a scenario in virtual time, with all nodes started."""
+        run_in_virtual_time(self.time, self._run(scenario))
+
+    async def _run(self, scenario: Coroutine[Any, Any, None]) -> None:
+        await scenario
+        for node in self.nodes.values():
+            await node.caps.stop()
+
+    @property
+    def now_ms(self) -> float:
+        """The virtual time."""
+        return self.time.now_s * _MS_PER_S
+
+    def _draw(self, bounds: tuple[float, float]) -> float:
+        return self.rng.uniform(*bounds)
+
+    def _later(self, delay_ms: float, call: Callable[[], None]) -> None:
+        asyncio.get_running_loop().call_later(delay_ms / _MS_PER_S, call)
+
+    # Nodes.
+
+    async def start_all(self, know_each_other: bool = True) -> None:
+        """Starts all nodes; they know each other or find each other."""
+        for number in range(self.size):
+            node = CapNode(f"node-{number}")
+            self.nodes[node.name] = node
+            await self._start_process(node)
+        if know_each_other:
+            for node in self.nodes.values():
+                for other in self.nodes.values():
+                    self._tell(node, other.entry())
+            await asyncio.sleep(12)
+        else:
+            self._let_all_find_each_other()
+
+    def _let_all_find_each_other(self) -> None:
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                self._tell_later(node, other, MemberState.READY, _FIND_MS)
+
+    async def restart_all(self) -> None:
+        """Restarts all nodes at once; each knows no other one at first."""
+        for node in self.nodes.values():
+            await node.caps.stop()
+            node.incarnation += 1
+            node.sequence += 1
+            node.inbox.clear()
+            await self._start_process(node)
+        self._let_all_find_each_other()
+
+    async def _start_process(self, node: CapNode) -> None:
+        store = PublishedStore(_decode)
+        clock = VirtualClock(self.time)
+        node.caps = LeasedUsageCaps(
+            MemberTable(node.entry()),
+            cast("PeerLinks", _Links(self, node)),
+            store,
+            clock,
+            rng=random.Random(self.rng.random()),
+        )
+        node.up = True
+        self._configure(node)
+        # The rounds of nodes that started together must not coincide.
+        await asyncio.sleep(0)
+        self._later(
+            self._draw((0, 50)),
+            lambda: node.caps._spawn(node.caps._run_rounds(), "rounds"),
+        )
+
+    def _configure(self, node: CapNode) -> None:
+        by_name = {item.name: item for item in self.workspaces}
+        store = node.caps.store
+        store.config = PublishedConfig(
+            RouteTable(1, {}), HttpLimits(), WorkspaceTable({}, by_name)
+        )
+        store.ready = True
+        signal, store.changed = store.changed, asyncio.Event()
+        signal.set()
+
+    def publish(self, *workspaces: Workspace) -> None:
+        """Brings a configuration into force at each node within 1 s."""
+        self.workspaces = workspaces
+        for node in self.nodes.values():
+            self._later(
+                self._draw((20, 1000)),
+                lambda node=node: self._configure(node),  # type: ignore[misc]
+            )
+
+    def _tell(self, node: CapNode, entry: MemberEntry) -> None:
+        if node.name == entry.node or not node.up:
+            return
+        table = node.caps.table
+        known = table.others.get(entry.node)
+        if known is not None and known.sequence > entry.sequence:
+            return
+        table.others[entry.node] = entry
+        table._on_changed()
+
+    def _tell_later(
+        self,
+        node: CapNode,
+        other: CapNode,
+        state: MemberState,
+        delay_ms: tuple[float, float],
+    ) -> None:
+        entry = other.entry(state)
+        self._later(self._draw(delay_ms), lambda: self._tell(node, entry))
+
+    def spread(self, other: CapNode, state: MemberState) -> None:
+        """Lets all members learn of another one's state."""
+        other.sequence += 1
+        late = state in (MemberState.SUSPECT, MemberState.GONE)
+        delay_ms = _SUSPECT_MS if late else _LEARN_MS
+        for node in self.nodes.values():
+            self._tell_later(node, other, state, delay_ms)
+
+    async def kill(self, node: CapNode) -> None:
+        """Ends a process; the others suspect it after some seconds."""
+        node.up = False
+        await node.caps.stop()
+        self.spread(node, MemberState.SUSPECT)
+
+    def freeze(self, node: CapNode) -> None:
+        """Stops a process; the others suspect it after some seconds."""
+        node.frozen = True
+        for task in list(node.caps.tasks):
+            task.cancel()
+        self.spread(node, MemberState.SUSPECT)
+
+    def thaw(self, node: CapNode) -> None:
+        """Lets a process go on, with the frames that arrived meanwhile."""
+        node.frozen = False
+        inbox, node.inbox = node.inbox, []
+        for frame in inbox:
+            node.caps.receive(frame)
+        node.caps._spawn(node.caps._run_rounds(), "rounds")
+        self.spread(node, MemberState.READY)
+
+    def partition(self, far: set[str]) -> None:
+        """Cuts nodes off from the others; each side suspects the other."""
+        self.blocked = lambda one, other: (one in far) != (other in far)
+        self._begin_news()
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                if self.blocked(node.name, other.name):
+                    self._tell_later(
+                        node, other, MemberState.SUSPECT, _SUSPECT_MS
+                    )
+
+    def _begin_news(self) -> None:
+        for node in self.nodes.values():
+            node.sequence += 1
+
+    def heal(self) -> None:
+        """Ends a partition; held frames arrive now."""
+        was_blocked, self.blocked = self.blocked, lambda _, __: False
+        self._begin_news()
+        held, self.held = self.held, []
+        for sender, address, frame in held:
+            self.send(self.nodes[sender], address, frame)
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                if was_blocked(node.name, other.name):
+                    self._tell_later(node, other, MemberState.READY, _LEARN_MS)
+
+    def authority(self, workspace: Workspace) -> CapNode:
+        """Returns the first node in the order of a workspace."""
+        caps = next(iter(self.nodes.values())).caps
+        caps.members.refresh(int(self.now_ms))
+        return self.nodes[caps.members.order(workspace.name)[0]]
+
+    # Messages.
+
+    def send(self, sender: CapNode, address: str, frame: WireMessage) -> None:
+        """Sends a frame; it waits while the nodes are cut off or frozen."""
+        self.frames += 1
+        if self.blocked(sender.name, address):
+            self.held.append((sender.name, address, frame))
+            return
+        self._later(
+            self._draw(_TRANSIT_MS),
+            lambda: self._arrive(self.nodes[address], frame),
+        )
+
+    def _arrive(self, node: CapNode, frame: WireMessage) -> None:
+        if not node.up:
+            return
+        if node.frozen:
+            node.inbox.append(frame)
+        else:
+            node.caps.receive(frame)
+
+    # Callers.
+
+    async def load(
+        self,
+        name: str,
+        per_s: float,
+        seconds: float,
+        entries: list[str] | None = None,
+        not_run: float = 0.0,
+    ) -> None:
+        """Sends requests at random times.
+
+        Args:
+            name: Name of the workspace.
+            per_s: Requests per second.
+            seconds: Duration of the load.
+            entries: Names of the nodes that callers use; None for all.
+            not_run: Part of the requests that targets reject as not run.
+        """
+        until_s = self.time.now_s + seconds
+        tasks = []
+        while True:
+            await asyncio.sleep(self.rng.expovariate(per_s))
+            if self.time.now_s >= until_s:
+                break
+            names = entries or list(self.nodes)
+            node = self.nodes[self.rng.choice(names)]
+            if node.up and not node.frozen:
+                self.sent_ms.setdefault(name, []).append(self.now_ms)
+                tasks.append(
+                    asyncio.create_task(self._call(node, name, not_run))
+                )
+        await asyncio.gather(*tasks)
+
+    async def _call(self, node: CapNode, name: str, not_run: float) -> None:
+        workspace = node.caps.store.config.workspaces.by_name[name]
+        caps = node.caps
+        try:
+            await caps.take(workspace)
+        except RequestError as error:
+            counts = (
+                self.refused
+                if error.kind.value == "usage_cap"
+                else self.unavailable
+            )
+            counts[name] = counts.get(name, 0) + 1
+            return
+        if self.rng.random() < not_run:
+            await asyncio.sleep(self._draw((2, 400)) / _MS_PER_S)
+            caps.give_back(workspace)
+            return
+        self.ran_ms.setdefault(name, []).append(self.now_ms)
+
+    # Results.
+
+    def worst_window(self, name: str, since_ms: float = 0.0) -> int:
+        """Returns the most requests that ran in any window of 5 s."""
+        return most_in_window(
+            [at for at in self.ran_ms.get(name, []) if at >= since_ms]
+        )
+
+
+def most_in_window(times_ms: list[float]) -> int:
+    """Returns the most times in any window of 5 s."""
+    window: deque[float] = deque()
+    most = 0
+    for at_ms in sorted(times_ms):
+        window.append(at_ms)
+        while window[0] <= at_ms - RULES.window_s * _MS_PER_S:
+            window.popleft()
+        most = max(most, len(window))
+    return most
+
+
+def accepted_by_one_bucket(sent_ms: list[float], cap: Workspace) -> int:
+    """Returns how many requests a single bucket without faults accepts."""
+    tokens, at_ms, accepted = float(cap.burst), 0.0, 0
+    for sent in sent_ms:
+        refill = (sent - at_ms) * cap.rate_per_s / _MS_PER_S
+        tokens, at_ms = min(cap.burst, tokens + refill), sent
+        if tokens >= 1:
+            tokens -= 1
+            accepted += 1
+    return accepted
