--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/_cap_authority.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/_cap_authority.py
@@ -242,4 +242,4 @@
     bucket.room_ms = min(
         latest_ms, max(next_token_ms, bucket.room_ms + interval_ms)
     )
-    return max(1, int(bucket.room_ms - now_ms))
+    return max(1, round(bucket.room_ms - now_ms))
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -364,6 +364,48 @@
     "Failed requests without a line in the log, because there were too many.",
     monotonic=True,
 )
+CAP_TOKENS = Instrument(
+    "pomelobank.caps.tokens",
+    "1",
+    "Tokens that this node granted as the authority of usage caps.",
+    monotonic=True,
+)
+CAP_REFUSED = Instrument(
+    "pomelobank.caps.refused",
+    "1",
+    "Requests refused at this entry because a usage cap was reached.",
+    monotonic=True,
+)
+CAP_UNAVAILABLE = Instrument(
+    "pomelobank.caps.unavailable",
+    "1",
+    "Requests refused at this entry because no authority of the usage cap was"
+    " reached.",
+    monotonic=True,
+)
+CAP_UNANSWERED = Instrument(
+    "pomelobank.caps.unanswered",
+    "1",
+    "Requests for tokens that got no grant in time.",
+    monotonic=True,
+)
+CAP_AUTHORITIES = Instrument(
+    "pomelobank.caps.authority_changes",
+    "1",
+    "Times that another authority than before replied for a workspace.",
+    monotonic=True,
+)
+CAP_RESETS = Instrument(
+    "pomelobank.caps.resets",
+    "1",
+    "Times that this node emptied its token buckets after a pause.",
+    monotonic=True,
+)
+CAP_SHARE = Instrument(
+    "pomelobank.caps.share",
+    "1",
+    "Part of each usage cap that this node may grant as an authority.",
+)
 OUTPUT_DROPPED = Instrument(
     "pomelobank.log_lines.unwritten",
     "1",
@@ -385,5 +427,12 @@
     CONFIG_DELAY,
     CONFIG_PULLS,
     CONFIG_PUSHES,
+    CAP_TOKENS,
+    CAP_REFUSED,
+    CAP_UNAVAILABLE,
+    CAP_UNANSWERED,
+    CAP_AUTHORITIES,
+    CAP_RESETS,
+    CAP_SHARE,
     OUTPUT_DROPPED,
 )
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -27,6 +27,7 @@
     from pomelobank_node._target_watch import TargetWatch
     from pomelobank_node.callers import Ingress
     from pomelobank_node.published import PublishedFeed, PublishedStore
+    from pomelobank_node.workspaces import LeasedUsageCaps
     from pomelobank_schema.generated.settings import NodeSettings
 
 Readings = Iterator[tuple[Instrument, ValueCallback]]
@@ -91,6 +92,10 @@
     def log(self) -> Log:
         """Log in which nodes announce themselves as first contacts."""
 
+    @property
+    def usage_caps(self) -> LeasedUsageCaps:
+        """Limits the rates of workspaces."""
+
 
 class ObservedApplication(ObservedNode, Protocol):
     """The components of a node that uses the product's own log."""
@@ -139,6 +144,7 @@
     for readings in (
         _published(node),
         _first_contacts(node),
+        _usage_caps(node),
         _members(node),
         _target(node),
         _requests(node),
@@ -165,6 +171,17 @@
     yield instruments.CONFIG_PUSHES, lambda: feed.pushes_sent
 
 
+def _usage_caps(node: ObservedSidecar) -> Readings:
+    caps = node.usage_caps
+    yield instruments.CAP_TOKENS, lambda: caps.authority.granted
+    yield instruments.CAP_REFUSED, lambda: caps.refused
+    yield instruments.CAP_UNAVAILABLE, lambda: caps.unavailable
+    yield instruments.CAP_UNANSWERED, lambda: caps.unanswered
+    yield instruments.CAP_AUTHORITIES, lambda: caps.authority_changes
+    yield instruments.CAP_RESETS, lambda: caps.authority.resets
+    yield instruments.CAP_SHARE, lambda: caps.reach.share
+
+
 def observe_node(metrics: Metrics, node: ObservedApplication) -> None:
     """Adds all metrics of a node that uses the product's own log.
 
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
@@ -119,7 +119,8 @@
         unanswered: Requests for tokens that got no grant in time.
         authority_changes: How often another authority than before replied.
         is_available: Whether the last requests for tokens found an authority.
-        is_whole: Whether this node reaches enough members to grant whole caps.
+        is_whole: Whether this node reaches enough members to grant whole caps;
+            None until it has done so once after its start.
     """
 
     table: MemberTable
@@ -137,7 +138,7 @@
     unanswered: int = 0
     authority_changes: int = 0
     is_available: bool = True
-    is_whole: bool = True
+    is_whole: bool | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     checked_table: WorkspaceTable | None = None
     checked_limits: bool = False
@@ -407,19 +408,17 @@
             self._send(self.table.others[node].peer_address, frame)
 
     def _log_reach(self) -> None:
-        now_ms = self.clock.now_ms()
-        if not self.members.may_grant(now_ms):
-            # The node is still learning of the members.
-            return
         is_whole = self.reach.share >= _FULL_SHARE
-        if is_whole == self.is_whole:
+        was_whole = self.is_whole
+        if is_whole or was_whole is not None:
+            self.is_whole = is_whole
+        if was_whole is None or is_whole == was_whole:
             return
-        self.is_whole = is_whole
         _logger.warning(
             "caps.whole" if is_whole else "caps.divided",
             extra={
                 "share": round(self.reach.share, 2),
-                "members": self.members.count(now_ms),
+                "members": self.members.count(self.clock.now_ms()),
             },
         )
 
