Replay failing links and gone members against usage caps

Cause: two removed guards (members that were lost still count; a member that is not the first grants by its followers) were not noticed by the replay.

Change: partitioned members are declared gone, and a case in which eight nodes cannot reach the authority while nobody suspects it.

--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/cap_mesh.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/cap_mesh.py
@@ -32,6 +32,7 @@
 # nodes) to 5.2 s (194 nodes) until all are known after a common start.
 _LEARN_MS = (50, 900)
 _SUSPECT_MS = (1500, 3900)
+_GONE_MS = (4500, 7000)
 _FIND_MS = (300, 3000)
 _TRANSIT_MS = (0.2, 1.4)
 _MS_PER_S = 1000
@@ -270,7 +271,10 @@
         self.spread(node, MemberState.READY)
 
     def partition(self, far: set[str]) -> None:
-        """Cuts nodes off from the others; each side suspects the other."""
+        """Cuts nodes off from the others.
+
+        Each side suspects the other and then declares it gone.
+        """
         self.blocked = lambda one, other: (one in far) != (other in far)
         self._begin_news()
         for node in self.nodes.values():
@@ -279,6 +283,7 @@
                     self._tell_later(
                         node, other, MemberState.SUSPECT, _SUSPECT_MS
                     )
+                    self._tell_later(node, other, MemberState.GONE, _GONE_MS)
 
     def _begin_news(self) -> None:
         for node in self.nodes.values():
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/test_usage_caps_faults.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/test_usage_caps_faults.py
@@ -70,6 +70,19 @@
     await _cut_off(mesh, with_authority=False)
 
 
+async def _some_links_to_the_authority_fail(mesh: CapMesh) -> None:
+    # The members reach each other by indirect probes and suspect nobody.
+    authority = mesh.authority(LARGE).name
+    names = sorted(mesh.nodes.keys() - {authority})
+    far = set(mesh.rng.sample(names, 8))
+    mesh.blocked = lambda one, other: (
+        (one in far and other == authority)
+        or (other in far and one == authority)
+    )
+    await asyncio.sleep(7)
+    mesh.heal()
+
+
 async def _all_restart(mesh: CapMesh) -> None:
     await mesh.restart_all()
 
@@ -124,6 +137,9 @@
     "third without it cut off": _Case(
         _third_without_authority_cut_off, seconds=12
     ),
+    "some links to the authority fail": _Case(
+        _some_links_to_the_authority_fail
+    ),
     "all restart": _Case(_all_restart),
     "authority restarts": _Case(_new_first_member),
     "three authorities die one after the other": _Case(_three_authorities_die),
