--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
@@ -39,9 +39,9 @@
 # A workspace that floods sends some 100 requests to a node in the longest wait
 # for an authority; more would only use memory.
 MAX_WAITING = 256
-# Requests for tokens that are sent for the same waiting requests. A partial
-# grant is followed by a second request, whose refusal names the time to wait.
-_MAX_GRANTS = 3
+# Grants in a row of which no request got a token, because their leases had
+# ended. After so many of them the waiting requests are rejected.
+_MAX_VOID_GRANTS = 3
 # Time after which the state of an unused workspace is removed.
 _IDLE_ENTRY_MS = 60_000
 # Maximum number of workspaces with state at an entry node, about 3 MB.
@@ -79,13 +79,16 @@
     fetching: asyncio.Task[None] | None = None
     authority: str = ""
 
-    def serve_waiting(self, now_ms: int) -> None:
-        """Gives tokens to the requests that wait, in their order."""
+    def serve_waiting(self, now_ms: int) -> int:
+        """Gives tokens to the requests that wait, and returns their number."""
+        served = 0
         while self.waiting and self.tokens.available(now_ms):
             waiter = self.waiting.popleft()
             if not waiter.done():
                 self.tokens.take(now_ms)
                 waiter.set_result(None)
+                served += 1
+        return served
 
     def fail_waiting(self, kind: ErrorKind, retry_after_ms: int) -> int:
         """Rejects the requests that wait and returns their number."""
@@ -248,20 +251,25 @@
             )
 
     async def _fetch_tokens(self, entry: EntryState) -> None:
-        for _ in range(_MAX_GRANTS):
+        # A partial grant is followed by a request whose refusal names the time
+        # to wait, and other requests may have come while a grant was under way.
+        void_grants = 0
+        while void_grants < _MAX_VOID_GRANTS:
             now_ms = self.clock.now_ms()
             wanted = entry.tokens.wanted(len(entry.waiting), now_ms)
-            if not wanted or not await self._request(entry, wanted):
+            if not wanted:
                 return
+            served = await self._request(entry, wanted)
             if not entry.waiting:
                 return
+            void_grants = 0 if served else void_grants + 1
         self._reject_unavailable(entry)
 
-    async def _request(self, entry: EntryState, wanted: int) -> bool:
-        """Requests tokens once.
+    async def _request(self, entry: EntryState, wanted: int) -> int:
+        """Requests tokens once; rejects the waiting requests if none come.
 
         Returns:
-            Whether tokens were granted.
+            The number of waiting requests that got a token.
         """
         sent_ms = self.clock.now_ms()
         grant = UNABLE
@@ -278,17 +286,17 @@
         now_ms = self.clock.now_ms()
         if not grant.is_able:
             self._reject_unavailable(entry)
-            return False
+            return 0
         self._set_available(is_available=True)
         entry.tokens.on_grant(
             grant.tokens, sent_ms, grant.valid_ms, grant.wait_ms, now_ms
         )
-        entry.serve_waiting(now_ms)
+        served = entry.serve_waiting(now_ms)
         if not grant.tokens:
             self.refused += entry.fail_waiting(
                 ErrorKind.USAGE_CAP, self._retry_after_ms(entry, now_ms)
             )
-        return grant.tokens > 0
+        return served
 
     def _reject_unavailable(self, entry: EntryState) -> None:
         self._set_available(is_available=False)
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/test_usage_caps_faults.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/tests/test_usage_caps_faults.py
@@ -199,6 +199,19 @@
     assert ran > max(len(equal), len(by_demand))
 
 
+async def _play_one_entry(mesh: CapMesh) -> None:
+    await mesh.start_all()
+    await mesh.load(LARGE.name, 10 * _FLOOD_PER_S, 1, ["node-3"])
+
+
+def test_requests_that_come_during_grants_are_not_unavailable() -> None:
+    """Guards against a 503 for requests that came after others were served."""
+    mesh = CapMesh(8, size=10)
+    mesh.run(_play_one_entry(mesh))
+    assert not mesh.unavailable
+    assert len(mesh.ran_ms[LARGE.name]) >= LARGE.burst + LARGE.rate_per_s
+
+
 async def _play_small(mesh: CapMesh) -> None:
     await mesh.start_all()
     await mesh.load(SMALL.name, SMALL.rate_per_s / 1.6, 60)
