Merge usage caps that hold over the whole mesh

Cause: nothing limited a workspace's requests over all nodes.

In the merge the gate asks the usage caps, and the dispatcher knows the gate by a protocol, because the import contract forbids the cycle of dispatcher, workspaces and published configuration.

--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -24,6 +24,7 @@
 )
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._requests import (
+    AdmittedCall,
     ForwardReply,
     ForwardRequest,
     Headers,
@@ -31,7 +32,6 @@
     reply_error,
 )
 from pomelobank_node._tracing import current_trace
-from pomelobank_node.workspaces import WorkspaceGate
 from pomelobank_schema.generated.peer import Header
 from pomelobank_schema.generated.records import RouteObject
 
@@ -100,6 +100,26 @@
         """Configuration version of the route table."""
 
 
+class CallGate(Protocol):
+    """Decides which callers' requests may run, and with which rank."""
+
+    @property
+    def enabled(self) -> bool:
+        """Whether requests have to be checked."""
+
+    async def admit(
+        self, route: RouteObject, call: CallerRequest
+    ) -> AdmittedCall:
+        """Admits a request.
+
+        Raises:
+            RequestError: If the request must not run.
+        """
+
+    def on_not_run(self, admitted: AdmittedCall, kind: ErrorKind) -> None:
+        """Handles an admitted request that ended with an error."""
+
+
 @attrs.define(eq=False)
 class Dispatcher:
     """Selects the route and the upstream of each request.
@@ -130,7 +150,7 @@
     )
     claims: "ClaimService | None" = None
     caller_timeouts: CallerTimeouts = attrs.field(factory=CallerTimeouts)
-    gate: WorkspaceGate | None = None
+    gate: CallGate | None = None
 
     async def dispatch(self, call: CallerRequest) -> ForwardReply:
         """Routes and forwards one request.
@@ -170,7 +190,7 @@
 
     async def _run_admitted(
         self,
-        gate: WorkspaceGate,
+        gate: CallGate,
         route: RouteObject,
         call: CallerRequest,
         times: RequestTimes,
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -48,6 +48,8 @@
     StreamClosing,
     SyncReply,
     SyncRequest,
+    TokenGrant,
+    TokenRequest,
     VersionDigest,
     WithdrawRequest,
 )
@@ -77,8 +79,8 @@
 _MS_PER_S = 1000
 
 
-class ConfigFrames(Protocol):
-    """Handles peers' frames about the configuration."""
+class PeerFrames(Protocol):
+    """Handles peers' frames about one subject."""
 
     def receive(self, frame: WireMessage) -> None:
         """Handles one frame."""
@@ -120,6 +122,8 @@
             the targets handle the keys themselves.
         freshness: Handles the peer's frames about the age of its knowledge;
             None if this node has no published configuration.
+        usage_caps: Handles the peer's frames about usage caps; None if the node
+            has none.
         running: Tasks of the peer's requests, by request id.
         uploads: Request bodies that are being received, by request id.
         credits: Credit that the peer granted for response bodies, by request
@@ -137,9 +141,10 @@
     stream: FrameStream
     owner: Owner
     membership: Membership
-    feed: ConfigFrames
+    feed: PeerFrames
     claims: "ClaimService | None"
     freshness: FreshnessFrames | None = None
+    usage_caps: PeerFrames | None = None
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -422,6 +427,13 @@
         connection.freshness.receive_reply(frame)
 
 
+@handle_frame.register(TokenRequest)
+@handle_frame.register(TokenGrant)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
+    if connection.usage_caps is not None:
+        connection.usage_caps.receive(frame)
+
+
 @attrs.define(eq=False)
 class PeerServer:
     """Listens for peers.
@@ -435,6 +447,8 @@
             targets handle the keys themselves.
         freshness: Handles peers' frames about the age of their knowledge; None
             if this node has no published configuration.
+        usage_caps: Handles peers' frames about usage caps; None if the node has
+            none.
         address: The bound address, once the server listens.
         connections: Accepted streams and their tasks.
         rejected_streams: Number of streams closed because of `MAX_STREAMS`.
@@ -444,9 +458,10 @@
     listen: str
     owner: Owner
     membership: Membership
-    feed: ConfigFrames
+    feed: PeerFrames
     claims: "ClaimService | None"
     freshness: FreshnessFrames | None = None
+    usage_caps: PeerFrames | None = None
     stop_timeout_ms: int = _STOP_TIMEOUT_MS
     address: str = ""
     server: asyncio.Server | None = None
@@ -481,6 +496,7 @@
             self.feed,
             self.claims,
             self.freshness,
+            self.usage_caps,
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/_requests.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_requests.py
@@ -1,10 +1,11 @@
-"""Errors that end a request, and their form in replies between nodes."""
+"""Admitted requests, and the errors that end a request."""
 
 from collections.abc import Sequence
 
 import attrs
 
 from pomelobank_core import ERROR_RESPONSES, ErrorKind
+from pomelobank_core.workspaces import Workspace
 from pomelobank_schema.generated.peer import ForwardReply, ForwardRequest
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -26,6 +27,21 @@
     reason: str = ""
 
 
+@attrs.frozen
+class AdmittedCall:
+    """A caller's request that may run.
+
+    Attributes:
+        workspace: Workspace of the request; None without one.
+        headers: Headers to forward.
+        rank: Rank of the request among those that wait at a target.
+    """
+
+    workspace: Workspace | None
+    headers: Headers
+    rank: int
+
+
 def error_reply(request_id: int, error: RequestError) -> ForwardReply:
     """Returns the reply that reports an error to the entry node."""
     retry_after_ms = error.retry_after_ms
@@ -50,6 +66,7 @@
 
 
 __all__ = [
+    "AdmittedCall",
     "ForwardReply",
     "ForwardRequest",
     "Headers",
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,7 +47,11 @@
     PublishedSource,
     PublishedStore,
 )
-from pomelobank_node.workspaces import FreshnessQueries, WorkspaceGate
+from pomelobank_node.workspaces import (
+    FreshnessQueries,
+    LeasedUsageCaps,
+    WorkspaceGate,
+)
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
@@ -149,6 +153,9 @@
             TargetLease(settings.membership.target_lease_ms),
             int(min(REJECT_AFTER_MS, settings.target.drain_ms / 2)),
         )
+        self.usage_caps = LeasedUsageCaps(
+            self.table, self.links, self.store, self.clock, settings.workspaces
+        )
         self._build_request_path()
         self._build_servers()
 
@@ -175,6 +182,7 @@
             self.clock,
             conventions,
             freshness=self.freshness,
+            usage_caps=self.usage_caps,
         )
         self.dispatcher = Dispatcher(
             self.store,
@@ -228,6 +236,7 @@
             self.feed,
             None,
             self.freshness,
+            self.usage_caps,
         )
         self.limits = LimitsWatch(self.store, self.http)
         self.membership.on_tick += [self.feed.tick, self._check_timeouts]
@@ -271,6 +280,7 @@
             self.feed,
             self.freshness,
             self.membership,
+            self.usage_caps,
             self.limits,
             self.readiness_server,
         ):
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/__init__.py
@@ -7,17 +7,14 @@
     UsageCaps,
 )
 from pomelobank_node.workspaces._freshness_queries import FreshnessQueries
-from pomelobank_node.workspaces._gate import (
-    AdmittedCall,
-    WorkspaceGate,
-    WorkspacesInForce,
-)
+from pomelobank_node.workspaces._gate import WorkspaceGate, WorkspacesInForce
 from pomelobank_node.workspaces._usage import WorkspaceUsage
+from pomelobank_node.workspaces._usage_caps import LeasedUsageCaps
 
 __all__ = [
-    "AdmittedCall",
     "FreshnessQueries",
     "KeyFreshness",
+    "LeasedUsageCaps",
     "UncappedUsage",
     "UncheckedFreshness",
     "UsageCaps",
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_gate.py
@@ -1,5 +1,6 @@
 """Checks the API key and the usage cap of each request of a caller."""
 
+import asyncio
 import random
 from typing import Protocol
 
@@ -22,7 +23,7 @@
     request_rank,
 )
 from pomelobank_node._http_conventions import HttpConventions
-from pomelobank_node._requests import Headers, RequestError
+from pomelobank_node._requests import AdmittedCall, Headers, RequestError
 from pomelobank_node._tracing import current_trace
 from pomelobank_node.workspaces._checks import (
     KeyFreshness,
@@ -55,6 +56,10 @@
     def version(self) -> int:
         """Configuration version of the table."""
 
+    @property
+    def changed(self) -> asyncio.Event:
+        """Set once a newer configuration is in force."""
+
 
 class IncomingCall(Protocol):
     """The part of a caller's request that the gate reads."""
@@ -72,21 +77,6 @@
         """Id of the request."""
 
 
-@attrs.frozen
-class AdmittedCall:
-    """A request that may run.
-
-    Attributes:
-        workspace: Workspace of the request; None without one.
-        headers: Headers to forward.
-        rank: Rank of the request among those that wait at a target.
-    """
-
-    workspace: Workspace | None
-    headers: Headers
-    rank: int
-
-
 @attrs.define(eq=False)
 class WorkspaceGate:
     """Checks identity, freshness of the keys and usage cap, in this order.
