Tell rejections at random from those of a full target

Cause: while all targets of an upstream reject 55% of the arrivals with free slots, each rejection marked its target as full at the entry for 200 ms, a second rejection ended the retries, the caller was told to wait 200 ms, and any request could use up the retry budget, so that calls of running work were rejected and their parents failed with 500.

Change: the owner recognises a rejection with free slots, learns its share, and tells callers to retry within 20 ms if their deadline leaves time. Such a rejection does not mark the target as full, lower its limit or count as an overload. While such rejections last, requests that may run once leave half of the budget, and others three quarters, to more important requests. Calls are recognised by an objective far below those of the upstream's other routes. A call whose sibling has failed is not retried; calls rejected together are retried only while at most a quarter of the budget is used.

--- a/packages/pomelobank-core/src/pomelobank_core/_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retries.py
@@ -8,6 +8,13 @@
 
 from pomelobank_core._errors import ErrorKind
 from pomelobank_core._retry_budget import Budget, RetryBudget
+from pomelobank_core.shedding import (
+    BudgetReserve,
+    CallGroup,
+    Importance,
+    RouteImportance,
+    SiblingCalls,
+)
 
 # Maximum number of attempts of one request, the first included. Three attempts
 # get past a dead target and a second target that dies meanwhile; more attempts
@@ -28,6 +35,10 @@
 MIN_DELAY_MS = 10.0
 FIRST_DELAY_BOUND_MS = 40.0
 MAX_DELAY_BOUND_MS = 500.0
+# Fraction of the budget from which calls that were rejected together are not
+# retried. Each of them needs a retry that is served, so that a retry saves the
+# parent's work less than half as often as that of a call rejected alone.
+MAX_USED_BY_PAIRS = 0.25
 
 
 class RetryCost(enum.Enum):
@@ -93,6 +104,10 @@
         other_has_capacity: Whether a target without an attempt probably has a
             free slot.
         max_attempts: Maximum number of attempts, the first included.
+        route: The request's route.
+        is_random: Whether a target with free slots rejected the request.
+        group: Parallel calls that the request belongs to; None if it is no call
+            of running work.
     """
 
     error: ErrorKind | None
@@ -104,6 +119,9 @@
     is_retry: bool = False
     other_has_capacity: bool = True
     max_attempts: int = MAX_ATTEMPTS
+    route: str = ""
+    is_random: bool = False
+    group: CallGroup | None = None
 
 
 @attrs.frozen
@@ -146,20 +164,44 @@
             costs nothing, because the budget bounds the load of the targets
             themselves.
         budgets: Budgets by upstream.
+        importance: Tells which requests need the budget most.
+        siblings: Groups the parallel calls of one request.
+        reserves: Reserves of the budgets by upstream.
     """
 
     rng: random.Random = attrs.field(factory=random.Random)
     new_budget: Callable[[], Budget] = RetryBudget
     free_rejections: bool = False
     budgets: dict[str, Budget] = attrs.field(factory=dict)
+    importance: RouteImportance = attrs.field(factory=RouteImportance)
+    siblings: SiblingCalls = attrs.field(factory=SiblingCalls)
+    reserves: dict[str, BudgetReserve] = attrs.field(factory=dict)
+
+    def on_first_attempt(
+        self, upstream: str, now_ms: float, route: str = "", aim_ms: int = 0
+    ) -> None:
+        """Records the first attempt of a request.
 
-    def on_first_attempt(self, upstream: str, now_ms: float) -> None:
-        """Records the first attempt of a request."""
+        Args:
+            upstream: Name of the request's upstream.
+            now_ms: Current time.
+            route: The request's route.
+            aim_ms: The route's latency objective; 0 without one.
+        """
         self._budget(upstream).on_first_attempt(now_ms)
+        self.importance.on_request(upstream, route, aim_ms)
+
+    def call_group(
+        self, upstream: str, route: str, deadline_ms: float, now_ms: float
+    ) -> CallGroup | None:
+        """Returns the group of a call; None for any other request."""
+        if self.importance.of(upstream, route, True) is not Importance.CALL:
+            return None
+        return self.siblings.join(route, deadline_ms, now_ms)
 
     def allow_hedge(self, upstream: str, now_ms: float) -> bool:
         """Takes a hedged request from the budget; returns whether it may go."""
-        return self._budget(upstream).try_acquire(now_ms)
+        return self._try_acquire(upstream, Importance.OTHER, now_ms)
 
     def decide(
         self, upstream: str, attempt: FailedAttempt, now_ms: float
@@ -174,6 +216,12 @@
         Returns:
             The retry; None if the caller gets the error now.
         """
+        importance = self.importance.of(
+            upstream, attempt.route, attempt.idempotent
+        )
+        if attempt.is_random:
+            reserve = self.reserves.setdefault(upstream, BudgetReserve())
+            reserve.on_random_rejection(importance, now_ms)
         cost = self._cost(attempt.error)
         if not self._is_allowed(cost, attempt):
             return None
@@ -182,10 +230,35 @@
             return None
         if cost is RetryCost.TRANSPARENT:
             return Retry(delay_ms, transparent=True)
-        if not self._budget(upstream).try_acquire(now_ms):
+        if attempt.is_random and self._is_useless(upstream, attempt, now_ms):
+            return None
+        if not self._try_acquire(upstream, importance, now_ms):
             return None
         return Retry(delay_ms, transparent=False)
 
+    def _is_useless(
+        self, upstream: str, attempt: FailedAttempt, now_ms: float
+    ) -> bool:
+        group = attempt.group
+        if group is None:
+            return False
+        if group.lost:
+            return True
+        used_fraction = self._budget(upstream).used_fraction(now_ms)
+        return group.rejected > 1 and used_fraction > MAX_USED_BY_PAIRS
+
+    def _try_acquire(
+        self, upstream: str, importance: Importance, now_ms: float
+    ) -> bool:
+        budget = self._budget(upstream)
+        reserve = self.reserves.get(upstream)
+        if reserve is not None and not reserve.allows(
+            importance, budget.used_fraction(now_ms), now_ms
+        ):
+            budget.denied += 1
+            return False
+        return budget.try_acquire(now_ms)
+
     def _cost(self, error: ErrorKind | None) -> RetryCost:
         if error is ErrorKind.OVERLOADED and self.free_rejections:
             return RetryCost.TRANSPARENT
@@ -212,7 +285,10 @@
         if cost is RetryCost.IDEMPOTENT and not attempt.idempotent:
             return False
         # If all targets of the upstream are full, a retry only adds load.
-        is_overload = attempt.error in _OVERLOAD_ERRORS
+        # A random rejection says nothing about free slots.
+        is_overload = (
+            attempt.error in _OVERLOAD_ERRORS and not attempt.is_random
+        )
         if is_overload and sent >= MAX_OVERLOAD_ATTEMPTS:
             return False
         return attempt.other_has_capacity or not is_overload
--- a/packages/pomelobank-core/src/pomelobank_core/_retry_budget.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_retry_budget.py
@@ -44,6 +44,9 @@
     def try_acquire(self, now_ms: float) -> bool:
         """Takes one retry from the budget; returns whether one was left."""
 
+    def used_fraction(self, now_ms: float) -> float:
+        """Returns the fraction of the present budget that is used, 0 to 1."""
+
 
 @attrs.define
 class RetryBudget:
@@ -81,6 +84,11 @@
         self.spent += 1
         return True
 
+    def used_fraction(self, now_ms: float) -> float:
+        """Returns the fraction of the present budget that is used, 0 to 1."""
+        self._refill(now_ms)
+        return 1.0 - self.tokens / MAX_BUDGET
+
     def _refill(self, now_ms: float) -> None:
         if self.refilled_ms is not None:
             elapsed_ms = max(0.0, now_ms - self.refilled_ms)
@@ -148,6 +156,12 @@
         self.spent += 1
         return True
 
+    def used_fraction(self, now_ms: float) -> float:
+        """Returns the fraction of the present budget that is used, 0 to 1."""
+        self._bucket(now_ms)
+        spent = sum(item.spent for item in self.buckets)
+        return min(1.0, spent / max(1.0, self._allowance()))
+
     def _allowance(self) -> float:
         first = sum(item.first for item in self.buckets)
         slack = self.slack / max(1, self.node_count())
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -8,6 +8,7 @@
 import attrs
 
 from pomelobank_core import (
+    ERROR_RESPONSES,
     MAX_ATTEMPTS,
     CandidateIndex,
     Clock,
@@ -22,11 +23,13 @@
     Retry,
     RetryPolicy,
     RoundRobin,
+    RunState,
     ShutdownAdmission,
     TargetResult,
     TwoChoices,
     isolation_target,
 )
+from pomelobank_core.shedding import CallGroup, is_random_rejection
 from pomelobank_node._bodies import (
     DeferredBody,
     can_resend,
@@ -78,6 +81,10 @@
 # for a target in the local data centre. Asking for a body takes an extra round
 # trip, which costs more than a shorter use of the uplink.
 DEFERRED_BODY_MIN_UPLINK_MS = 1.0
+# Time for which the node waits for the rejections of a rejected call's siblings
+# before it decides about a retry: about the time that a rejection takes to
+# arrive, and short next to objectives of some tens of ms.
+SIBLING_WAIT_MS = 4
 _PERCENT = 100
 _MIN_ATTEMPTS_TO_HEDGE = 2
 
@@ -115,6 +122,8 @@
             first.
         rejected: Number of requests that this node rejected because every
             target had just rejected requests of the same class.
+        lost_runs: Number of running requests that lost their work because one
+            of their calls was rejected.
         shutdown_admission: Time after which a stopping node sends no request to
             a target.
     """
@@ -133,6 +142,7 @@
     rejected: int = 0
     hedged: int = 0
     hedges_won: int = 0
+    lost_runs: int = 0
     shutdown_admission: ShutdownAdmission = attrs.field(
         factory=ShutdownAdmission
     )
@@ -161,7 +171,34 @@
             now_ms + request.remaining_ms,
             bool(self.retry_header) and self.retry_header in names,
         )
-        self.retries.on_first_attempt(request.upstream, now_ms)
+        self.retries.on_first_attempt(
+            request.upstream, now_ms, request.route, request.aim_ms
+        )
+        state.call_group = self.retries.call_group(
+            request.upstream, request.route, state.deadline_ms, now_ms
+        )
+        try:
+            reply = await self._forward(state, now_ms)
+        except RequestError as error:
+            self._record_lost_run(state, error)
+            raise
+        self._record_lost_run(state, reply_error(reply))
+        return reply
+
+    def _record_lost_run(
+        self, state: ForwardingState, error: RequestError | None
+    ) -> None:
+        group = state.call_group
+        if error is None or group is None or group.lost:
+            return
+        group.lost = True
+        if ERROR_RESPONSES[error.kind].run_state is RunState.NOT_RUN:
+            self.lost_runs += 1
+
+    async def _forward(
+        self, state: ForwardingState, now_ms: int
+    ) -> ForwardReply:
+        request = state.request
         target = self._choose_target(state)
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
@@ -182,7 +219,7 @@
                 reply = await self._with_hedge(state, self._bind_late(state))
                 if reply.error == ErrorKind.OVERLOADED.value:
                     return state.final_reply(reply)
-            retry = self._decide_retry(state, reply)
+            retry = await self._decide_retry(state, reply)
             if retry is None:
                 return state.final_reply(reply)
             state.record_reply(reply)
@@ -484,7 +521,7 @@
         marked = (*request.headers, Header(name=name, value=b"1"))
         return attrs.evolve(request, headers=marked)
 
-    def _decide_retry(
+    async def _decide_retry(
         self, state: ForwardingState, reply: ForwardReply
     ) -> Retry | None:
         error = reply_error(reply)
@@ -493,6 +530,12 @@
         request = state.request
         if rest_of(reply) is not None or not can_resend(request):
             return None
+        is_random = error is not None and is_random_rejection(
+            error.kind, reply.retry_after_ms
+        )
+        group = state.call_group if is_random else None
+        if group is not None:
+            await _await_sibling_rejections(group)
         now_ms = self.clock.now_ms()
         attempt = FailedAttempt(
             error=error.kind if error else None,
@@ -503,8 +546,13 @@
             is_retry=state.is_retry,
             other_has_capacity=self._other_has_capacity(state, now_ms),
             max_attempts=request.max_attempts or MAX_ATTEMPTS,
+            route=request.route,
+            is_random=is_random,
+            group=group,
         )
         retry = self.retries.decide(request.upstream, attempt, now_ms)
+        if group is not None and retry is not None:
+            group.rejected -= 1
         if retry is not None and retry.transparent:
             state.transparent_retries += 1
         return retry
@@ -532,6 +580,12 @@
         return self.load_balancer.has_capacity(other, traffic_class, now_ms)
 
 
+async def _await_sibling_rejections(group: CallGroup) -> None:
+    group.rejected += 1
+    if group.has_siblings:
+        await asyncio.sleep(SIBLING_WAIT_MS / _MS_PER_S)
+
+
 def _discard_reply(state: ForwardingState, reply: ForwardReply) -> None:
     """Records a reply that lost to the other attempt and closes its body."""
     state.record_reply(reply)
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarding_state.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarding_state.py
@@ -10,6 +10,7 @@
     TargetResult,
     target_result,
 )
+from pomelobank_core.shedding import CallGroup, is_random_rejection
 from pomelobank_node._http_messages import ERROR_HEADER
 from pomelobank_node._requests import ForwardReply, ForwardRequest, reply_error
 from pomelobank_schema.generated.peer import MemberEntry
@@ -53,6 +54,8 @@
         declined_wait_ms: Expected wait at each target that declined the
             request.
         runs_isolated: Whether the request is suspected of crashing targets.
+        call_group: Parallel calls that the request belongs to; None if it is no
+            call of running work.
     """
 
     request: ForwardRequest
@@ -65,6 +68,7 @@
     offers_left: int = 0
     declined_wait_ms: dict[MemberEntry, int] = attrs.field(factory=dict)
     runs_isolated: bool = False
+    call_group: CallGroup | None = None
 
     @property
     def max_wait_ms(self) -> int:
@@ -177,6 +181,10 @@
     error = reply_error(reply)
     if was_declined(request, reply):
         result = TargetResult.WOULD_WAIT
+    elif error is not None and is_random_rejection(
+        error.kind, reply.retry_after_ms
+    ):
+        result = TargetResult.NEUTRAL
     elif error is not None:
         result = target_result(error.kind, request.remaining_ms)
     elif is_shed(reply):
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -213,6 +213,18 @@
     "Requests rejected because of the target's rate limit.",
     monotonic=True,
 )
+TARGET_RANDOM_REJECTIONS = Instrument(
+    "pomelobank.target.random_rejections",
+    "1",
+    "Requests that the node's own target rejected although it had free slots.",
+    monotonic=True,
+)
+TARGET_RANDOM_SHARE = Instrument(
+    "pomelobank.target.random_rejection_share",
+    "1",
+    "Recent share of the requests for the node's own target that it rejected"
+    " although it had free slots.",
+)
 TARGET_CRASHES = Instrument(
     "pomelobank.target.crashes",
     "1",
@@ -310,6 +322,13 @@
     "Sum of the times to an answer.",
     monotonic=True,
 )
+LOST_RUNS = Instrument(
+    "pomelobank.requests.lost_runs",
+    "1",
+    "Running requests that probably lost their work because one of their calls"
+    " was rejected.",
+    monotonic=True,
+)
 HEDGED = Instrument(
     "pomelobank.hedges",
     "1",
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -262,6 +262,14 @@
         lambda: owner.rate_limit.per_s if owner.rate_limit.is_limited else 0,
     )
     yield instruments.TARGET_RATE_LIMITED, lambda: owner.rate_limited
+    yield (
+        instruments.TARGET_RANDOM_REJECTIONS,
+        lambda: owner.random_rejections.count,
+    )
+    yield (
+        instruments.TARGET_RANDOM_SHARE,
+        lambda: owner.random_rejections.share,
+    )
     yield instruments.TARGET_CRASHES, lambda: owner.crash_detector.crashes
     yield instruments.TARGET_LAPSES, lambda: node.target.lease.lapses
 
@@ -272,6 +280,7 @@
     yield instruments.REQUESTS, lambda: ingress.outcomes
     yield instruments.LATENCY, ingress.latency.cumulative
     yield instruments.LATENCY_SUM, lambda: ingress.latency.sum_ms
+    yield instruments.LOST_RUNS, lambda: forwarder.lost_runs
     yield instruments.HEDGED, lambda: forwarder.hedged
     yield instruments.HEDGES_WON, lambda: forwarder.hedges_won
     yield instruments.LINES_DROPPED, lambda: ingress.log_limiter.dropped_total
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -19,6 +19,11 @@
     TrafficClass,
     WorkResult,
 )
+from pomelobank_core.shedding import (
+    RandomRejections,
+    RejectionDelay,
+    is_random_rejection,
+)
 from pomelobank_node._admission_queue import AdmissionQueue, new_admission
 from pomelobank_node._bodies import read_full_request, with_end_callback
 from pomelobank_node._crash_detector import CrashDetector
@@ -102,6 +107,8 @@
         admission_queue: Queue of the requests that wait for a slot.
         rate_limit: Limit of the requests per second that the target names.
         rate_limited: Requests rejected because of this limit, for the metrics.
+        random_rejections: Tells rejections at random from a full target.
+        rejection_delay: Delay after which a caller may retry after them.
         crash_detector: Detects crashes of the target.
         log_limiter: Limits the rate of log lines.
         on_leaving: Called with the target whose response says that it leaves;
@@ -120,6 +127,8 @@
     admission_queue: AdmissionQueue = attrs.field()
     rate_limit: RateLimit = attrs.field(factory=RateLimit)
     rate_limited: int = 0
+    random_rejections: RandomRejections = attrs.field(factory=RandomRejections)
+    rejection_delay: RejectionDelay = attrs.field(factory=RejectionDelay)
     crash_detector: CrashDetector = attrs.field()
     log_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
     on_leaving: Callable[[Target], None] | None = None
@@ -164,6 +173,9 @@
         )
         self.admission_queue.admission.limit.on_new_target()
         self.rate_limit = RateLimit()
+        self.random_rejections = RandomRejections(
+            count=self.random_rejections.count
+        )
 
     async def serve(
         self, request: ForwardRequest, offer_slot: SlotOfferer | None = None
@@ -203,6 +215,7 @@
                 "aim_ms": request.aim_ms,
                 "at_target": admission.in_flight,
                 "waiting": admission.waiting,
+                "random_rejections": round(self.random_rejections.share, 2),
                 "slots": admission.limit.current,
                 "usual_ms": round(
                     self.admission_queue.expected_service_ms(request.route)
@@ -274,9 +287,10 @@
                 reply = attrs.evolve(reply, retry_after_ms=_SHED_RETRY_AFTER_MS)
             else:
                 result = WorkResult.RESPONDED
+                self.random_rejections.on_ran(self.clock.now_ms())
         except BaseException as error:
             if isinstance(error, RequestError):
-                result = _WORK_RESULTS.get(error.kind, result)
+                result = _work_result(error, result)
             self.admission_queue.release(admission_request, result)
             raise
         return with_end_callback(
@@ -324,6 +338,9 @@
                     target.instance,
                     functools.partial(self._handle_signals, target),
                 )
+            except asyncio.CancelledError:
+                self._record_abandoned(request)
+                raise
             except RequestError as error:
                 if (
                     error.kind in _CONNECTION_LOST_ERRORS
@@ -332,10 +349,34 @@
                     await self.crash_detector.on_connection_lost(
                         self.target.address
                     )
+                if error.kind is ErrorKind.DEADLINE_UNKNOWN:
+                    self._record_abandoned(request)
+                if error.kind is ErrorKind.TARGET_REFUSED:
+                    raise self._rejection(request, target) from None
                 raise
         self.crash_reports.on_request_completed(request)
         return reply
 
+    def _record_abandoned(self, request: ForwardRequest) -> None:
+        now_ms = self.clock.now_ms()
+        expected_ms = self.admission_queue.expected_service_ms(request.route)
+        self.random_rejections.on_abandoned(now_ms + expected_ms, now_ms)
+
+    def _rejection(
+        self, request: ForwardRequest, target: Target
+    ) -> RequestError:
+        """Returns the error for a request that the target rejected."""
+        is_random = self.random_rejections.on_rejected(
+            self.in_flight, target.slots, self.clock.now_ms()
+        )
+        if not is_random:
+            return RequestError(ErrorKind.TARGET_REFUSED)
+        expected_ms = self.admission_queue.expected_service_ms(request.route)
+        delay_ms = self.rejection_delay.draw_ms(
+            request.remaining_ms, expected_ms, self.rng
+        )
+        return RequestError(ErrorKind.TARGET_REFUSED, delay_ms)
+
     def _is_present_start(self, target: Target) -> bool:
         return self.target is not None and _process_identity(
             self.target
@@ -392,6 +433,13 @@
         raise RequestError(ErrorKind.OVERLOADED) from None
 
 
+def _work_result(error: RequestError, default: WorkResult) -> WorkResult:
+    if is_random_rejection(error.kind, error.retry_after_ms or 0):
+        # The rejection says nothing about the number of slots.
+        return WorkResult.ABANDONED
+    return _WORK_RESULTS.get(error.kind, default)
+
+
 def _is_logged_at_entry(request: ForwardRequest, error: RequestError) -> bool:
     # The entry node logs declined offers, and rejections that send a request to
     # another target, as the request's attempts.
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -18,6 +18,15 @@
     SlotLimit,
     TwoChoices,
 )
+from pomelobank_core.shedding import (
+    FULL_TARGET_DELAY_MS,
+    CallGroup,
+    Importance,
+    RandomRejections,
+    RejectionDelay,
+    RouteImportance,
+    SiblingCalls,
+)
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._owner import Owner
 from pomelobank_schema.generated.peer import MemberEntry
@@ -107,6 +116,44 @@
         return super().offer(ticket, now_ms)
 
 
+class _NoRandomRejections(RandomRejections):
+    """Takes every rejection for that of a full target."""
+
+    def on_rejected(self, in_flight: int, slots: int, now_ms: float) -> bool:
+        return False
+
+
+class _NoImportance(RouteImportance):
+    """Gives every request the same claim to the retry budget."""
+
+    def of(self, upstream: str, route: str, idempotent: bool) -> Importance:
+        return Importance.OTHER
+
+
+class _NoSiblings(SiblingCalls):
+    """Decides about each call without its siblings."""
+
+    def join(self, route: str, deadline_ms: float, now_ms: float) -> CallGroup:
+        return CallGroup(now_ms, deadline_ms, size=1)
+
+
+def _without_random_rejections(node: ModelNode) -> None:
+    node.owner.random_rejections = _NoRandomRejections()
+
+
+def _without_call_first(node: ModelNode) -> None:
+    node.forwarder.retries.importance = _NoImportance()
+
+
+def _without_siblings(node: ModelNode) -> None:
+    node.forwarder.retries.siblings = _NoSiblings()
+
+
+def _without_short_delay(node: ModelNode) -> None:
+    longest_ms = FULL_TARGET_DELAY_MS - 1
+    node.owner.rejection_delay = RejectionDelay(longest_ms, longest_ms)
+
+
 def _without_rank_load(node: ModelNode) -> None:
     admission = node.owner.admission_queue.admission
     assert isinstance(admission, DeadlineAdmission)
@@ -153,13 +200,17 @@
 
 MECHANISMS: dict[str, Switch] = {
     "brief-first": _without_brief_first,
+    "calls-retried-first": _without_call_first,
     "hedging": _without_hedging,
     "held-back-bodies": _without_deferred_bodies,
     "late-binding": _without_late_binding,
     "late-limit": lambda node: _use_admission(node, _NoLimitPastObjective),
     "offers": _without_free_rejections,
+    "joint-rejections": _without_siblings,
     "overtaking": _without_rank_load,
     "patience": _without_caller_timeouts,
+    "random-rejections": _without_random_rejections,
     "rate-limits": _without_rate_limits,
     "ranks": lambda node: _use_admission(node, _Unranked),
+    "short-delays": _without_short_delay,
 }
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -266,6 +266,72 @@
     TargetGroup("ledger", (0.5, 1.0, 1.0, 1.5) * 4, slots=3),
 )
 _WHOLE_RUN_S = 1_000.0
+# A refund service whose look-ups make two calls to the document service while
+# they run. All targets have three slots; 0.75 of the slots are needed.
+_BALANCE = RouteLoad(
+    "balance",
+    "refunds",
+    per_s=70,
+    work_ms=220,
+    aim_ms=909,
+    deadline_ms=5681,
+    priority=0,
+    value=1.4,
+    late_value=0.17,
+    max_retries=2,
+    calls=InnerCalls("index", count=2, ratio=0.7),
+)
+_REFUND = RouteLoad(
+    "refund",
+    "refunds",
+    per_s=35,
+    work_ms=290,
+    aim_ms=1112,
+    deadline_ms=6674,
+    priority=1,
+    value=1.5,
+    late_value=0.46,
+    idempotent=False,
+    max_retries=2,
+)
+_ARCHIVE = RouteLoad(
+    "archive",
+    "documents",
+    per_s=40,
+    work_ms=180,
+    aim_ms=1524,
+    deadline_ms=10160,
+    priority=1,
+    value=0.76,
+    late_value=0.23,
+    max_retries=2,
+)
+_RECEIPT = RouteLoad(
+    "receipt",
+    "documents",
+    per_s=14,
+    work_ms=880,
+    aim_ms=5112,
+    deadline_ms=15335,
+    value=0.38,
+    late_value=0.17,
+    max_retries=2,
+)
+_INDEX = RouteLoad(
+    "index",
+    "documents",
+    per_s=0,
+    work_ms=55,
+    aim_ms=309,
+    deadline_ms=928,
+    priority=0,
+    value=0.0,
+    max_retries=0,
+)
+_DOCUMENT_GROUPS = (
+    TargetGroup("refunds", (0.5, 1.0, 1.0, 1.5) * 3, slots=3),
+    TargetGroup("documents", (0.6, 1.0, 1.4) * 3 + (1.0,), slots=3),
+)
 
 
 def _scaled_routes(factor: float) -> tuple[RouteLoad, ...]:
@@ -322,6 +388,20 @@
         _GROUPS,
         faults=(Fault("records", 2.0, 6.0, 4, shed_ratio=0.5),),
     ),
+    "shed-calls": Pattern(
+        "all targets that running work calls refuse 55% unrun, with free slots",
+        (_BALANCE, _REFUND, _ARCHIVE, _RECEIPT, _INDEX),
+        _DOCUMENT_GROUPS,
+        faults=(Fault("documents", 3.0, 11.5, 10, shed_ratio=0.55),),
+        duration_s=13.0,
+    ),
+    "shed-some": Pattern(
+        "the load of `shed-calls`, but only some targets refuse",
+        (_BALANCE, _REFUND, _ARCHIVE, _RECEIPT, _INDEX),
+        _DOCUMENT_GROUPS,
+        faults=(Fault("documents", 3.0, 11.5, 4, shed_ratio=0.55),),
+        duration_s=13.0,
+    ),
     "slow": Pattern(
         "one target of each upstream takes six times as long",
         _ROUTES,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -160,6 +160,18 @@
     assert deferred.value_ratio > sent.value_ratio + 0.05
 
 
+def test_work_is_not_lost_for_calls_rejected_at_random() -> None:
+    """Guards against rejected calls without a retry, whose parents fail."""
+    pattern = attrs.evolve(PATTERNS["shed-calls"], duration_s=8.0)
+    learned = run_pattern(pattern, SEED)
+    unlearned = run_pattern(pattern, SEED, frozenset({"random-rejections"}))
+    assert (
+        learned.for_route("balance").failed
+        < unlearned.for_route("balance").failed
+    )
+    assert learned.value_ratio > unlearned.value_ratio
+
+
 def test_limited_targets_get_their_limit_and_callers_learn_at_once() -> None:
     """Guards against requests beyond the limits that targets name."""
     outcomes = run_pattern(PATTERNS["limits"], SEED)
