--- a/packages/pomelobank-core/src/pomelobank_core/shedding/tests/test_shed_retries.py
+++ b/packages/pomelobank-core/src/pomelobank_core/shedding/tests/test_shed_retries.py
@@ -12,7 +12,12 @@
     MeshRetryBudget,
     RetryPolicy,
 )
-from pomelobank_core.shedding import Importance, RouteImportance
+from pomelobank_core.shedding import (
+    RESERVE_HOLD_MS,
+    BudgetReserve,
+    Importance,
+    RouteImportance,
+)
 
 UPSTREAM = "documents"
 OBJECTIVES_MS = {"index": 309, "archive": 1524, "receipt": 5112}
@@ -173,3 +178,41 @@
         policy.on_first_attempt(UPSTREAM, 0, route, aim_ms)
     group = policy.call_group(UPSTREAM, "index", 928, 0)
     assert policy.call_group(UPSTREAM, "index", 928, 10) is not group
+
+
+def test_calls_rejected_together_leave_the_budget_to_single_ones() -> None:
+    """Guards against two retries for one parent while others need one each."""
+    policy = _policy()
+    for route, aim_ms in OBJECTIVES_MS.items():
+        policy.on_first_attempt(UPSTREAM, 0, route, aim_ms)
+    group = policy.call_group(UPSTREAM, "index", 928, 0)
+    assert group is policy.call_group(UPSTREAM, "index", 928, 0)
+    assert group is not None
+    attempt = attrs.evolve(REJECTED, route="index", group=group)
+    group.rejected = 2
+    assert policy.decide(UPSTREAM, attempt, 5) is not None
+    while policy.decide(UPSTREAM, attempt, 5) is not None:
+        continue
+    group.rejected = 1
+    assert policy.decide(UPSTREAM, attempt, 5) is not None
+
+
+@pytest.mark.parametrize(
+    ("importance", "used_fraction", "allowed"),
+    [
+        pytest.param(Importance.CALL, 0.9, True, id="call"),
+        pytest.param(Importance.RUN_ONCE, 0.4, True, id="run once"),
+        pytest.param(Importance.RUN_ONCE, 0.6, False, id="reserved for calls"),
+        pytest.param(Importance.OTHER, 0.2, True, id="other"),
+        pytest.param(Importance.OTHER, 0.4, False, id="reserved for both"),
+    ],
+)
+def test_each_importance_leaves_a_share_of_the_budget_to_higher_ones(
+    importance: Importance, used_fraction: float, allowed: bool
+) -> None:
+    """Guards against an importance that gets nothing, or everything."""
+    reserve = BudgetReserve()
+    assert reserve.allows(importance, used_fraction, 0)
+    reserve.on_random_rejection(Importance.CALL, 0)
+    assert reserve.allows(importance, used_fraction, 100) is allowed
+    assert reserve.allows(importance, used_fraction, RESERVE_HOLD_MS + 1)
