Add load patterns of uneven targets and of a power loss to the experiment

Change: patterns `uneven` and `restart` at half the deployment's size, with waves of load, pauses of targets, requests of seven times the work, and a loss of all nodes and targets. The tool prints the value ratio and the bound of the slots for windows of 2 s. Patterns that existed before draw the same random numbers as before; the bound now counts long requests and pauses too.

--- a/packages/pomelobank-testing/src/pomelobank_testing/_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_experiment.py
@@ -10,10 +10,13 @@
     MECHANISMS,
     PATTERNS,
     Outcomes,
+    Pattern,
     max_value_ratio,
     run_pattern,
 )
 
+# Length of the windows in which the users' bench judges the worst seconds.
+_WINDOW_S = 2.0
 _ROW_FORMAT = "{:<10} {:>6} {:>6} {:>6} {:>8} {:>7} {:>13} {:>9}"
 
 
@@ -49,9 +52,28 @@
         f" ({min(value_ratios):.3f} to {max(value_ratios):.3f}),"
         f" upper bound {max_ratio:.3f}"
     )
+    _print_windows(pattern, runs)
     return 0
 
 
+def _print_windows(pattern: Pattern, runs: list[Outcomes]) -> None:
+    print(f"windows of {_WINDOW_S:g} s: start, value ratio, upper bound")
+    for from_s in _window_starts_s(pattern):
+        value_ratio = statistics.fmean(
+            run.window_value_ratio(from_s, from_s + _WINDOW_S) for run in runs
+        )
+        max_ratio = max_value_ratio(pattern, from_s + _WINDOW_S / 2)
+        print(f"{from_s:>5.1f} {value_ratio:.3f} {max_ratio:.3f}")
+
+
+def _window_starts_s(pattern: Pattern) -> list[float]:
+    # After a power loss, windows start with the return of the traffic.
+    loss = pattern.power_loss
+    first_s = loss.until_s % _WINDOW_S if loss else 0.0
+    count = int((pattern.duration_s - first_s) / _WINDOW_S)
+    return [first_s + number * _WINDOW_S for number in range(count)]
+
+
 def _print_routes(runs: list[Outcomes]) -> None:
     headings = ("asked", "in aim", "late", "refused", "failed")
     print(_ROW_FORMAT.format("route", *headings, "refused in ms", "arrivals"))
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/__init__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/__init__.py
@@ -12,9 +12,13 @@
     Burst,
     Fault,
     InnerCalls,
+    LongRequests,
     Pattern,
+    Pauses,
+    PowerLoss,
     RouteLoad,
     TargetGroup,
+    Wave,
 )
 
 __all__ = [
@@ -23,11 +27,15 @@
     "Burst",
     "Fault",
     "InnerCalls",
+    "LongRequests",
     "Outcomes",
     "Pattern",
+    "Pauses",
+    "PowerLoss",
     "RouteLoad",
     "RouteOutcome",
     "TargetGroup",
+    "Wave",
     "max_value_ratio",
     "run_pattern",
 ]
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_callers.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_callers.py
@@ -35,6 +35,7 @@
 
     async def execute(self) -> None:
         departures = asyncio.create_task(self.mesh.run_departures())
+        power_loss = asyncio.create_task(self.mesh.run_power_loss())
         routes = [item for item in self.mesh.pattern.routes if item.per_s]
         await asyncio.gather(
             *(self._generate_requests(route) for route in routes)
@@ -42,7 +43,7 @@
         while self.tasks:
             await asyncio.wait(self.tasks)
         departures.cancel()
-        await asyncio.gather(departures, return_exceptions=True)
+        await asyncio.gather(departures, power_loss, return_exceptions=True)
         for target in self.mesh.targets:
             node = target.group.node(target.number)
             self.outcomes.arrival_times_s[node] = target.arrival_times_s
@@ -55,7 +56,8 @@
         # callers at the same times, whichever mechanisms are switched off.
         rng = random.Random(f"{self.seed} {route.name}")
         while loop.time() < self.mesh.pattern.duration_s:
-            per_s = route.per_s * self._rate_factor(loop.time())
+            rate_factor = self.mesh.pattern.rate_factor(loop.time())
+            per_s = route.per_s * rate_factor
             await asyncio.sleep(rng.expovariate(per_s))
             entry = rng.choice(self.mesh.nodes)
             deadline_factor = rng.uniform(1 - _DEADLINE_SPREAD_RATIO, 1.0)
@@ -65,12 +67,6 @@
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
-    def _rate_factor(self, now_s: float) -> float:
-        for burst in self.mesh.pattern.bursts:
-            if burst.from_s <= now_s < burst.until_s:
-                return burst.rate_factor
-        return 1.0
-
     async def _send_with_retries(
         self, entry: ModelNode, route: RouteLoad, deadline_factor: float
     ) -> None:
@@ -81,7 +77,7 @@
             sent_s = loop.time()
             remaining_ms = (deadline_s - sent_s) * _MS_PER_S
             await asyncio.sleep(_ONE_WAY_S)
-            reply = await self.mesh.send(entry, route, remaining_ms)
+            reply = await self.mesh.send_from_caller(entry, route, remaining_ms)
             await asyncio.sleep(_ONE_WAY_S)
             if not self._should_retry(route, reply, attempt):
                 break
@@ -93,7 +89,7 @@
             pause_s = reply.retry_after_ms / _MS_PER_S
             await asyncio.sleep(min(pause_s, _MAX_PAUSE_RATIO * remaining_s))
         if self.outcomes.is_measured(begun_s):
-            self._count(route, reply, loop.time() - begun_s)
+            self._count(route, reply, begun_s)
 
     def _should_retry(
         self, route: RouteLoad, reply: ForwardReply, attempt: int
@@ -105,19 +101,24 @@
         return route.idempotent or _has_not_run(reply)
 
     def _count(
-        self, route: RouteLoad, reply: ForwardReply, took_s: float
+        self, route: RouteLoad, reply: ForwardReply, begun_s: float
     ) -> None:
         outcome = self.outcomes.for_route(route.name)
         outcome.requests += 1
+        took_s = asyncio.get_running_loop().time() - begun_s
+        value = 0.0
         if is_success(reply):
             if took_s * _MS_PER_S <= route.aim_ms:
                 outcome.within_objective += 1
+                value = route.value
             else:
                 outcome.past_objective += 1
+                value = route.late_value
         elif _has_not_run(reply):
             outcome.refused += 1
         else:
             outcome.failed += 1
+        self.outcomes.values.append((begun_s, value, route.value))
 
 
 def _has_not_run(reply: ForwardReply) -> bool:
@@ -142,6 +143,6 @@
     """
     time = VirtualTime()
     outcomes = Outcomes(pattern)
-    mesh = ModelMesh(pattern, time, random.Random(seed), without)
+    mesh = ModelMesh(pattern, time, random.Random(seed), without, seed)
     run_in_virtual_time(time, _Run(mesh, outcomes, seed).execute())
     return outcomes
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mesh.py
@@ -183,18 +183,29 @@
         by_address: The nodes, by address.
         targets: The nodes' targets.
         uplinks: The nodes' outgoing network links, by node.
+        seed: Seed of the run.
+        powered: Set while nodes and targets have power.
+        callers: Attempts of callers that nodes work on.
     """
 
     pattern: Pattern
     time: VirtualTime
     rng: random.Random
     without: frozenset[str] = frozenset()
+    seed: int = 0
     nodes: list[ModelNode] = attrs.field(factory=list)
     by_address: dict[str, ModelNode] = attrs.field(factory=dict)
     targets: list[ModelTarget] = attrs.field(factory=list)
     uplinks: dict[str, _Uplink] = attrs.field(factory=dict)
+    powered: asyncio.Event = attrs.field(factory=asyncio.Event)
+    callers: set[asyncio.Task[ForwardReply]] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
+        self.powered.set()
+        self._start_all()
+
+    def _start_all(self) -> None:
+        self.nodes.clear()
         positions = [
             (group, number)
             for group in self.pattern.groups
@@ -265,11 +276,57 @@
             reply = await self.send(node, route, remaining_ms)
             return is_success(reply)
 
-        target = ModelTarget(self.pattern, group, number, self.rng, call)
+        target = ModelTarget(
+            self.pattern, group, number, self.rng, call, self.seed
+        )
         self.targets.append(target)
         node.owner.target = Target(group.upstream, node.name, group.slots)
         node.owner.pool = target  # type: ignore[assignment]
 
+    async def run_power_loss(self) -> None:
+        """Ends and restarts all nodes and targets as the pattern says."""
+        loss = self.pattern.power_loss
+        if loss is None:
+            return
+        await asyncio.sleep(loss.at_s)
+        self.powered.clear()
+        for task in self.callers:
+            task.cancel()
+        await asyncio.sleep(loss.length_s)
+        self._start_all()
+        self.powered.set()
+
+    async def send_from_caller(
+        self, entry: ModelNode, route: RouteLoad, remaining_ms: float
+    ) -> ForwardReply:
+        """Sends a caller's request to a node; without power it can't connect.
+
+        Args:
+            entry: The node.
+            route: The request's route.
+            remaining_ms: Time left before the caller's deadline.
+
+        Returns:
+            The target's response or an error reply. A request that could not
+            be sent, or that was cut off, gets its reply when the power
+            returns, because callers then connect again at once.
+        """
+        if not self.powered.is_set():
+            await self.powered.wait()
+            return error_reply(0, RequestError(ErrorKind.NOT_READY))
+        node = next(item for item in self.nodes if item.name == entry.name)
+        task = asyncio.create_task(self.send(node, route, remaining_ms))
+        self.callers.add(task)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            if self.powered.is_set():
+                raise
+            await self.powered.wait()
+            return error_reply(0, RequestError(ErrorKind.PEER_LOST))
+        finally:
+            self.callers.discard(task)
+
     async def send(
         self, entry: ModelNode, route: RouteLoad, remaining_ms: float
     ) -> ForwardReply:
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_outcomes.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_outcomes.py
@@ -63,11 +63,13 @@
         pattern: The load pattern.
         by_route: Outcomes by route.
         arrival_times_s: When requests reached each target, by its node.
+        values: Start, value earned and value requested of each request.
     """
 
     pattern: Pattern
     by_route: dict[str, RouteOutcome] = attrs.field(factory=dict)
     arrival_times_s: dict[str, list[float]] = attrs.field(factory=dict)
+    values: list[tuple[float, float, float]] = attrs.field(factory=list)
 
     def for_route(self, route: str) -> RouteOutcome:
         """Returns the outcome of one route."""
@@ -85,6 +87,18 @@
         )
         return earned_value / requested_value if requested_value else 0.0
 
+    def window_value_ratio(self, from_s: float, until_s: float) -> float:
+        """Returns the value ratio of the requests that start in a window.
+
+        Args:
+            from_s: Start of the window, in seconds of the run.
+            until_s: End of the window.
+        """
+        window = [item for item in self.values if from_s <= item[0] < until_s]
+        requested_value = sum(item[2] for item in window)
+        earned_value = sum(item[1] for item in window)
+        return earned_value / requested_value if requested_value else 0.0
+
     def is_measured(self, at_s: float) -> bool:
         """Tells whether a request that started at a time is counted."""
         return (
@@ -106,10 +120,9 @@
         pattern: The load pattern.
         at_s: Time since the start of the run.
     """
-    rate_factor = 1.0
-    for burst in pattern.bursts:
-        if burst.from_s <= at_s < burst.until_s:
-            rate_factor = burst.rate_factor
+    if pattern.power_loss is not None and pattern.power_loss.is_off(at_s):
+        return 0.0
+    rate_factor = pattern.rate_factor(at_s)
     capacity = {
         group.upstream: _effective_slots(pattern, group.upstream, at_s)
         for group in pattern.groups
@@ -135,11 +148,12 @@
 
 def slot_time_ms(pattern: Pattern, route: RouteLoad) -> float:
     """Returns how long a request holds its slot, inner calls included."""
-    if route.calls is None:
-        return route.work_ms
-    called = pattern.route(route.calls.route)
-    sequential_calls = 1 if route.calls.parallel else route.calls.count
-    return route.work_ms + route.calls.ratio * sequential_calls * called.work_ms
+    work_ms = route.work_ms
+    if route.calls is not None:
+        called = pattern.route(route.calls.route)
+        sequential_calls = 1 if route.calls.parallel else route.calls.count
+        work_ms += route.calls.ratio * sequential_calls * called.work_ms
+    return work_ms * pattern.long_requests.mean_factor
 
 
 def _effective_slots(pattern: Pattern, upstream: str, at_s: float) -> float:
@@ -157,6 +171,11 @@
                     else 0.0
                 )
         capacity += group.slots / work_factor if work_factor else 0.0
+    if pattern.power_loss is not None:
+        capacity /= pattern.power_loss.work_factor(at_s)
+    if group.pauses is not None:
+        pauses = group.pauses
+        capacity *= 1 - pauses.ratio * (1 - 1 / pauses.work_factor)
     return capacity
 
 
@@ -173,4 +192,6 @@
         per_s = (
             route.per_s * rate_factor * route.calls.ratio * route.calls.count
         )
-        capacity[called.upstream] -= per_s * called.work_ms / _MS_PER_S
+        capacity[called.upstream] -= (
+            per_s * slot_time_ms(pattern, called) / _MS_PER_S
+        )
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_patterns.py
@@ -1,5 +1,7 @@
 """Load patterns: callers' requests and the faults during a run."""
 
+import math
+
 import attrs
 from attrs import validators
 
@@ -62,6 +64,21 @@
     answer_bytes: int = 0
 
 
+@attrs.frozen
+class Pauses:
+    """Short periods in which a target is slower, drawn for each target.
+
+    Attributes:
+        ratio: Fraction of the periods in which a target is slower.
+        work_factor: Factor on the service time in these periods.
+        period_s: Length of a period.
+    """
+
+    ratio: float
+    work_factor: float
+    period_s: float
+
+
 @attrs.frozen
 class TargetGroup:
     """The targets of one upstream.
@@ -70,11 +87,13 @@
         upstream: The targets' upstream.
         work_factors: Factor on the service time, for each target.
         slots: Requests that each target runs at once.
+        pauses: Short periods in which a target is slower; None without any.
     """
 
     upstream: str
     work_factors: tuple[float, ...]
     slots: int = 12
+    pauses: "Pauses | None" = None
 
     def node(self, number: int) -> str:
         """Returns the name of the node beside a target."""
@@ -122,6 +141,73 @@
     rate_factor: float
 
 
+@attrs.frozen
+class Wave:
+    """A request rate of all routes that rises and falls like a sine.
+
+    Attributes:
+        amplitude: Largest change of the rate, as a fraction of its mean.
+        period_s: Length of one wave.
+    """
+
+    amplitude: float
+    period_s: float
+
+    def rate_factor(self, at_s: float) -> float:
+        """Returns the factor on the mean rate at a time of the run."""
+        angle = 2 * math.pi * at_s / self.period_s
+        return 1 + self.amplitude * math.sin(angle)
+
+
+@attrs.frozen
+class LongRequests:
+    """Requests that take several times as long as others of their route.
+
+    Attributes:
+        ratio: Fraction of the requests.
+        work_factor: Factor on their service time.
+    """
+
+    ratio: float
+    work_factor: float
+
+    @property
+    def mean_factor(self) -> float:
+        """Factor on the mean service time of all requests."""
+        return 1 + self.ratio * (self.work_factor - 1)
+
+
+@attrs.frozen
+class PowerLoss:
+    """A loss of all nodes and targets, which return with empty memories.
+
+    Attributes:
+        at_s: Start of the loss, in seconds of the run.
+        length_s: Time until nodes and targets are back.
+        cold_s: Time after the return for which targets are slower.
+        cold_work_factor: Factor on the service time in that time.
+    """
+
+    at_s: float
+    length_s: float
+    cold_s: float
+    cold_work_factor: float
+
+    @property
+    def until_s(self) -> float:
+        """Time of the return, in seconds of the run."""
+        return self.at_s + self.length_s
+
+    def is_off(self, at_s: float) -> bool:
+        """Tells whether nodes and targets are lost at a time."""
+        return self.at_s <= at_s < self.until_s
+
+    def work_factor(self, at_s: float) -> float:
+        """Returns the factor on the service time at a time of the run."""
+        is_cold = self.until_s <= at_s < self.until_s + self.cold_s
+        return self.cold_work_factor if is_cold else 1.0
+
+
 @attrs.frozen
 class Pattern:
     """One load pattern to replay.
@@ -135,6 +221,9 @@
         duration_s: Time for which callers send requests.
         link_bytes_per_s: Speed of each node's network link in each direction;
             0 for an unlimited link.
+        wave: Change of the request rate over time; None for a constant rate.
+        long_requests: Requests that take longer than others of their route.
+        power_loss: Loss of all nodes and targets; None without one.
     """
 
     purpose: str
@@ -144,6 +233,17 @@
     bursts: tuple[Burst, ...] = ()
     duration_s: float = 8.0
     link_bytes_per_s: int = 0
+    wave: Wave | None = None
+    long_requests: LongRequests = LongRequests(0.0, 1.0)
+    power_loss: PowerLoss | None = None
+
+    def rate_factor(self, at_s: float) -> float:
+        """Returns the factor on the request rates at a time of the run."""
+        factor = self.wave.rate_factor(at_s) if self.wave else 1.0
+        for burst in self.bursts:
+            if burst.from_s <= at_s < burst.until_s:
+                return factor * burst.rate_factor
+        return factor
 
     def route(self, name: str) -> RouteLoad:
         """Returns the route of a name."""
@@ -265,6 +365,60 @@
     TargetGroup("orders", (0.5, 1.0, 1.0, 1.5) * 2 + (1.0,), slots=3),
     TargetGroup("ledger", (0.5, 1.0, 1.0, 1.5) * 4, slots=3),
 )
+# Three services of half of the size of a deployment with uneven targets. At the
+# mean rate the requests need 0.87 of the slots of each upstream.
+_POSITION = RouteLoad(
+    "position",
+    "positions",
+    per_s=325,
+    work_ms=70,
+    aim_ms=318,
+    deadline_ms=1272,
+    late_value=0.3,
+    calls=InnerCalls("margin", ratio=0.7),
+)
+_PLACE = RouteLoad(
+    "place",
+    "gateway",
+    per_s=142,
+    work_ms=94,
+    aim_ms=310,
+    deadline_ms=1239,
+    priority=1,
+    value=2.0,
+    late_value=0.6,
+    idempotent=False,
+    calls=InnerCalls("limit", ratio=0.7),
+)
+_INSTRUMENT = RouteLoad(
+    "instrument",
+    "refdata",
+    per_s=186,
+    work_ms=180,
+    aim_ms=610,
+    deadline_ms=2540,
+    late_value=0.3,
+)
+_MARGIN = RouteLoad(
+    "margin",
+    "gateway",
+    per_s=0,
+    work_ms=21,
+    aim_ms=87,
+    deadline_ms=273,
+    priority=1,
+    value=0.0,
+    max_retries=0,
+)
+_LIMIT = attrs.evolve(_MARGIN, name="limit", upstream="refdata")
+_UNEVEN_ROUTES = (_POSITION, _PLACE, _INSTRUMENT, _MARGIN, _LIMIT)
+_PAUSES = Pauses(ratio=0.15, work_factor=2.5, period_s=0.6)
+_UNEVEN_GROUPS = (
+    TargetGroup("positions", (0.7, 0.7, 1.7) * 4, slots=3, pauses=_PAUSES),
+    TargetGroup("gateway", (0.6, 1.0, 1.4) * 3, slots=3),
+    TargetGroup("refdata", (0.7, 0.7, 1.6) * 5, slots=3, pauses=_PAUSES),
+)
+_LONG_REQUESTS = LongRequests(ratio=0.03, work_factor=7.0)
 _WHOLE_RUN_S = 1_000.0
 
 
@@ -322,6 +476,24 @@
         _GROUPS,
         faults=(Fault("records", 2.0, 6.0, 4, shed_ratio=0.5),),
     ),
+    "uneven": Pattern(
+        "targets of three speeds with pauses; the load comes in waves",
+        _UNEVEN_ROUTES,
+        _UNEVEN_GROUPS,
+        duration_s=17.0,
+        wave=Wave(amplitude=0.55, period_s=17.0),
+        long_requests=_LONG_REQUESTS,
+    ),
+    "restart": Pattern(
+        "all nodes and targets lose power; targets return cold",
+        _UNEVEN_ROUTES,
+        _UNEVEN_GROUPS,
+        duration_s=14.0,
+        long_requests=_LONG_REQUESTS,
+        power_loss=PowerLoss(
+            at_s=4.0, length_s=1.3, cold_s=3.0, cold_work_factor=2.0
+        ),
+    ),
     "slow": Pattern(
         "one target of each upstream takes six times as long",
         _ROUTES,
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_target.py
@@ -39,6 +39,7 @@
         number: The target's index in the group.
         rng: Source of randomness.
         call: Makes a call through the mesh; tells whether the call succeeded.
+        seed: Seed of the run, from which the target's pauses are drawn.
         slots: Limits the requests that run at once.
         arrivals: Requests that reached the target, by route.
         arrival_times_s: When these requests reached the target.
@@ -49,6 +50,7 @@
     number: int
     rng: random.Random
     call: Call
+    seed: int = 0
     slots: asyncio.Semaphore = attrs.field(init=False)
     arrivals: dict[str, int] = attrs.field(factory=dict)
     arrival_times_s: list[float] = attrs.field(factory=list)
@@ -89,8 +91,7 @@
             await asyncio.sleep(_SHED_RESPONSE_MS / _MS_PER_S)
             raise RequestError(ErrorKind.TARGET_REFUSED)
         async with self.slots:
-            work_factor = self.group.work_factors[self.number]
-            work_factor *= fault.work_factor if fault else 1.0
+            work_factor = self._work_factor()
             spread = self.rng.uniform(
                 1 - _WORK_SPREAD_RATIO, 1 + _WORK_SPREAD_RATIO
             )
@@ -101,6 +102,30 @@
                 return UpstreamResponse(200, self._headers(), b"")
         return UpstreamResponse(500, self._headers(), b"")
 
+    def _work_factor(self) -> float:
+        now_s = asyncio.get_running_loop().time()
+        work_factor = self.group.work_factors[self.number]
+        fault = self._current_fault()
+        if fault is not None:
+            work_factor *= fault.work_factor
+        if self.pattern.power_loss is not None:
+            work_factor *= self.pattern.power_loss.work_factor(now_s)
+        long_requests = self.pattern.long_requests
+        if long_requests.ratio and self.rng.random() < long_requests.ratio:
+            work_factor *= long_requests.work_factor
+        return work_factor * self._pause_factor(now_s)
+
+    def _pause_factor(self, now_s: float) -> float:
+        pauses = self.group.pauses
+        if pauses is None:
+            return 1.0
+        # Drawn from the period's number, so that a target pauses at the same
+        # times whichever mechanisms are switched off.
+        period = int(now_s / pauses.period_s)
+        node = self.group.node(self.number)
+        draw = random.Random(f"{self.seed} {node} {period}").random()
+        return pauses.work_factor if draw < pauses.ratio else 1.0
+
     def _headers(self) -> list[tuple[bytes, bytes]]:
         fault = self._current_fault()
         if fault is None or not fault.limit_per_s:
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/tests/test_experiment.py
@@ -9,8 +9,11 @@
 
 from pomelobank_testing.experiment import (
     PATTERNS,
+    LongRequests,
     Outcomes,
     Pattern,
+    PowerLoss,
+    Wave,
     max_value_ratio,
     run_pattern,
 )
@@ -55,6 +58,11 @@
         pytest.param("calm", 1.0, 1.0, 1.0, id="capacity for all"),
         pytest.param("shortage", 1.0, 0.6, 0.8, id="half of one upstream"),
         pytest.param("burst", 3.0, 0.6, 0.95, id="during a burst"),
+        pytest.param("uneven", 4.25, 0.7, 0.9, id="at the top of a wave"),
+        pytest.param("uneven", 12.75, 1.0, 1.0, id="between two waves"),
+        pytest.param("restart", 4.5, 0.0, 0.0, id="without power"),
+        pytest.param("restart", 6.0, 0.5, 0.7, id="at cold targets"),
+        pytest.param("restart", 9.0, 0.95, 1.0, id="at warm targets again"),
     ],
 )
 def test_max_value_ratio_of_the_target_capacity(
@@ -63,6 +71,39 @@
     assert min_ratio <= max_value_ratio(PATTERNS[name], at_s) <= max_ratio
 
 
+@pytest.mark.parametrize(
+    ("at_s", "factor"),
+    [
+        pytest.param(0.0, 1.0, id="start"),
+        pytest.param(2.5, 1.5, id="top"),
+        pytest.param(7.5, 0.5, id="bottom"),
+    ],
+)
+def test_rate_of_a_wave(at_s: float, factor: float) -> None:
+    """Guards against a wave whose mean is not the stated rate."""
+    wave = Wave(amplitude=0.5, period_s=10.0)
+    assert wave.rate_factor(at_s) == pytest.approx(factor)
+
+
+def test_long_requests_raise_the_mean_service_time() -> None:
+    """Guards against a bound that ignores the requests of seven times work."""
+    assert LongRequests(0.03, 7.0).mean_factor == pytest.approx(1.18)
+
+
+def test_nothing_is_served_without_power_and_callers_come_back() -> None:
+    """Guards against requests that a lost node or target still serves."""
+    pattern = attrs.evolve(
+        PATTERNS["restart"],
+        duration_s=5.0,
+        power_loss=PowerLoss(1.0, 2.0, cold_s=0.0, cold_work_factor=1.0),
+    )
+    outcomes = run_pattern(pattern, SEED)
+    assert outcomes.window_value_ratio(1.0, 1.6) < 0.1
+    assert outcomes.window_value_ratio(3.0, 4.5) > 0.3
+    for times_s in outcomes.arrival_times_s.values():
+        assert not any(1.0 < at_s < 3.0 for at_s in times_s)
+
+
 @pytest.mark.parametrize("name", ["shortage", "burst"])
 def test_first_attempts_are_served_before_late_retries(name: str) -> None:
     """Callers exceed the capacity of the targets, and refused callers retry.
