Measure targets and callers from few samples after a restart

Cause: after a power loss of all nodes, each node starts without measurements while all callers return. The typical time-out of callers started from one of the returning ones, so those with little time left ranked as first attempts and were answered late. Service times moved a tenth of the way from the default of 100 ms with each response, so cold targets accepted requests that they could not answer in time.

The experiment switches both off: `first-callers`, `first-samples`.

--- a/packages/pomelobank-core/src/pomelobank_core/_route_times.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_route_times.py
@@ -11,6 +11,11 @@
 # Weight of a sample of less than half the expected time. The average of a
 # target that recovers from a stall must fall within a few responses.
 RECOVERY_SAMPLE_WEIGHT = 0.4
+# Number of samples, the default time included, from which a sample has its
+# usual weight. Until then the value is the plain mean of the samples so far:
+# after a restart a target is measured within a few responses instead of within
+# dozens, while its callers return all at once.
+PLAIN_MEAN_SAMPLES = 10
 # Maximum value of a sample, as a multiple of the expected time. One request in
 # a hundred takes that long, and a pause of the machine takes even longer; a
 # single such sample must not raise the average further.
@@ -27,10 +32,13 @@
     Attributes:
         value_ms: Average at the last sample.
         at_ms: Time of the last sample.
+        samples: Number of samples, the default time included, counted up to
+            `PLAIN_MEAN_SAMPLES`.
     """
 
     value_ms: float
     at_ms: float
+    samples: int = PLAIN_MEAN_SAMPLES
 
     def at(self, now_ms: float) -> float:
         """Returns the average, decayed by the time without samples, in ms."""
@@ -46,6 +54,9 @@
         sample_ms = min(sample_ms, MAX_SAMPLE_RATIO * average_ms)
         recovered = sample_ms < average_ms / 2
         weight = RECOVERY_SAMPLE_WEIGHT if recovered else SAMPLE_WEIGHT
+        if self.samples < PLAIN_MEAN_SAMPLES:
+            self.samples += 1
+            weight = max(weight, 1 / self.samples)
         self.value_ms = average_ms + weight * (sample_ms - average_ms)
         self.at_ms = now_ms
 
@@ -63,9 +74,11 @@
 
     Attributes:
         by_route: Average times by route.
+        first_samples: Samples that the default time of a new route counts as.
     """
 
     by_route: dict[str, RouteTime] = attrs.field(factory=dict)
+    first_samples: int = 1
 
     def expected_ms(self, route: str, now_ms: float) -> float:
         """Returns the expected time of a route in ms."""
@@ -88,6 +101,6 @@
             if len(self.by_route) >= MAX_ROUTES:
                 return
             route_time = self.by_route[route] = RouteTime(
-                DEFAULT_EXPECTED_MS, now_ms
+                DEFAULT_EXPECTED_MS, now_ms, self.first_samples
             )
         route_time.add(took_ms, now_ms)
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_caller_timeouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_caller_timeouts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from pomelobank_core import CallerTimeouts
+from pomelobank_core._caller_timeouts import FIRST_CALLERS
 
 FULL_MS = 800
 
@@ -82,3 +83,26 @@
     """
     timeouts = _trained_timeouts(0.0)
     assert timeouts.elapsed_ms("stock", round(0.85 * FULL_MS)) == 0
+
+
+def test_callers_that_return_to_a_restarted_node_are_recognised() -> None:
+    """Guards against a typical time-out that starts from a returning caller.
+
+    After a power loss a node's first callers are those that were cut off. If
+    the first of them set the typical time-out, it would grow for a hundred
+    callers, and meanwhile all that return would rank as first attempts.
+    """
+    timeouts = CallerTimeouts()
+    for given_ms in (300, 500, 200, 1000):
+        timeouts.elapsed_ms("find", given_ms)
+    assert timeouts.elapsed_ms("find", 300) == 700
+    assert timeouts.elapsed_ms("find", 950) == 0
+
+
+def test_one_patient_first_caller_does_not_stay_the_measure() -> None:
+    """Guards against first attempts ranked as retries of a longer time-out."""
+    timeouts = CallerTimeouts()
+    timeouts.elapsed_ms("find", 10_000)
+    for _ in range(FIRST_CALLERS):
+        timeouts.elapsed_ms("find", 1000)
+    assert timeouts.elapsed_ms("find", 1000) == 0
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -18,6 +18,7 @@
     SlotLimit,
     TwoChoices,
 )
+from pomelobank_core._route_times import PLAIN_MEAN_SAMPLES
 from pomelobank_node._forwarder import Forwarder
 from pomelobank_node._owner import Owner
 from pomelobank_schema.generated.peer import MemberEntry
@@ -139,6 +140,18 @@
     node.caller_timeouts = _NoElapsedTime()
 
 
+def _without_first_callers(node: ModelNode) -> None:
+    node.caller_timeouts.first_callers = 1
+
+
+def _without_first_samples(node: ModelNode) -> None:
+    admission = node.owner.admission_queue.admission
+    assert isinstance(admission, DeadlineAdmission)
+    admission.service_times.first_samples = PLAIN_MEAN_SAMPLES
+    if node.forwarder.hedging is not None:
+        node.forwarder.hedging.response_times.first_samples = PLAIN_MEAN_SAMPLES
+
+
 def _without_deferred_bodies(node: ModelNode) -> None:
     node.forwarder.deferred_body_min_bytes = sys.maxsize
 
@@ -153,6 +166,8 @@
 
 MECHANISMS: dict[str, Switch] = {
     "brief-first": _without_brief_first,
+    "first-callers": _without_first_callers,
+    "first-samples": _without_first_samples,
     "hedging": _without_hedging,
     "held-back-bodies": _without_deferred_bodies,
     "late-binding": _without_late_binding,
