Store workspaces as the fourth kind of configuration object

Cause: the product's own configuration could name no workspaces; only documents of the platform could. Routes lost `allow_anonymous` in operators' messages.

The digest of a change leaves unused new fields out, so a change repeated after an update is recognised.

With the comparison of digests case-sensitive, the check of names, the check of shared keys or the stable digest taken out, the new tests fail.

--- a/packages/pomelobank-core/src/pomelobank_core/_objects.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_objects.py
@@ -12,9 +12,10 @@
     ServiceObject,
     SnapshotObject,
     UpstreamObject,
+    WorkspaceObject,
 )
 
-ConfigObject = ServiceObject | UpstreamObject | RouteObject
+ConfigObject = ServiceObject | UpstreamObject | RouteObject | WorkspaceObject
 
 
 class ObjectKind(enum.Enum):
@@ -28,6 +29,7 @@
     SERVICE = "service"
     UPSTREAM = "upstream"
     ROUTE = "route"
+    WORKSPACE = "workspace"
 
 
 @attrs.frozen(cache_hash=True)
@@ -95,15 +97,30 @@
             if isinstance(item.value, RouteObject)
         ]
 
+    def workspaces(self) -> tuple[WorkspaceObject, ...]:
+        """Returns all workspaces."""
+        return tuple(
+            item.value
+            for item in self.objects.values()
+            if isinstance(item.value, WorkspaceObject)
+        )
+
 
 def operation_object(operation: OperationRecord) -> ConfigObject | None:
     """Returns the object of an operation, None unless there is exactly one."""
-    return _only((operation.service, operation.upstream, operation.route))
+    return _only(
+        (
+            operation.service,
+            operation.upstream,
+            operation.route,
+            operation.workspace,
+        )
+    )
 
 
 def snapshot_object_value(item: SnapshotObject) -> ConfigObject | None:
     """Returns the object of an item, None unless there is exactly one."""
-    return _only((item.service, item.upstream, item.route))
+    return _only((item.service, item.upstream, item.route, item.workspace))
 
 
 def _only(values: Iterable[ConfigObject | None]) -> ConfigObject | None:
@@ -120,4 +137,5 @@
     ServiceObject: ObjectKind.SERVICE,
     UpstreamObject: ObjectKind.UPSTREAM,
     RouteObject: ObjectKind.ROUTE,
+    WorkspaceObject: ObjectKind.WORKSPACE,
 }
--- a/packages/pomelobank-core/src/pomelobank_core/_replay.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_replay.py
@@ -111,10 +111,20 @@
     id by mistake. If a node returned the decision about the first change for
     the second one, an operator would believe that the second is in force.
     """
-    operations = [item.to_wire() for item in record.operations]
+    operations = [_digested_fields(item) for item in record.operations]
     return xxhash.xxh3_64_intdigest(msgpack.packb(operations)) & _DIGEST_MASK
 
 
+def _digested_fields(operation: OperationRecord) -> list[object]:
+    # Fields that an earlier program does not know are None where the change
+    # does not use them. Without them the digest is the earlier program's, so
+    # a change repeated after an update is not taken for another change.
+    fields = operation.to_wire()
+    while fields and fields[-1] is None:
+        fields.pop()
+    return fields
+
+
 def replay_change(
     state: ConfigState, offset: int, record: ChangeRecord
 ) -> ConfigState:
@@ -247,7 +257,8 @@
         return Problem(
             ProblemKind.MALFORMED_OPERATION,
             "",
-            "an operation needs exactly one of service, upstream and route",
+            "an operation needs exactly one of service, upstream, route and"
+            " workspace",
         )
     key = object_key(value)
     found = objects.get(key)
--- a/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_snapshots.py
@@ -25,6 +25,7 @@
     SnapshotObject,
     SnapshotRecord,
     UpstreamObject,
+    WorkspaceObject,
 )
 from pomelobank_schema.generated.settings import SnapshotSettings
 
@@ -34,6 +35,8 @@
 # that read the snapshot late.
 _RETENTION_DIVISOR = 3
 
+# Workspaces did not need a new number: to an earlier program, a workspace is an
+# object of no kind, for which that program rejects the whole snapshot.
 SNAPSHOT_FORMAT = 1
 _NEWER_FORMAT = Problem(
     ProblemKind.MALFORMED_OPERATION,
@@ -124,8 +127,8 @@
     return Problem(
         ProblemKind.MALFORMED_OPERATION,
         "",
-        "a snapshot's object needs exactly one of service, upstream and route,"
-        f" and a revision within the snapshot, not {item.revision}",
+        "a snapshot's object needs exactly one of service, upstream, route and"
+        f" workspace, and a revision within the snapshot, not {item.revision}",
     )
 
 
@@ -136,6 +139,7 @@
         upstream=value if isinstance(value, UpstreamObject) else None,
         route=value if isinstance(value, RouteObject) else None,
         revision=item.revision,
+        workspace=value if isinstance(value, WorkspaceObject) else None,
     )
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/_validation.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_validation.py
@@ -1,6 +1,7 @@
 """Validates a transaction and the configuration that results from it."""
 
 import enum
+import functools
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
 import attrs
@@ -11,14 +12,19 @@
     ObjectKind,
     VersionedObject,
 )
+from pomelobank_schema import is_key_digest
 from pomelobank_schema.generated.records import (
     RouteObject,
     UpstreamObject,
+    WorkspaceObject,
 )
 
 ANY_REVISION = -1
 MUST_NOT_EXIST = 0
 
+# Digits of a digest in messages: enough to tell some thousand keys apart.
+_SHOWN_DIGITS = 8
+
 Objects = Mapping[ObjectKey, VersionedObject]
 
 
@@ -34,6 +40,9 @@
     AMBIGUOUS_ROUTE = "ambiguous_route"
     BAD_PREFIX = "bad_prefix"
     NO_DESTINATION = "no_destination"
+    BAD_NAME = "bad_name"
+    BAD_KEY_DIGEST = "bad_key_digest"
+    SHARED_KEY = "shared_key"
 
 
 @attrs.frozen
@@ -71,8 +80,9 @@
     """
     problems: list[Problem] = []
     for key, item in objects.items():
-        problems.extend(_check_object(key, item.value, objects))
+        problems.extend(_check_object(item.value, key, objects))
     problems.extend(_check_ambiguous(objects, None))
+    problems.extend(_check_shared_keys(objects, None))
     return tuple(problems)
 
 
@@ -96,7 +106,7 @@
     """
     problems: list[Problem] = []
     for key in _affected(objects, touched):
-        problems.extend(_check_object(key, objects[key].value, objects))
+        problems.extend(_check_object(objects[key].value, key, objects))
     matches = {
         (found.service, found.path_prefix)
         for key in touched
@@ -105,6 +115,15 @@
     }
     if matches:
         problems.extend(_check_ambiguous(objects, matches))
+    digests = {
+        digest
+        for key in touched
+        if key in objects
+        and isinstance(found := objects[key].value, WorkspaceObject)
+        for digest in _valid_digests(found)
+    }
+    if digests:
+        problems.extend(_check_shared_keys(objects, digests))
     return tuple(problems)
 
 
@@ -136,24 +155,25 @@
     return isinstance(value, UpstreamObject) and value.service in services
 
 
+@functools.singledispatch
 def _check_object(
-    key: ObjectKey, value: ConfigObject, objects: Objects
+    value: ConfigObject, key: ObjectKey, objects: Objects
 ) -> Iterator[Problem]:
-    if isinstance(value, UpstreamObject):
-        yield from _check_upstream(key, value, objects)
-    elif isinstance(value, RouteObject):
-        yield from _check_route(key, value, objects)
+    """Yields the problems of one object; most kinds have no rules."""
+    yield from ()
 
 
-def _check_upstream(
-    key: ObjectKey, upstream: UpstreamObject, objects: Objects
+@_check_object.register
+def _(
+    upstream: UpstreamObject, key: ObjectKey, objects: Objects
 ) -> Iterator[Problem]:
     if ObjectKey(ObjectKind.SERVICE, upstream.service) not in objects:
         yield _missing_reference(key, ObjectKind.SERVICE, upstream.service)
 
 
-def _check_route(
-    key: ObjectKey, route: RouteObject, objects: Objects
+@_check_object.register
+def _(
+    route: RouteObject, key: ObjectKey, objects: Objects
 ) -> Iterator[Problem]:
     if ObjectKey(ObjectKind.SERVICE, route.service) not in objects:
         yield _missing_reference(key, ObjectKind.SERVICE, route.service)
@@ -173,6 +193,57 @@
         yield from _check_destination(key, route, destination.upstream, objects)
 
 
+@_check_object.register
+def _(
+    workspace: WorkspaceObject, key: ObjectKey, objects: Objects
+) -> Iterator[Problem]:
+    name = workspace.name
+    if not name.isprintable() or name != name.strip():
+        # The name is sent to targets as the value of a header. A line break in
+        # it would begin another header.
+        yield Problem(
+            ProblemKind.BAD_NAME,
+            str(key),
+            "the name must be printable, without spaces at its ends",
+        )
+    for index, digest in enumerate(workspace.key_digests):
+        if not is_key_digest(digest):
+            # The value may be a key, so the message does not repeat it.
+            yield Problem(
+                ProblemKind.BAD_KEY_DIGEST,
+                str(key),
+                f"key_digests[{index}] is not a SHA-256 digest of 64"
+                " hexadecimal characters",
+            )
+
+
+def _valid_digests(workspace: WorkspaceObject) -> Iterator[str]:
+    # Hexadecimal digits of either case denote the same digest.
+    for digest in workspace.key_digests:
+        if is_key_digest(digest):
+            yield digest.lower()
+
+
+def _check_shared_keys(
+    objects: Objects, only: Collection[str] | None
+) -> Iterator[Problem]:
+    seen: dict[str, ObjectKey] = {}
+    for key, item in objects.items():
+        if not isinstance(item.value, WorkspaceObject):
+            continue
+        for digest in _valid_digests(item.value):
+            if only is not None and digest not in only:
+                continue
+            first = seen.setdefault(digest, key)
+            if first != key:
+                yield Problem(
+                    ProblemKind.SHARED_KEY,
+                    str(key),
+                    f"the key digest {digest[:_SHOWN_DIGITS]} belongs to"
+                    f" {first}",
+                )
+
+
 def _check_destination(
     key: ObjectKey, route: RouteObject, name: str, objects: Objects
 ) -> Iterator[Problem]:
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_snapshots.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_snapshots.py
@@ -27,6 +27,7 @@
     SnapshotRecord,
     UpstreamObject,
     WeightedDestination,
+    WorkspaceObject,
 )
 from pomelobank_schema.generated.settings import SnapshotSettings
 
@@ -40,6 +41,11 @@
     {"service": ServiceObject(name="s")},
     {"upstream": UpstreamObject(name="u", service="s")},
     {"route": ROUTE},
+    {
+        "workspace": WorkspaceObject(
+            name="w", key_digests=("ab" * 32,), rate_per_s=2.5, burst=3
+        )
+    },
 )
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_validation.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_validation.py
@@ -17,6 +17,7 @@
     ServiceObject,
     UpstreamObject,
     WeightedDestination,
+    WorkspaceObject,
 )
 
 NAMES = st.sampled_from("ab")
@@ -37,11 +38,20 @@
             max_size=2,
         ).map(tuple),
     ),
+    st.builds(
+        WorkspaceObject,
+        name=NAMES,
+        key_digests=st.lists(
+            st.sampled_from(["ab" * 32, "AB" * 32, "cd" * 32, "bad"]),
+            max_size=2,
+        ).map(tuple),
+    ),
 )
 
 
 def operation(
-    kind: str, value: ServiceObject | UpstreamObject | RouteObject
+    kind: str,
+    value: ServiceObject | UpstreamObject | RouteObject | WorkspaceObject,
 ) -> OperationRecord:
     return OperationRecord(
         kind=kind,
@@ -49,6 +59,7 @@
         service=value if isinstance(value, ServiceObject) else None,
         upstream=value if isinstance(value, UpstreamObject) else None,
         route=value if isinstance(value, RouteObject) else None,
+        workspace=value if isinstance(value, WorkspaceObject) else None,
     )
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_operator_messages.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from pomelobank_core import Problem, VersionedObject
+from pomelobank_schema import SchemaError
 from pomelobank_schema.generated import operator_pb2 as pb
 from pomelobank_schema.generated.records import (
     ChangeRecord,
@@ -11,6 +12,7 @@
     ServiceObject,
     UpstreamObject,
     WeightedDestination,
+    WorkspaceObject,
 )
 from pomelobank_schema.operator_messages import object_message
 
@@ -52,6 +54,11 @@
         upstream=_upstream(message) if message.HasField("upstream") else None,
         route=_route(message.route) if message.HasField("route") else None,
         expected_revision=operation.expected_revision,
+        workspace=(
+            _workspace(message.workspace)
+            if message.HasField("workspace")
+            else None
+        ),
     )
 
 
@@ -83,9 +90,26 @@
         max_attempts=route.max_attempts,
         aim_ms=route.aim_ms,
         priority=route.priority,
+        allow_anonymous=route.allow_anonymous,
     )
 
 
+def _workspace(workspace: pb.Workspace) -> WorkspaceObject:
+    try:
+        return WorkspaceObject(
+            name=workspace.name,
+            key_digests=tuple(workspace.key_digests),
+            priority=workspace.priority,
+            rate_per_s=workspace.rate_per_s,
+            burst=workspace.burst,
+        )
+    except SchemaError as error:
+        # A transaction may contain many workspaces, so the name of the field
+        # alone does not tell which one is invalid.
+        path = f"workspace/{workspace.name}: {error.field_path}"
+        raise SchemaError(error.kind, path, error.message) from None
+
+
 def config_object(item: VersionedObject) -> pb.ConfigObject:
     """Converts an object to the message that operators receive."""
     message = object_message(item.value)
--- a/packages/pomelobank-schema/src/pomelobank_schema/__init__.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/__init__.py
@@ -3,6 +3,7 @@
 from pomelobank_schema._checks import parse_address
 from pomelobank_schema._documents import build, read_yaml
 from pomelobank_schema._errors import SchemaError, SchemaErrorKind
+from pomelobank_schema._key_digests import is_key_digest
 from pomelobank_schema._wire import WireMessage, decode, decode_values, encode
 
 __all__ = [
@@ -13,6 +14,7 @@
     "decode",
     "decode_values",
     "encode",
+    "is_key_digest",
     "parse_address",
     "read_yaml",
 ]
--- a/packages/pomelobank-schema/src/pomelobank_schema/operator_messages.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/operator_messages.py
@@ -7,12 +7,13 @@
     RouteObject,
     ServiceObject,
     UpstreamObject,
+    WorkspaceObject,
 )
 
 
 @functools.singledispatch
 def object_message(
-    value: ServiceObject | UpstreamObject | RouteObject,
+    value: ServiceObject | UpstreamObject | RouteObject | WorkspaceObject,
 ) -> pb.ConfigObject:
     """Returns the operators' message for an object; its revision is unset."""
     raise TypeError(
@@ -49,5 +50,18 @@
         max_attempts=value.max_attempts,
         aim_ms=value.aim_ms,
         priority=value.priority,
+        allow_anonymous=value.allow_anonymous,
     )
     return pb.ConfigObject(route=route)
+
+
+@object_message.register
+def _(value: WorkspaceObject) -> pb.ConfigObject:
+    workspace = pb.Workspace(
+        name=value.name,
+        key_digests=value.key_digests,
+        priority=value.priority,
+        rate_per_s=value.rate_per_s,
+        burst=value.burst,
+    )
+    return pb.ConfigObject(workspace=workspace)
