Check API keys in nodes that use the product's own log

Cause: NodeApplication had no workspace gate, so workspaces of the product's configuration had no effect. Idempotency keys were scoped to the service only: a workspace that sent another one's key and request got the stored response.

Change: ConfigStore builds the workspace table when a change writes a workspace, and the dispatcher gets a gate. Idempotency keys are scoped to the workspace too where a request has one. The metrics of workspaces appear on these nodes. Freshness and usage caps are not wired here.

--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/__init__.py
@@ -1,5 +1,6 @@
 """Workspaces: API keys, revocation and usage caps."""
 
+from pomelobank_core.workspaces._configured import workspace_table
 from pomelobank_core.workspaces._freshness import (
     NEVER_KNOWN_MS,
     ConfigFreshness,
@@ -37,4 +38,5 @@
     "identify",
     "key_digest",
     "request_rank",
+    "workspace_table",
 ]
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -29,6 +29,7 @@
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._target_watch import TargetWatch
 from pomelobank_node.callers import CallerServer, HttpLimits, Ingress
+from pomelobank_node.workspaces import WorkspaceGate
 from pomelobank_schema.generated.settings import NodeSettings
 
 _logger = logging.getLogger(__name__)
@@ -101,11 +102,13 @@
             new_load_balancer(settings.requests),
             shutdown_admission=self.owner.shutdown_admission,
         )
+        self.gate = WorkspaceGate(self.store, self.table, self.clock)
         dispatcher = Dispatcher(
             self.store,
             self.forwarder,
             self.clock,
             shutdown_admission=self.owner.shutdown_admission,
+            gate=self.gate,
         )
         self._build_claims(dispatcher)
         self.ingress = Ingress(dispatcher, self.clock)
--- a/packages/pomelobank-node/src/pomelobank_node/_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_store.py
@@ -15,9 +15,13 @@
     advance,
     snapshot_record,
 )
+from pomelobank_core.workspaces import WorkspaceTable, workspace_table
 from pomelobank_schema import SchemaError, SchemaErrorKind, decode, encode
 from pomelobank_schema.generated import records
-from pomelobank_schema.generated.records import SnapshotRecord
+from pomelobank_schema.generated.records import (
+    SnapshotRecord,
+    WorkspaceObject,
+)
 
 _logger = logging.getLogger(__name__)
 
@@ -75,13 +79,16 @@
 class ConfigStore:
     """Holds the node's current configuration.
 
-    Request handling reads `state` and `routes` once per request. Both are
-    immutable and replaced together without an await in between, so no request
-    sees a partly applied change.
+    Request handling reads `state`, `routes` and `workspaces` once per request.
+    They are immutable and replaced together without an await in between, so no
+    request sees a partly applied change.
 
     Attributes:
         state: The state replayed from the log so far.
         routes: The routes of that state, prepared for matching.
+        workspaces: The workspaces of that state, prepared for the lookup of
+            keys.
+        workspace_objects: Objects from which `workspaces` was built.
         ready: Whether the node may serve callers; see MinServingVersion.
         blocked: Whether a record of an unknown kind has stopped the replay.
         changed: Set, and replaced by a new event, whenever the version changes.
@@ -105,6 +112,8 @@
     routes: RouteTable = attrs.field(
         factory=lambda: RouteTable.of(ConfigState().snapshot)
     )
+    workspaces: WorkspaceTable = attrs.field(factory=WorkspaceTable)
+    workspace_objects: tuple[WorkspaceObject, ...] = ()
     ready: bool = False
     blocked: bool = False
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -227,10 +236,18 @@
     def _replace_state(self, state: ConfigState) -> None:
         if state.snapshot.objects is not self.state.snapshot.objects:
             self.routes = RouteTable.of(state.snapshot)
+            self._index_workspaces(state.snapshot.workspaces())
         self.state = state
         signal, self.changed = self.changed, asyncio.Event()
         signal.set()
 
+    def _index_workspaces(self, objects: tuple[WorkspaceObject, ...]) -> None:
+        # Most changes write no workspace. Without this comparison, a starting
+        # node would index all keys again for each of thousands of records.
+        if objects != self.workspace_objects:
+            self.workspaces = workspace_table(objects)
+            self.workspace_objects = objects
+
     async def wait_for_change(self, change_id: str) -> ChangeDecision:
         """Waits until replay reaches a change and returns its decision."""
         while (verdict := self.state.decisions.get(change_id)) is None:
--- a/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_dispatcher.py
@@ -187,7 +187,8 @@
                 admitted.headers,
                 admitted.rank,
             )
-            reply = await self._run(route, call, request)
+            name = admitted.workspace.name if admitted.workspace else ""
+            reply = await self._run(route, call, request, name)
         except RequestError as error:
             gate.on_not_run(admitted, error.kind)
             raise
@@ -212,14 +213,18 @@
         return times
 
     async def _run(
-        self, route: RouteObject, call: CallerRequest, request: ForwardRequest
+        self,
+        route: RouteObject,
+        call: CallerRequest,
+        request: ForwardRequest,
+        workspace: str = "",
     ) -> ForwardReply:
         # The node looks up the key before it selects a target. The request may
         # have run earlier, and a resend must then get the stored response even
         # if no target is available now.
         has_key = bool(call.idempotency_key)
         if has_key and self.claims is not None and not request.idempotent:
-            key = scoped_key(call.service, call.idempotency_key)
+            key = scoped_key(call.service, call.idempotency_key, workspace)
             keyed = attrs.evolve(request, idempotency_key=key)
             return await self.claims.run_once(keyed)
         return await self._forward(route, request)
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -68,6 +68,10 @@
     def ingress(self) -> Ingress:
         """Serves callers' requests."""
 
+    @property
+    def gate(self) -> WorkspaceGate:
+        """Checks API keys and usage caps."""
+
     @property
     def crash_reports(self) -> CrashReports:
         """Quarantines requests that crash targets."""
@@ -88,10 +92,6 @@
     def feed(self) -> PublishedFeed:
         """Reads published configurations into the store."""
 
-    @property
-    def gate(self) -> WorkspaceGate:
-        """Checks API keys and usage caps."""
-
     @property
     def freshness(self) -> FreshnessQueries:
         """Bounds the age of the configuration whose keys are accepted."""
@@ -195,6 +195,7 @@
         _requests(node),
         _load_balancing(node),
         _quarantine(node),
+        _workspaces(node),
         _claims(node),
     ):
         for instrument, read in readings:
@@ -313,7 +314,7 @@
     yield instruments.QUARANTINE_REFUSED, lambda: reports.rejected
 
 
-def _workspaces(node: ObservedSidecar) -> Readings:
+def _workspaces(node: ObservedNode) -> Readings:
     usage = node.gate.usage
     yield instruments.WORKSPACE_REQUESTS, usage.accepted.reading
     yield instruments.WORKSPACE_REJECTED, usage.rejected.reading
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_config_store.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_config_store.py
@@ -17,6 +17,7 @@
     OperationRecord,
     ServiceObject,
     SnapshotRecord,
+    WorkspaceObject,
 )
 
 UNKNOWN_KIND = msgpack.packb([99, "from the future"])
@@ -154,3 +155,21 @@
     assert operations_digest(first) == operations_digest(again)
     assert operations_digest(first) != operations_digest(other)
     assert ConfigState().decisions == {}
+
+
+def test_only_a_changed_workspace_builds_a_new_table() -> None:
+    """Replay at the start of a node must not index all keys for each record."""
+    workspace = WorkspaceObject(name="acme", key_digests=("ab" * 32,))
+    put = OperationRecord(workspace=workspace)
+    record = ChangeRecord(change_id="put", operations=(put,))
+    store = store_with(encode(record))
+    table = store.workspaces
+    assert table.by_key_digest[b"\xab" * 32].name == "acme"
+    store.apply(1, encode(change("other")))
+    assert store.workspaces is table
+    delete = OperationRecord(
+        kind="delete", workspace=workspace, expected_revision=-1
+    )
+    record = ChangeRecord(change_id="delete", operations=(delete,))
+    store.apply(2, encode(record))
+    assert not store.workspaces.enabled
