Add the commands for workspaces and keys

Cause: operators could not describe workspaces, and had no way to add a key without writing it into a file or an argument.

Change: `apply` accepts workspaces and rejects entries that are not digests before it prints or sends anything. `workspaces list|show` print them, `keys add|remove|rotate` change keys; a generated key is the only text on standard output. The message about invalid YAML states the problem and the line in place of the quoted line, which may contain a key.

Measured: the tests of the commands and two tests over a node process pass: a key gets 200, no key 401, a removed key 401; no key is in the audit, the node's log or the records. Without the check of documents or with quoted YAML, four rows fail.

--- a/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -6,10 +6,14 @@
 import time
 import uuid
 
-import attrs
-import grpc
-
+from pomelobank_cli._client import Client, send
 from pomelobank_cli._exit_status import ExitStatus
+from pomelobank_cli._key_digests import check_key_digests
+from pomelobank_cli._outcomes import (
+    STATUS_EXITS,
+    STATUS_NAMES,
+    print_outcome,
+)
 from pomelobank_cli._output import (
     as_document,
     print_json,
@@ -25,46 +29,18 @@
 )
 from pomelobank_schema import build, read_yaml
 from pomelobank_schema.generated import operator_pb2 as pb
-from pomelobank_schema.generated.operator_pb2_grpc import OperatorStub
 from pomelobank_schema.generated.records import ConfigDocument
 
-_STATUS_NAMES = {
-    pb.CHANGE_UNKNOWN: "unknown",
-    pb.CHANGE_ACCEPTED: "accepted",
-    pb.CHANGE_REJECTED: "rejected",
-}
-_STATUS_EXITS = {
-    pb.CHANGE_UNKNOWN: ExitStatus.UNKNOWN,
-    pb.CHANGE_ACCEPTED: ExitStatus.OK,
-    pb.CHANGE_REJECTED: ExitStatus.REJECTED,
-}
 _POLL_PERIOD_S = 0.1
 _MAX_SHOWN_NAMES = 3
-_RETRY_AFTER_MS = 1000
 _SECONDS_PER_MS = 0.001
 
 
-@attrs.frozen
-class Client:
-    """A connection to one node.
-
-    Attributes:
-        stub: Stub of the node's remote procedure calls.
-        timeout_s: Time-out of one call, in seconds.
-    """
-
-    stub: OperatorStub
-    timeout_s: float
-
-    @classmethod
-    def connect(cls, address: str, timeout_s: float) -> "Client":
-        """Returns a client of the node at an address of the form IP:PORT."""
-        return cls(OperatorStub(grpc.insecure_channel(address)), timeout_s)
-
-
 def run_apply(client: Client, options: argparse.Namespace) -> ExitStatus:
     """Applies the changes that make the configuration match a file."""
-    document = build(ConfigDocument, read_yaml(options.file))
+    content = read_yaml(options.file)
+    check_key_digests(content)
+    document = build(ConfigDocument, content)
     current = client.stub.GetConfig(
         pb.GetConfigRequest(), timeout=client.timeout_s
     )
@@ -78,31 +54,13 @@
         operations=[step.operation for step in steps],
         dry_run=options.dry_run,
     )
-    reply = _send(client, request)
+    reply = send(client, request)
     if options.output == "json":
         print_json(_apply_document(reply, steps, options.dry_run))
     else:
         _print_steps(steps)
-        _print_outcome(reply, options.dry_run)
-    return _STATUS_EXITS[reply.status]
-
-
-def _send(client: Client, request: pb.ApplyRequest) -> pb.ApplyReply:
-    # The node may have published the change before it crashed or the
-    # connection broke. The output therefore names the change id: an operator
-    # without the id could not query the outcome, and a second change could
-    # overwrite a change that another operator made in between.
-    try:
-        reply: pb.ApplyReply = client.stub.Apply(
-            request, timeout=client.timeout_s
-        )
-    except grpc.RpcError:
-        return pb.ApplyReply(
-            change_id=request.change_id,
-            status=pb.CHANGE_UNKNOWN,
-            retry_after_ms=_RETRY_AFTER_MS,
-        )
-    return reply
+        print_outcome(reply, options.dry_run)
+    return STATUS_EXITS[reply.status]
 
 
 def _print_unchanged(
@@ -124,7 +82,7 @@
     reply: pb.ApplyReply, steps: list[PlannedStep], dry_run: bool
 ) -> dict[str, object]:
     return {
-        "status": _STATUS_NAMES[reply.status],
+        "status": STATUS_NAMES[reply.status],
         "dry_run": dry_run,
         "change_id": reply.change_id,
         "version": reply.version,
@@ -146,25 +104,6 @@
     return "(none)" if value is None else json.dumps(value)
 
 
-def _print_outcome(reply: pb.ApplyReply, dry_run: bool) -> None:
-    if reply.status == pb.CHANGE_ACCEPTED:
-        outcome = (
-            "would be accepted"
-            if dry_run
-            else f"accepted: version {reply.version}"
-        )
-        print(outcome)
-    elif reply.status == pb.CHANGE_REJECTED:
-        print("rejected: nothing was changed")
-        for problem in reply.problems:
-            print(f"  {problem.object}: {problem.message} ({problem.kind})")
-    else:
-        print(
-            f"unknown: ask again with 'pomelobank change {reply.change_id}'"
-            f" in {reply.retry_after_ms} ms"
-        )
-
-
 def run_change(client: Client, options: argparse.Namespace) -> ExitStatus:
     """Prints the outcome of an earlier change."""
     reply = client.stub.GetChange(
@@ -173,8 +112,8 @@
     if options.output == "json":
         print_json(_apply_document(reply, [], False))
     else:
-        _print_outcome(reply, False)
-    return _STATUS_EXITS[reply.status]
+        print_outcome(reply, False)
+    return STATUS_EXITS[reply.status]
 
 
 def run_get(client: Client, options: argparse.Namespace) -> ExitStatus:
@@ -213,7 +152,7 @@
                 "%Y-%m-%d %H:%M:%S", time.gmtime(entry.at_ms * _SECONDS_PER_MS)
             ),
             entry.author,
-            _STATUS_NAMES[entry.status],
+            STATUS_NAMES[entry.status],
             _abbreviate(list(entry.objects)),
             entry.reason,
             entry.change_id,
--- a/packages/pomelobank-cli/src/pomelobank_cli/_main.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_main.py
@@ -7,7 +7,8 @@
 
 import grpc
 
-from pomelobank_cli import _commands
+from pomelobank_cli import _commands, _keys, _workspaces
+from pomelobank_cli._client import Client, InputError
 from pomelobank_cli._exit_status import ExitStatus
 from pomelobank_schema import SchemaError
 
@@ -23,10 +24,13 @@
   pomelobank get --output yaml > before.yaml     # backup for a roll-back
   pomelobank apply before.yaml --prune           # roll back
   pomelobank audit --limit 5 --output json
+  pomelobank workspaces show acme                # digests of its keys
+  pomelobank keys add acme --wait                # prints the new key once
 
 exit status: 0 success, 1 change rejected, 2 invalid input, 3 outcome unknown
 (query the outcome with 'pomelobank change ID'), 4 node unreachable, 5 the
-awaited version did not reach all members before --timeout.
+awaited version did not reach all members before --timeout. The commands for
+keys exit with 1 for that too.
 """
 
 
@@ -45,7 +49,7 @@
             ExitStatus.BAD_INPUT,
             f"no node given: use --node IP:PORT or set {NODE_VARIABLE}",
         )
-    client = _commands.Client.connect(options.node, options.call_timeout)
+    client = Client.connect(options.node, options.call_timeout)
     try:
         status = int(options.run(client, options))
         # Output to a pipe is buffered, so short output is written only by this
@@ -59,6 +63,8 @@
         return int(ExitStatus.OK)
     except SchemaError as error:
         return _fail(ExitStatus.BAD_INPUT, f"{options.file}: {error}")
+    except InputError as error:
+        return _fail(ExitStatus.BAD_INPUT, str(error))
     except grpc.RpcError as error:
         return _fail(
             ExitStatus.UNREACHABLE,
@@ -99,6 +105,8 @@
     _add_get(commands)
     _add_audit(commands)
     _add_status(commands)
+    _add_workspaces(commands)
+    _add_keys(commands)
     return parser
 
 
@@ -173,3 +181,67 @@
         "--timeout", type=float, default=11.0, help="longest wait, in seconds"
     )
     command.set_defaults(run=_commands.run_status)
+
+
+def _add_group(commands: _Commands, name: str, text: str) -> _Commands:  # type: ignore[valid-type]
+    group = commands.add_parser(name, help=text, description=text)  # type: ignore[attr-defined]
+    added: _Commands = group.add_subparsers(required=True, metavar="COMMAND")  # type: ignore[valid-type]
+    return added
+
+
+def _add_workspaces(commands: _Commands) -> None:  # type: ignore[valid-type]
+    group = _add_group(commands, "workspaces", "print workspaces")
+    command = _add(group, "list", "print all workspaces")
+    command.set_defaults(run=_workspaces.run_list)
+    command = _add(group, "show", "print a workspace and its key digests")
+    command.add_argument("workspace")
+    command.set_defaults(run=_workspaces.run_show)
+
+
+def _add_keys(commands: _Commands) -> None:  # type: ignore[valid-type]
+    group = _add_group(commands, "keys", "change API keys of a workspace")
+    command = _add_key_command(group, "add", "add a key and print it once")
+    command.set_defaults(run=_keys.run_add)
+    command = _add_key_command(group, "remove", "remove a key by its digest")
+    command.set_defaults(run=_keys.run_remove)
+    command = _add_key_command(group, "rotate", "add a key, remove an old one")
+    command.add_argument(
+        "--remove",
+        metavar="DIGEST",
+        default="",
+        help="digest of the old key, which a second change removes",
+    )
+    command.set_defaults(run=_keys.run_rotate)
+
+
+def _add_key_command(
+    commands: _Commands,  # type: ignore[valid-type]
+    name: str,
+    text: str,
+) -> argparse.ArgumentParser:
+    command: argparse.ArgumentParser = commands.add_parser(  # type: ignore[attr-defined]
+        name, help=text, description=text
+    )
+    command.add_argument("workspace")
+    # Accepts any number of arguments, because the message of argparse about
+    # unexpected ones would print a key that was passed by mistake.
+    command.add_argument(
+        "arguments",
+        nargs="*",
+        metavar="DIGEST",
+        help="digest of the key" if name == "remove" else argparse.SUPPRESS,
+    )
+    command.add_argument(
+        "--stdin", action="store_true", help="read the key from standard input"
+    )
+    command.add_argument("--author", default="", help="author of the change")
+    command.add_argument("--reason", default="", help="reason for the change")
+    command.add_argument(
+        "--wait",
+        action="store_true",
+        help="wait until every node that responds has the change in force",
+    )
+    command.add_argument(
+        "--timeout", type=float, default=11.0, help="longest wait, in seconds"
+    )
+    return command
--- a/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_plan.py
@@ -8,7 +8,7 @@
 from pomelobank_schema.generated.records import ConfigDocument
 from pomelobank_schema.operator_messages import object_message
 
-_KINDS = ("service", "upstream", "route")
+_KINDS = ("service", "upstream", "route", "workspace")
 
 
 @attrs.frozen
@@ -86,7 +86,8 @@
 def _desired_objects(document: ConfigDocument) -> list[pb.ConfigObject]:
     objects = [object_message(item) for item in document.services]
     objects += [object_message(item) for item in document.upstreams]
-    return objects + [object_message(item) for item in document.routes]
+    objects += [object_message(item) for item in document.routes]
+    return objects + [object_message(item) for item in document.workspaces]
 
 
 def _put_step(
--- a/packages/pomelobank-schema/src/pomelobank_schema/_documents.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/_documents.py
@@ -45,6 +45,14 @@
 
     try:
         return yaml.safe_load(text)
+    except yaml.MarkedYAMLError as error:
+        # The error's own text quotes the line, which may contain a secret.
+        line = error.problem_mark.line + 1 if error.problem_mark else 0
+        raise SchemaError(
+            SchemaErrorKind.MALFORMED,
+            "",
+            f"is not YAML: {error.problem}, line {line}",
+        ) from None
     except yaml.YAMLError as error:
         text = " ".join(str(error).split())
         raise SchemaError(
