Accept digests after options, and never print a misplaced key

Change: the commands for keys collect such arguments and check them like others.

Measured: the three new rows failed before the change; the tests of the command line pass.

--- a/packages/pomelobank-cli/src/pomelobank_cli/_main.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_main.py
@@ -43,7 +43,7 @@
     Returns:
         The exit status.
     """
-    options = _parser().parse_args(arguments)
+    options = _parse(arguments)
     if not options.node:
         return _fail(
             ExitStatus.BAD_INPUT,
@@ -74,6 +74,19 @@
     return status
 
 
+def _parse(arguments: list[str] | None) -> argparse.Namespace:
+    parser = _parser()
+    options, unexpected = parser.parse_known_args(arguments)
+    if not unexpected:
+        return options
+    if "arguments" not in options:
+        parser.error(f"unrecognized arguments: {' '.join(unexpected)}")
+    # Arguments after an option of a command for keys. The message of argparse
+    # would print a key that was passed by mistake.
+    options.arguments = [*options.arguments, *unexpected]
+    return options
+
+
 def _fail(status: ExitStatus, message: str) -> int:
     print(f"pomelobank: {message}", file=sys.stderr)
     return int(status)
@@ -223,8 +236,7 @@
         name, help=text, description=text
     )
     command.add_argument("workspace")
-    # Accepts any number of arguments, because the message of argparse about
-    # unexpected ones would print a key that was passed by mistake.
+    # Accepts any number of arguments; see `_parse`.
     command.add_argument(
         "arguments",
         nargs="*",
--- a/packages/pomelobank-cli/src/pomelobank_cli/tests/test_keys.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/tests/test_keys.py
@@ -126,6 +126,8 @@
     "arguments",
     [
         pytest.param(["add", "acme", SECRET], id="add-argument"),
+        pytest.param(["add", "acme", "--wait", SECRET], id="after-option"),
+        pytest.param(["add", "acme", f"--key={SECRET}"], id="as-option"),
         pytest.param(["rotate", "acme", SECRET], id="rotate-argument"),
         pytest.param(["rotate", "acme", "--remove", SECRET], id="old-key"),
         pytest.param(["remove", "acme", SECRET], id="remove-argument"),
@@ -211,6 +213,21 @@
     assert "4711" not in output.err
 
 
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        pytest.param([OLD, "--wait"], id="before-option"),
+        pytest.param(["--wait", OLD], id="after-option"),
+    ],
+)
+def test_a_key_is_removed_by_its_digest(
+    node: FakeNode, arguments: list[str]
+) -> None:
+    """The parser of the standard library rejects a digest after an option."""
+    assert run(node, "keys", "remove", "acme", *arguments) == ExitStatus.OK
+    assert node.digests == []
+
+
 def test_workspaces_are_printed_with_digests(
     node: FakeNode, capsys: pytest.CaptureFixture[str]
 ) -> None:
