--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/__init__.py
@@ -16,6 +16,7 @@
     CapReach,
 )
 from pomelobank_core.workspaces._cap_rules import CapRules
+from pomelobank_core.workspaces._configured import workspace_table
 from pomelobank_core.workspaces._freshness import (
     NEVER_KNOWN_MS,
     ConfigFreshness,
@@ -65,4 +66,5 @@
     "identify",
     "key_digest",
     "request_rank",
+    "workspace_table",
 ]
