Tell only callers with a near objective to retry at once

Change: the delay is short if the usual one would take more than a third of the time until the caller's objective.

--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -373,7 +373,7 @@
             return RequestError(ErrorKind.TARGET_REFUSED)
         expected_ms = self.admission_queue.expected_service_ms(request.route)
         delay_ms = self.rejection_delay.draw_ms(
-            request.remaining_ms, expected_ms, self.rng
+            request.remaining_ms, request.aim_ms, expected_ms, self.rng
         )
         return RequestError(ErrorKind.TARGET_REFUSED, delay_ms)
 
