Tell callers to return after the members of a starting mesh settle

Change: while a node starts, the delay reaches to the time at which the members settle, plus one round of the reach queries.

--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/_cap_members.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/_cap_members.py
@@ -168,6 +168,16 @@
             return True
         return now_ms >= self.newest_join_ms + JOIN_DELAY_MS
 
+    def settles_in_ms(self, now_ms: int) -> int:
+        """Returns the time until members that start together may grant.
+
+        Returns:
+            The time in ms; 0 if this node's start is over.
+        """
+        started = now_ms >= self.started_ms + MAX_START_DELAY_MS
+        settled_ms = self.newest_join_ms + JOIN_DELAY_MS
+        return 0 if started else max(0, settled_ms - now_ms)
+
     def count(self, now_ms: int) -> int:
         """Returns the number of members between which the cap is divided.
 
--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/tests/test_usage_caps.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/tests/test_usage_caps.py
@@ -17,7 +17,7 @@
 from pomelobank_core.workspaces import _cap_authority as authority_module
 from pomelobank_schema.generated.peer import MemberEntry
 
-_CAP = Workspace("tenant", None, 10.0, 10)
+_CAP = Workspace("workspace", None, 10.0, 10)
 
 
 def _entry(node: str, state: MemberState = MemberState.READY) -> MemberEntry:
@@ -54,7 +54,7 @@
 
 def _own_workspace(authority: CapAuthority) -> Workspace:
     """Returns a workspace whose first member is the own node."""
-    names = (f"tenant-{number}" for number in range(1000))
+    names = (f"workspace-{number}" for number in range(1000))
     name = next(item for item in names if authority.members.is_first(item))
     return attrs.evolve(_CAP, name=name)
 
@@ -165,7 +165,7 @@
 def test_a_member_that_is_not_the_first_grants_by_its_followers() -> None:
     """Guards against a whole second cap for nodes with one broken link."""
     authority = _authority(others=61)
-    names = (f"tenant-{number}" for number in range(1000))
+    names = (f"workspace-{number}" for number in range(1000))
     name = next(item for item in names if not authority.members.is_first(item))
     workspace = Workspace(name, None, 118.0, 118)
     granted = 0
@@ -182,7 +182,7 @@
     """Guards against memory by workspaces, and bursts by removed buckets."""
     monkeypatch.setattr(authority_module, "MAX_BUCKETS", 2)
     authority = _authority(others=1)
-    names = (f"tenant-{number}" for number in range(1000))
+    names = (f"workspace-{number}" for number in range(1000))
     first = [name for name in names if authority.members.is_first(name)][:3]
     for name in (*first, first[0]):
         workspace = attrs.evolve(_CAP, name=name)
@@ -200,3 +200,22 @@
         authority.grant(workspace, 1, "entry", 20_001).wait_ms for _ in range(4)
     ]
     assert waits == [100, 200, 300, 400]
+
+
+@pytest.mark.parametrize(
+    ("now_ms", "settles_in_ms"),
+    [
+        pytest.param(1100, 600, id="a member has just joined"),
+        pytest.param(1700, 0, id="no further member has joined"),
+        pytest.param(10_000, 0, id="the start is over"),
+    ],
+)
+def test_callers_return_after_the_members_settle(
+    now_ms: int, settles_in_ms: int
+) -> None:
+    """Guards against callers that return to nodes which cannot grant yet."""
+    table = MemberTable(_entry("own"))
+    members = CapMembers(table, 0)
+    table.merge([_entry("other")])
+    members.refresh(1000)
+    assert members.settles_in_ms(now_ms) == settles_in_ms
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_gate.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_gate.py
@@ -216,5 +216,5 @@
 
 def _with_hyphens(name: bytes) -> bytes:
     # Common gateway interfaces (CGI, WSGI) don't distinguish hyphens from
-    # underscores, so a target behind one would read `x_tenant` as `x-tenant`.
+    # underscores, so a target behind one would read `x_key` as `x-key`.
     return name.replace(b"_", b"-")
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
@@ -300,9 +300,15 @@
 
     def _reject_unavailable(self, entry: EntryState) -> None:
         self._set_available(is_available=False)
-        factor = self.rng.uniform(*_JITTER)
+        # After a restart of all nodes, a caller that returned before the
+        # members settle would be rejected again.
+        settles_in_ms = self.members.settles_in_ms(self.clock.now_ms())
+        retry_after_ms = max(
+            _UNAVAILABLE_RETRY_MS, settles_in_ms + REACH_INTERVAL_MS
+        )
         self.unavailable += entry.fail_waiting(
-            ErrorKind.CAP_UNAVAILABLE, int(_UNAVAILABLE_RETRY_MS * factor)
+            ErrorKind.CAP_UNAVAILABLE,
+            int(retry_after_ms * self.rng.uniform(*_JITTER)),
         )
 
     async def _ask(
