Move the state of a capped workspace at an entry node to its own module

Change: CappedEntry (before: EntryState) has a module of its own; no behaviour changes.

Measured: the tests of the node's workspaces pass.

--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
@@ -4,7 +4,6 @@
 import functools
 import logging
 import random
-from collections import deque
 from collections.abc import Coroutine
 from typing import Any
 
@@ -28,6 +27,7 @@
 )
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
+from pomelobank_node.workspaces._capped_entry import CappedEntry
 from pomelobank_node.workspaces._gate import WorkspacesInForce
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import TokenGrant, TokenRequest
@@ -60,45 +60,6 @@
 _MS_PER_S = 1000
 
 
-@attrs.define(eq=False)
-class EntryState:
-    """A workspace with a limit at this entry node.
-
-    Attributes:
-        workspace: The workspace, according to the configuration in force at the
-            last request.
-        tokens: Leased tokens.
-        waiting: Requests that wait for a token.
-        fetching: Requests tokens; None while no request is outstanding.
-        authority: Node that granted or refused last; empty if none has yet.
-    """
-
-    workspace: Workspace
-    tokens: LeasedTokens
-    waiting: deque[asyncio.Future[None]] = attrs.field(factory=deque)
-    fetching: asyncio.Task[None] | None = None
-    authority: str = ""
-
-    def serve_waiting(self, now_ms: int) -> int:
-        """Gives tokens to the requests that wait, and returns their number."""
-        served = 0
-        while self.waiting and self.tokens.available(now_ms):
-            waiter = self.waiting.popleft()
-            if not waiter.done():
-                self.tokens.take(now_ms)
-                waiter.set_result(None)
-                served += 1
-        return served
-
-    def fail_waiting(self, kind: ErrorKind, retry_after_ms: int) -> int:
-        """Rejects the requests that wait and returns their number."""
-        waiting, self.waiting = self.waiting, deque()
-        failed = [waiter for waiter in waiting if not waiter.done()]
-        for waiter in failed:
-            waiter.set_exception(RequestError(kind, retry_after_ms))
-        return len(failed)
-
-
 @attrs.define(eq=False)
 class LeasedUsageCaps:
     """Holds the usage caps of the configuration in force.
@@ -132,7 +93,7 @@
     clock: Clock
     settings: WorkspaceSettings = attrs.field(factory=WorkspaceSettings)
     rng: random.Random = attrs.field(factory=random.Random)
-    entries: dict[str, EntryState] = attrs.field(factory=dict)
+    entries: dict[str, CappedEntry] = attrs.field(factory=dict)
     pending: dict[int, asyncio.Future[Grant]] = attrs.field(factory=dict)
     pending_reach: dict[int, str] = attrs.field(factory=dict)
     last_request_id: int = 0
@@ -204,7 +165,7 @@
             raise RequestError(ErrorKind.USAGE_CAP, retry_after_ms)
         await self._wait_for_token(entry)
 
-    async def _wait_for_token(self, entry: EntryState) -> None:
+    async def _wait_for_token(self, entry: CappedEntry) -> None:
         waiter: asyncio.Future[None]
         waiter = asyncio.get_running_loop().create_future()
         entry.waiting.append(waiter)
@@ -223,10 +184,10 @@
         if entry is not None:
             entry.tokens.give_back(self.clock.now_ms())
 
-    def _entry(self, workspace: Workspace) -> EntryState:
+    def _entry(self, workspace: Workspace) -> CappedEntry:
         entry = self.entries.pop(workspace.name, None)
         if entry is None:
-            entry = EntryState(workspace, LeasedTokens(self.rules.lease_ms))
+            entry = CappedEntry(workspace, LeasedTokens(self.rules.lease_ms))
         entry.workspace = workspace
         # The newest entry is the last one, so the first is the one to remove.
         self.entries[workspace.name] = entry
@@ -238,19 +199,19 @@
         entry = self.entries.pop(name)
         entry.fail_waiting(ErrorKind.USAGE_CAP, _UNAVAILABLE_RETRY_MS)
 
-    def _retry_after_ms(self, entry: EntryState, now_ms: int) -> int:
+    def _retry_after_ms(self, entry: CappedEntry, now_ms: int) -> int:
         factor = self.rng.uniform(*_JITTER)
         return int(entry.tokens.wait_ms(now_ms) * factor) + 1
 
     # Requests for tokens.
 
-    def _fetch(self, entry: EntryState) -> None:
+    def _fetch(self, entry: CappedEntry) -> None:
         if entry.fetching is None or entry.fetching.done():
             entry.fetching = self._spawn(
                 self._fetch_tokens(entry), "usage-caps-fetch"
             )
 
-    async def _fetch_tokens(self, entry: EntryState) -> None:
+    async def _fetch_tokens(self, entry: CappedEntry) -> None:
         # A partial grant is followed by a request whose refusal names the time
         # to wait, and other requests may have come while a grant was under way.
         void_grants = 0
@@ -265,7 +226,7 @@
             void_grants = 0 if served else void_grants + 1
         self._reject_unavailable(entry)
 
-    async def _request(self, entry: EntryState, wanted: int) -> int:
+    async def _request(self, entry: CappedEntry, wanted: int) -> int:
         """Requests tokens once; rejects the waiting requests if none come.
 
         Returns:
@@ -298,7 +259,7 @@
             )
         return served
 
-    def _reject_unavailable(self, entry: EntryState) -> None:
+    def _reject_unavailable(self, entry: CappedEntry) -> None:
         self._set_available(is_available=False)
         # After a restart of all nodes, a caller that returned before the
         # members settle would be rejected again.
@@ -345,7 +306,7 @@
         self.last_request_id += 1
         return self.last_request_id
 
-    def _note_authority(self, entry: EntryState, node: str) -> None:
+    def _note_authority(self, entry: CappedEntry, node: str) -> None:
         if entry.authority and entry.authority != node:
             self.authority_changes += 1
         entry.authority = node
