Say the poll period once; drop an argument that nothing reads

Cause: the read-through found the period of the commands that wait for a version in two modules, and a time that the reach queries pass on and never read.

Change: the period stands beside the client; the argument is gone. No behaviour changes.

--- a/packages/pomelobank-cli/src/pomelobank_cli/_client.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_client.py
@@ -7,6 +7,8 @@
 from pomelobank_schema.generated.operator_pb2_grpc import OperatorStub
 
 _RETRY_AFTER_MS = 1000
+# Interval between the calls of a command that waits for a version.
+POLL_PERIOD_S = 0.1
 
 
 class InputError(ValueError):
--- a/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_commands.py
@@ -6,7 +6,7 @@
 import time
 import uuid
 
-from pomelobank_cli._client import Client, send
+from pomelobank_cli._client import POLL_PERIOD_S, Client, send
 from pomelobank_cli._exit_status import ExitStatus
 from pomelobank_cli._key_digests import check_key_digests
 from pomelobank_cli._outcomes import (
@@ -31,7 +31,6 @@
 from pomelobank_schema.generated import operator_pb2 as pb
 from pomelobank_schema.generated.records import ConfigDocument
 
-_POLL_PERIOD_S = 0.1
 _MAX_SHOWN_NAMES = 3
 _SECONDS_PER_MS = 0.001
 
@@ -188,7 +187,7 @@
         behind = _lagging_nodes(reply, options.wait)
         if not behind or options.wait is None or time.monotonic() > deadline:
             break
-        time.sleep(_POLL_PERIOD_S)
+        time.sleep(POLL_PERIOD_S)
     _print_status(reply, behind, options.output)
     return ExitStatus.TIMED_OUT if behind else ExitStatus.OK
 
--- a/packages/pomelobank-cli/src/pomelobank_cli/_keys.py
+++ b/packages/pomelobank-cli/src/pomelobank_cli/_keys.py
@@ -17,7 +17,12 @@
 import attrs
 import grpc
 
-from pomelobank_cli._client import Client, InputError, send
+from pomelobank_cli._client import (
+    POLL_PERIOD_S,
+    Client,
+    InputError,
+    send,
+)
 from pomelobank_cli._exit_status import ExitStatus
 from pomelobank_cli._outcomes import STATUS_EXITS, print_outcome
 from pomelobank_cli._workspaces import find_workspace
@@ -27,7 +32,6 @@
 # 256 bits cannot be guessed. The text has 43 characters, so a generated key is
 # never taken for a digest, which has 64.
 _KEY_BYTES = 32
-_POLL_PERIOD_S = 0.1
 # States of members that do not respond to other members.
 _SILENT_STATES = frozenset({"gone", "suspect"})
 
@@ -160,7 +164,7 @@
         if time.monotonic() > deadline:
             _note(f"version {version} is not in force at: {behind}")
             return ExitStatus.NOT_IN_FORCE
-        time.sleep(_POLL_PERIOD_S)
+        time.sleep(POLL_PERIOD_S)
 
 
 def _names_behind(reply: pb.StatusReply, version: int) -> str:
--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/_cap_reach.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/_cap_reach.py
@@ -50,7 +50,7 @@
     largest_count: int = 0
     share: float = 0.0
 
-    def start_round(self, now_ms: int) -> tuple[str, ...]:
+    def start_round(self) -> tuple[str, ...]:
         """Returns the members to ask in a new round."""
         others = [
             entry.node
--- a/packages/pomelobank-core/src/pomelobank_core/workspaces/tests/test_usage_caps.py
+++ b/packages/pomelobank-core/src/pomelobank_core/workspaces/tests/test_usage_caps.py
@@ -47,7 +47,7 @@
 
 def _run_round(authority: CapAuthority, now_ms: int, replies: int = 99) -> None:
     authority.tick(now_ms)
-    for node in authority.reach.start_round(now_ms)[:replies]:
+    for node in authority.reach.start_round()[:replies]:
         authority.reach.on_reply(node, authority.members.count(now_ms))
     authority.reach.end_round(now_ms)
 
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
@@ -346,7 +346,7 @@
             self.authority.tick(now_ms)
             self.members.refresh(now_ms)
             self._remove_idle_entries(now_ms)
-            self._send_reach_queries(now_ms)
+            self._send_reach_queries()
             await asyncio.sleep(GRANT_TIMEOUT_MS / _MS_PER_S)
             self.reach.end_round(self.clock.now_ms())
             self._log_reach()
@@ -370,9 +370,9 @@
                 return
             self._remove_entry(name)
 
-    def _send_reach_queries(self, now_ms: int) -> None:
+    def _send_reach_queries(self) -> None:
         self.pending_reach.clear()
-        for node in self.reach.start_round(now_ms):
+        for node in self.reach.start_round():
             request_id = self._next_request_id()
             self.pending_reach[request_id] = node
             frame = TokenRequest(
