--- a/review/stand_ins/http.py
+++ b/review/stand_ins/http.py
@@ -21,11 +21,17 @@
 
 @dataclasses.dataclass
 class Response:
-    """A response; status `ABORT` resets the connection instead."""
+    """A response; status `ABORT` closes the connection instead.
+
+    Attributes:
+        cut_at: Number of bytes after which the response breaks off; 0 if it is
+            sent whole.
+    """
 
     status: int
     headers: dict[str, str] = dataclasses.field(default_factory=dict)
     body: bytes = b""
+    cut_at: int = 0
 
     def encode(self) -> bytes:
         """Returns the bytes of the response."""
@@ -38,9 +44,10 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 
-async def _read_head(
+async def read_head(
     reader: asyncio.StreamReader,
 ) -> tuple[str, dict[str, str]]:
+    """Returns the first line and the headers of a message."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
     first, *lines = head[:-4].split("\r\n")
     headers = {}
@@ -50,9 +57,10 @@
     return first, headers
 
 
-async def _read_body(
+async def read_body(
     reader: asyncio.StreamReader, headers: dict[str, str]
 ) -> bytes:
+    """Returns the whole body of a message."""
     if "chunked" not in headers.get("transfer-encoding", ""):
         return await reader.readexactly(int(headers.get("content-length", 0)))
     body = b""
@@ -96,15 +104,22 @@
         self.writers.add(writer)
         try:
             while True:
-                first, headers = await _read_head(reader)
-                body = await _read_body(reader, headers)
+                first, headers = await read_head(reader)
+                body = await read_body(reader, headers)
                 method, path, _ = first.split(" ")
                 response = await self.handler(
                     Request(method, path, headers, body)
                 )
                 if response.status == ABORT:
                     return
-                writer.write(response.encode())
+                data = response.encode()
+                if response.cut_at:
+                    # Nothing of the part that is sent may be lost.
+                    writer.transport.set_write_buffer_limits(high=0)
+                    writer.write(data[: response.cut_at])
+                    await writer.drain()
+                    return
+                writer.write(data)
                 await writer.drain()
         except (OSError, EOFError, ValueError, asyncio.LimitOverrunError):
             return
@@ -140,8 +155,8 @@
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, int(port))
             writer.write("\r\n".join([*lines, "", ""]).encode() + body)
-            first, received = await _read_head(reader)
-            data = await _read_body(reader, received)
+            first, received = await read_head(reader)
+            data = await read_body(reader, received)
             return Response(int(first.split(" ")[1]), received, data)
     except (OSError, EOFError, ValueError, TimeoutError):
         return Response(ABORT)
--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -168,7 +168,10 @@
     """An application target: runs requests and sends heartbeats.
 
     Attributes:
-        arrivals: Time, id and entry machine of each request that it ran.
+        arrivals: Time and id of each request that it ran.
+        large_bytes: Size of each response to a request of `/archive/`.
+        break_share: Share of the responses that it breaks off.
+        broken: Ids of the requests whose responses it broke off.
     """
 
     def __init__(
@@ -180,6 +183,9 @@
         self.sequence = 0
         self.running = 0
         self.arrivals: list[tuple[float, str]] = []
+        self.large_bytes = 0
+        self.break_share = 0.0
+        self.broken: list[str] = []
         self.server = Server(address, self._handle)
         self.beats: asyncio.Task[None] | None = None
 
@@ -254,7 +260,18 @@
         finally:
             self.running -= 1
         headers["X-Response-Stamp"] = f"{self.instance}.{request_id}"
-        return Response(200, headers, request_id.encode())
+        body = request_id.encode()
+        if request.path.startswith("/archive/"):
+            body = body.ljust(self.large_bytes, b".")
+        response = Response(200, headers, body)
+        if random.random() < self.break_share:
+            self.broken.append(request_id)
+            response.cut_at = random.randrange(1, len(body))
+            self.record.add(
+                f"target {self.instance} breaks off {request_id}"
+                f" after {response.cut_at} bytes"
+            )
+        return response
 
 
 class Machine:
