--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -467,14 +467,15 @@
 
     async def stop(self) -> None:
         """Ends all processes and servers."""
+        # First the tasks, so that none starts a process again.
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         for machine in self.machines:
             if machine.process and machine.process.returncode is None:
                 await machine.kill()
             await machine.target.stop()
         await self.store.server.stop()
-        for task in list(self.tasks):
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
         self.temporary.cleanup()
 
 
