--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -78,10 +78,6 @@
     from pomelobank_core._deadline_admission import (
         DeadlineAdmission,
     )
-    from pomelobank_core._departures import (
-        Departures,
-        is_departure_of,
-    )
     from pomelobank_core._distribution import (
         Distribution,
         Neighbours,
@@ -268,7 +264,6 @@
     "ConfigObject",
     "ConfigState",
     "DeadlineAdmission",
-    "Departures",
     "Distribution",
     "EntryRank",
     "ErrorKind",
@@ -351,7 +346,6 @@
     "find_neighbours",
     "fingerprint",
     "handle_frame",
-    "is_departure_of",
     "is_idempotent",
     "isolation_target",
     "lost_error_kind",
@@ -438,10 +432,6 @@
         "SlotLimit",
     ),
     "_deadline_admission": ("DeadlineAdmission",),
-    "_departures": (
-        "Departures",
-        "is_departure_of",
-    ),
     "_distribution": (
         "Distribution",
         "Neighbours",
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_departures.py
+++ b/packages/pomelobank-core/src/pomelobank_core/departures/tests/test_departures.py
@@ -3,7 +3,7 @@
 import attrs
 import pytest
 
-from pomelobank_core import Departures
+from pomelobank_core.departures import Departures
 from pomelobank_schema.generated.records import (
     DepartureRecord,
     TargetAnnouncement,
--- a/packages/pomelobank-node/src/pomelobank_node/_admin.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admin.py
@@ -11,8 +11,8 @@
 from starlette.routing import Route
 
 from pomelobank_node._config_store import ConfigStore
-from pomelobank_node._log import LogError
 from pomelobank_node._target_watch import TargetWatch
+from pomelobank_node.departures import DepartureNotKeptError
 from pomelobank_schema import SchemaError, SchemaErrorKind, build
 from pomelobank_schema.generated.records import TargetAnnouncement
 
@@ -75,12 +75,13 @@
         """Drains the target, so that other nodes send it no new requests.
 
         The target is drained even if the response is 503. That status means
-        that the drain may be missing in the log. A restart of the node may then
-        undo the drain, so the operator should send the request again.
+        that the drain may be missing in the log or at the peers. A restart of
+        the node may then undo the drain, so the operator should send the
+        request again.
         """
         try:
             await self.target.drain()
-        except LogError as error:
+        except DepartureNotKeptError as error:
             _logger.warning(
                 "target.drain_not_kept", extra={"error": str(error)}
             )
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -14,7 +14,6 @@
 from pomelobank_node._config_feed import ConfigFeed
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._crash_reports import CrashReports
-from pomelobank_node._departure_log import DepartureLog
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._forwarder import Forwarder, new_load_balancer
 from pomelobank_node._http_server import HttpServer
@@ -29,6 +28,7 @@
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._target_watch import TargetWatch
 from pomelobank_node.callers import CallerServer, HttpLimits, Ingress
+from pomelobank_node.departures import DepartureRegistry
 from pomelobank_node.workspaces import WorkspaceGate
 from pomelobank_schema.generated.settings import NodeSettings
 
@@ -87,7 +87,9 @@
             self.owner,
             self.membership,
             self.clock,
-            DepartureLog(self.log, settings.first_start),
+            DepartureRegistry.of(
+                self.log, self.membership, self.clock, settings.first_start
+            ),
             TargetLease(settings.membership.target_lease_ms),
         )
         self._build_servers()
@@ -132,6 +134,7 @@
             self.membership,
             self.feed,
             self.claims,
+            departures=self.target.departures.peers,
             stop_timeout_ms=_SERVER_STOP_TIMEOUT_MS,
         )
         self.operator = OperatorServer(listen.operator, operator)
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -30,6 +30,8 @@
     BodyCredit,
     CancelRequest,
     CrashReport,
+    DepartureSyncReply,
+    DepartureSyncRequest,
     DocumentPush,
     ForwardReply,
     ForwardRequest,
@@ -96,6 +98,16 @@
         """Handles a peer's reply."""
 
 
+class DepartureFrames(Protocol):
+    """Handles peers' frames about departures of targets."""
+
+    def receive_request(self, frame: DepartureSyncRequest) -> None:
+        """Keeps a peer's departures and replies."""
+
+    def receive_reply(self, frame: DepartureSyncReply) -> None:
+        """Handles a peer's reply."""
+
+
 @attrs.define(eq=False)
 class Upload:
     """The rest of a request's body while it is received.
@@ -124,6 +136,7 @@
             None if this node has no published configuration.
         usage_caps: Handles the peer's frames about usage caps; None if the node
             has none.
+        departures: Handles the peer's frames about departures of targets.
         running: Tasks of the peer's requests, by request id.
         uploads: Request bodies that are being received, by request id.
         credits: Credit that the peer granted for response bodies, by request
@@ -145,6 +158,7 @@
     claims: "ClaimService | None"
     freshness: FreshnessFrames | None = None
     usage_caps: PeerFrames | None = None
+    departures: DepartureFrames | None = None
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -427,6 +441,18 @@
         connection.freshness.receive_reply(frame)
 
 
+@handle_frame.register
+def _(frame: DepartureSyncRequest, connection: PeerConnection) -> None:
+    if connection.departures is not None:
+        connection.departures.receive_request(frame)
+
+
+@handle_frame.register
+def _(frame: DepartureSyncReply, connection: PeerConnection) -> None:
+    if connection.departures is not None:
+        connection.departures.receive_reply(frame)
+
+
 @handle_frame.register(TokenRequest)
 @handle_frame.register(TokenGrant)
 def _(frame: WireMessage, connection: PeerConnection) -> None:
@@ -449,6 +475,7 @@
             if this node has no published configuration.
         usage_caps: Handles peers' frames about usage caps; None if the node has
             none.
+        departures: Handles peers' frames about departures of targets.
         address: The bound address, once the server listens.
         connections: Accepted streams and their tasks.
         rejected_streams: Number of streams closed because of `MAX_STREAMS`.
@@ -462,6 +489,7 @@
     claims: "ClaimService | None"
     freshness: FreshnessFrames | None = None
     usage_caps: PeerFrames | None = None
+    departures: DepartureFrames | None = None
     stop_timeout_ms: int = _STOP_TIMEOUT_MS
     address: str = ""
     server: asyncio.Server | None = None
@@ -497,6 +525,7 @@
             self.claims,
             self.freshness,
             self.usage_caps,
+            self.departures,
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -26,7 +26,6 @@
 from pomelobank_node._clock import SystemClock
 from pomelobank_node._component import Component
 from pomelobank_node._crash_reports import CrashReports
-from pomelobank_node._departure_log import DepartureLog
 from pomelobank_node._dispatcher import Dispatcher
 from pomelobank_node._forwarder import Forwarder, new_load_balancer
 from pomelobank_node._http_conventions import HttpConventions
@@ -41,6 +40,7 @@
 from pomelobank_node._stop_delay import StopDelay
 from pomelobank_node._target_watch import REJECT_AFTER_MS, TargetWatch
 from pomelobank_node.callers import CallerServer, Handler, Ingress
+from pomelobank_node.departures import DepartureRegistry
 from pomelobank_node.published import (
     Decoder,
     PublishedFeed,
@@ -149,7 +149,9 @@
             self.owner,
             self.membership,
             self.clock,
-            DepartureLog(adapter.log, settings.first_start),
+            DepartureRegistry.of(
+                adapter.log, self.membership, self.clock, settings.first_start
+            ),
             TargetLease(settings.membership.target_lease_ms),
             int(min(REJECT_AFTER_MS, settings.target.drain_ms / 2)),
         )
@@ -237,6 +239,7 @@
             None,
             self.freshness,
             self.usage_caps,
+            self.target.departures.peers,
         )
         self.limits = LimitsWatch(self.store, self.http)
         self.membership.on_tick += [self.feed.tick, self._check_timeouts]
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -11,12 +11,14 @@
     MemberState,
     TargetChange,
     TargetLease,
-    is_departure_of,
 )
-from pomelobank_node._departure_log import DepartureLog
-from pomelobank_node._log import LogError
+from pomelobank_core.departures import is_departure_of
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner, Target
+from pomelobank_node.departures import (
+    DepartureNotKeptError,
+    DepartureRegistry,
+)
 from pomelobank_schema.generated.records import (
     DepartureRecord,
     TargetAnnouncement,
@@ -44,6 +46,9 @@
         lease: Decides how announcements change the target's state.
         reject_after_ms: Time from the start of a drain after which new requests
             are rejected.
+        held_back: Newest announcement that arrived before the node knew the
+            departures.
+        held_back_ms: When it arrived.
         rejection_task: Task that starts to reject new requests; None outside a
             drain.
         tasks: Running background tasks.
@@ -52,21 +57,24 @@
     owner: Owner
     membership: Membership
     clock: Clock
-    departures: DepartureLog
+    departures: DepartureRegistry
     lease: TargetLease
     reject_after_ms: int = REJECT_AFTER_MS
+    held_back: TargetAnnouncement | None = None
+    held_back_ms: int = 0
     rejection_task: asyncio.Task[None] | None = None
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     async def start(self) -> None:
-        """Starts to check the lease and to load departures from the log."""
+        """Starts to check the lease and to load departures."""
         self.membership.on_tick.append(self._check_lease)
         self.owner.on_leaving = self._handle_leaving_response
+        self.departures.on_learned.append(self._check_departed)
         await self.departures.start()
-        self._spawn(self._drain_departed())
+        self._spawn(self._handle_held_back())
 
     async def stop(self) -> None:
-        """Cancels the background tasks and stops the departure log."""
+        """Cancels the background tasks and stops the departure registry."""
         await self.departures.stop()
         for task in self.tasks:
             task.cancel()
@@ -87,11 +95,29 @@
     async def handle_announcement(
         self, announcement: TargetAnnouncement
     ) -> None:
-        """Handles an announcement of the target."""
-        # An earlier process of this node may have acknowledged a departure that
-        # only the log remembers, so the node first waits for the log to be
-        # read.
-        await self.departures.ready.wait()
+        """Handles an announcement of the target.
+
+        An earlier process of this node may have acknowledged the departure of
+        the target, which goes on announcing itself as ready. Until the node
+        knows the departures, it cannot tell such a target from a healthy one
+        and holds the newest announcement back.
+        """
+        if not self.departures.complete.is_set():
+            self.held_back = announcement
+            self.held_back_ms = self.clock.now_ms()
+            return
+        await self._apply_announcement(announcement)
+
+    async def _handle_held_back(self) -> None:
+        await self.departures.complete.wait()
+        announcement, self.held_back = self.held_back, None
+        age_ms = self.clock.now_ms() - self.held_back_ms
+        if announcement is not None and age_ms <= self.lease.lease_ms:
+            await self._apply_announcement(announcement)
+
+    async def _apply_announcement(
+        self, announcement: TargetAnnouncement
+    ) -> None:
         if self._has_departed(announcement):
             announcement = attrs.evolve(announcement, draining=True)
         change = self.lease.on_announcement(announcement, self.clock.now_ms())
@@ -118,14 +144,15 @@
         # record, a restarted node would read the departure from the log and
         # drain the target's present start.
         if self.departures.has_departed(target):
-            departure = attrs.evolve(_departure_of(target), returned=True)
-            self.departures.add(departure)
-            self._spawn(self._persist_return(departure))
+            departure = self.departures.add(
+                attrs.evolve(_departure_of(target), returned=True)
+            )
+            self._spawn(self._keep_return(departure))
 
-    async def _persist_return(self, departure: DepartureRecord) -> None:
+    async def _keep_return(self, departure: DepartureRecord) -> None:
         try:
-            await self.departures.persist(departure)
-        except LogError as error:
+            await self.departures.keep(departure)
+        except DepartureNotKeptError as error:
             _logger.warning(
                 "target.return_not_kept", extra={"error": str(error)}
             )
@@ -174,26 +201,27 @@
     async def handle_departure(self, departure: DepartureRecord) -> None:
         """Handles a target's departure, which the target announces only once.
 
-        The method returns once the departure is in the log. If the departure
-        were acknowledged earlier and this process were killed, the node's next
-        process would activate the target again, because the target goes on
-        announcing itself, and would send it requests until the target ends.
+        The method returns once the log and the peers have the departure. If the
+        departure were acknowledged earlier and this process were killed, the
+        node's next process would activate the target again, because the target
+        goes on announcing itself, and would send it requests until the target
+        ends.
 
         Raises:
-            LogError: If it is not certain that the departure is in the log. The
-                target is drained nevertheless.
+            DepartureNotKeptError: If it is not certain that the departure is
+                kept. The target is drained nevertheless.
         """
         target = self.lease.announcement
         if target is not None and departure.instance == target.instance:
             # A departure without a start time concerns the current target.
             started_at_ms = departure.started_at_ms or target.started_at_ms
             departure = attrs.evolve(departure, started_at_ms=started_at_ms)
-        self.departures.add(departure)
+        departure = self.departures.add(departure)
         if target is not None and is_departure_of(departure, target):
             # The drain runs in the background, since notifying every peer may
             # take longer than the target waits for a response.
             self._spawn(self._drain())
-        await self.departures.persist(departure)
+        await self.departures.keep(departure)
 
     def _handle_leaving_response(self, target: Target) -> None:
         announced = self.lease.announcement
@@ -209,7 +237,7 @@
         # departure to the node only at its end or not at all.
         try:
             await self.drain()
-        except LogError as error:
+        except DepartureNotKeptError as error:
             _logger.warning(
                 "target.leaving_not_kept",
                 extra={**self._target_fields(), "error": str(error)},
@@ -218,11 +246,11 @@
     async def drain(self) -> None:
         """Marks the target as draining until the target starts again.
 
-        Without an announced target, the drain is not stored in the log.
+        Without an announced target, the drain is not kept.
 
         Raises:
-            LogError: If it is not certain that the drain is in the log; a
-                restart of this node may then undo the drain.
+            DepartureNotKeptError: If it is not certain that the drain is kept;
+                a restart of this node may then undo the drain.
         """
         target = self.lease.announcement
         if target is None:
@@ -234,11 +262,10 @@
         if self.lease.drain() is TargetChange.DRAINING:
             await self._broadcast_draining()
 
-    async def _drain_departed(self) -> None:
-        await self.departures.loaded.wait()
+    def _check_departed(self) -> None:
         target = self.lease.announcement
         if target is not None and self.departures.has_departed(target):
-            await self._drain()
+            self._spawn(self._drain())
 
     async def close(self) -> None:
         """Drains the target because the node itself stops."""
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
@@ -0,0 +1,273 @@
+"""Shares the departures of targets with the node's peers."""
+
+import asyncio
+import functools
+import logging
+import os
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from pomelobank_core import Clock, MemberTable
+from pomelobank_core.departures import Departures, PeerSurvey, digest_of
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node._requests import RequestError
+from pomelobank_node.departures._departure_log import decode_departures
+from pomelobank_schema import WireMessage, encode
+from pomelobank_schema.generated.peer import (
+    DepartureSyncReply,
+    DepartureSyncRequest,
+    MemberEntry,
+)
+from pomelobank_schema.generated.records import DepartureRecord
+
+_logger = logging.getLogger(__name__)
+# Time limit for the peers to confirm a departure. The target repeats its call
+# after 1 s, so the node must respond before that.
+NOTICE_TIMEOUT_S = 0.7
+# Maximum pause between two checks of the replies to queries.
+_MAX_PAUSE_S = 0.1
+# Maximum number of departures in one frame, about 60 bytes each. They cover the
+# targets that a mesh of 1,000 targets replaces within three days.
+_MAX_SHARED = 1024
+# Random request ids differ from those of an earlier process of this node, whose
+# replies may arrive late. They stay below 2**63.
+_ID_BYTES = 7
+
+
+@attrs.define(eq=False)
+class Notice:
+    """A departure that peers have not all confirmed yet.
+
+    Attributes:
+        pending: Peers that have not confirmed.
+        confirmed: Number of peers that have.
+        done: Set once no peer is pending.
+    """
+
+    pending: set[str]
+    confirmed: int = 0
+    done: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def remove(self, node: str, confirmed: bool) -> None:
+        """Stops waiting for a peer.
+
+        Args:
+            node: The peer.
+            confirmed: Whether the peer has the departure; False if no stream
+                to the peer could be opened.
+        """
+        if node in self.pending:
+            self.pending.remove(node)
+            self.confirmed += confirmed
+        if not self.pending:
+            self.done.set()
+
+
+@attrs.define(eq=False)
+class PeerDepartures:
+    """Keeps departures at the peers, where they survive an outage of the log.
+
+    Attributes:
+        known: The departures that this node knows.
+        members: The node's table of members.
+        links: Streams to peers.
+        clock: The node's clock.
+        joined: Set while another member is known to be present.
+        complete: Set once this node knows every departure that was acknowledged
+            before its start.
+        on_learned: Called when a peer has sent a new departure.
+        survey: Queries to peers that are under way; None if there are none.
+        query_ids: Ids of these queries.
+        replied: Set when a peer replies to one of them.
+        incomplete_replies: Queries answered before this node knew every
+            departure, by peer.
+        notices: Departures that wait for confirmations, by request id.
+        tasks: Frames that are being sent.
+        sent: Frames sent, for the metrics.
+    """
+
+    known: Departures
+    members: MemberTable
+    links: PeerLinks
+    clock: Clock
+    joined: asyncio.Event
+    complete: asyncio.Event
+    on_learned: Callable[[], None]
+    survey: PeerSurvey | None = None
+    query_ids: set[int] = attrs.field(factory=set)
+    replied: asyncio.Event = attrs.field(factory=asyncio.Event)
+    incomplete_replies: dict[str, DepartureSyncRequest] = attrs.field(
+        factory=dict
+    )
+    notices: dict[int, Notice] = attrs.field(factory=dict)
+    tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    sent: int = 0
+
+    async def stop(self) -> None:
+        """Cancels the frames that are being sent."""
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    # Notices of new departures.
+
+    async def notify(self, departure: DepartureRecord) -> bool:
+        """Sends a departure to every member present.
+
+        Returns:
+            Whether a peer has confirmed the departure, or none can be reached.
+        """
+        peers = [item for item in self.members.present() if item.peer_address]
+        if not peers:
+            return True
+        request = self._request(departure)
+        notice = Notice({entry.node for entry in peers})
+        self.notices[request.request_id] = notice
+        for entry in peers:
+            self._post(
+                entry.peer_address,
+                request,
+                functools.partial(notice.remove, entry.node, confirmed=False),
+            )
+        try:
+            async with asyncio.timeout(NOTICE_TIMEOUT_S):
+                await notice.done.wait()
+        except TimeoutError:
+            _logger.warning(
+                "departures.not_confirmed",
+                extra={
+                    "instance": departure.instance,
+                    "pending": sorted(notice.pending),
+                    "confirmed": notice.confirmed,
+                },
+            )
+        finally:
+            del self.notices[request.request_id]
+        return bool(notice.confirmed) or not notice.pending
+
+    # Queries for the departures of peers.
+
+    async def collect(self, max_peers: int) -> None:
+        """Queries peers until their replies contain every departure.
+
+        Args:
+            max_peers: Maximum number of peers to query.
+        """
+        if self.survey is not None:
+            return
+        survey = self.survey = PeerSurvey(self.members, max_peers)
+        try:
+            while not survey.is_finished(self.clock.now_ms()):
+                await self.joined.wait()
+                self._send_queries(survey)
+                self.replied.clear()
+                try:
+                    async with asyncio.timeout(_MAX_PAUSE_S):
+                        await self.replied.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            self.survey = None
+            self.query_ids.clear()
+
+    def _send_queries(self, survey: PeerSurvey) -> None:
+        due = survey.due_queries(self.clock.now_ms())
+        if not due:
+            return
+        request = self._request(None)
+        self.query_ids.add(request.request_id)
+        for entry in due:
+            self._post(entry.peer_address, request)
+
+    # Frames.
+
+    def _request(
+        self, departure: DepartureRecord | None
+    ) -> DepartureSyncRequest:
+        own = self.members.own
+        return DepartureSyncRequest(
+            request_id=int.from_bytes(os.urandom(_ID_BYTES), "big"),
+            address=own.peer_address,
+            node=own.node,
+            departure=b"" if departure is None else encode(departure),
+            digest=digest_of(self.known.newest(_MAX_SHARED)),
+        )
+
+    def _post(
+        self,
+        address: str,
+        frame: WireMessage,
+        on_failed: Callable[[], None] | None = None,
+    ) -> None:
+        task = asyncio.create_task(self._send(address, frame, on_failed))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _send(
+        self,
+        address: str,
+        frame: WireMessage,
+        on_failed: Callable[[], None] | None,
+    ) -> None:
+        try:
+            await self.links.to(address).send(frame)
+            self.sent += 1
+        except RequestError as error:
+            _logger.debug(
+                "departures.not_sent",
+                extra={"peer": address, "error": error.kind.value},
+            )
+            if on_failed is not None:
+                on_failed()
+
+    def receive_request(self, frame: DepartureSyncRequest) -> None:
+        """Adds a peer's departure, or replies with all that this node knows."""
+        if frame.departure:
+            self._learn([frame.departure])
+        elif not self.complete.is_set():
+            self.incomplete_replies[frame.node] = frame
+        self._reply(frame)
+
+    def reply_again(self) -> None:
+        """Replies to the peers that got an incomplete reply."""
+        frames = list(self.incomplete_replies.values())
+        self.incomplete_replies.clear()
+        for frame in frames:
+            self._reply(frame)
+
+    def _reply(self, frame: DepartureSyncRequest) -> None:
+        departures: list[DepartureRecord] = []
+        if not frame.departure:
+            departures = self.known.newest(_MAX_SHARED)
+            if digest_of(departures) == frame.digest:
+                departures = []
+        reply = DepartureSyncReply(
+            request_id=frame.request_id,
+            node=self.members.own.node,
+            complete=self.complete.is_set(),
+            members=1 + sum(map(_is_not(frame.node), self.members.present())),
+            departures=tuple(encode(item) for item in departures),
+        )
+        self._post(frame.address, reply)
+
+    def receive_reply(self, frame: DepartureSyncReply) -> None:
+        """Handles a peer's confirmation or its departures."""
+        self._learn(frame.departures)
+        notice = self.notices.get(frame.request_id)
+        if notice is not None:
+            notice.remove(frame.node, confirmed=True)
+        elif self.survey is not None and frame.request_id in self.query_ids:
+            now_ms = self.clock.now_ms()
+            self.survey.on_reply(
+                frame.node, frame.complete, frame.members, now_ms
+            )
+            self.replied.set()
+
+    def _learn(self, records: Iterable[bytes]) -> None:
+        if self.known.add_all(decode_departures(records)):
+            self.on_learned()
+
+
+def _is_not(node: str) -> Callable[[MemberEntry], bool]:
+    return lambda entry: entry.node != node
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/tests/test_departure_log.py
@@ -3,14 +3,20 @@
 import attrs
 import pytest
 
-from pomelobank_node._departure_log import DepartureLog
+from pomelobank_core import MemberTable
+from pomelobank_node._clock import SystemClock
 from pomelobank_node._log import LogPage
 from pomelobank_node._log_era import LogEra
+from pomelobank_node._membership import Membership
+from pomelobank_node._peer_links import PeerLinks
+from pomelobank_node.departures import DepartureRegistry
 from pomelobank_schema import encode
+from pomelobank_schema.generated.peer import Hello, MemberEntry
 from pomelobank_schema.generated.records import (
     DepartureRecord,
     TargetAnnouncement,
 )
+from pomelobank_schema.generated.settings import MembershipSettings
 
 LEFT = DepartureRecord(instance="i-1", started_at_ms=7)
 
@@ -35,6 +41,24 @@
         return LogPage(offset, records, 1)
 
 
+@attrs.define
+class NoConfiguration:
+    version: int = 0
+
+
+def registry(log: LogWithOneDeparture, first_start: bool) -> DepartureRegistry:
+    clock = SystemClock()
+    membership = Membership(
+        MemberTable(MemberEntry(node="node-1", state="starting")),
+        MembershipSettings(),
+        log,
+        PeerLinks(Hello(node="node-1")),
+        NoConfiguration(),
+        clock,
+    )
+    return DepartureRegistry.of(log, membership, clock, first_start)
+
+
 @pytest.mark.parametrize(
     ("first_start", "reads", "has_departed"),
     [
@@ -51,9 +75,9 @@
     only load the log.
     """
     log = LogWithOneDeparture()
-    departures = DepartureLog(log, first_start)
+    departures = registry(log, first_start)
     await departures.start()
-    await departures.ready.wait()
+    await departures.complete.wait()
     await departures.stop()
     target = TargetAnnouncement(
         upstream="stock",
--- a/packages/pomelobank-node/src/pomelobank_node/platform_api.py
+++ b/packages/pomelobank-node/src/pomelobank_node/platform_api.py
@@ -24,6 +24,7 @@
     HttpRequest,
     HttpResponse,
 )
+from pomelobank_node.departures import DepartureNotKeptError
 from pomelobank_node.published import (
     Document,
     PublishedConfig,
@@ -33,6 +34,7 @@
 
 __all__ = [
     "BoundedOutput",
+    "DepartureNotKeptError",
     "Document",
     "Handler",
     "HttpConventions",
