--- a/packages/pomelobank-node/src/pomelobank_node/_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log.py
@@ -10,6 +10,7 @@
 CONFIG_STREAM = "config"
 DEPARTURES_STREAM = "departures"
 MEMBERS_STREAM = "members"
+_PAGE_RECORDS = 1000
 
 
 class LogErrorKind(enum.Enum):
@@ -106,6 +107,31 @@
                 or UNKNOWN if the call failed.
         """
 
+    async def put_keyed(self, stream: str, key: str, record: bytes) -> None:
+        """Stores the newest record of a key.
+
+        The newest record of each key outlives the retention time of other
+        records where the log supports that.
+
+        Raises:
+            LogError: REJECTED if the record was certainly not stored, UNKNOWN
+                if it may have been.
+        """
+
+    async def drop_keyed(self, stream: str, key: str) -> None:
+        """Drops a key, as far as the log supports that.
+
+        Raises:
+            LogError: If the call failed.
+        """
+
+    async def read_keyed(self, stream: str) -> list[bytes]:
+        """Reads at least the newest record of each key.
+
+        Raises:
+            LogError: If a call failed.
+        """
+
 
 async def read_retained(
     log: Log, stream: str, offset: int, limit: int, wait_ms: int = 0
@@ -129,3 +155,19 @@
         if error.kind is not LogErrorKind.TRIMMED:
             raise
         return await log.read(stream, error.first_offset, limit, 0)
+
+
+async def read_all_retained(log: Log, stream: str) -> list[bytes]:
+    """Reads all records of a stream that the log keeps.
+
+    Raises:
+        LogError: If the log does not answer.
+    """
+    records: list[bytes] = []
+    offset = 0
+    while True:
+        page = await read_retained(log, stream, offset, _PAGE_RECORDS)
+        records += page.records
+        offset = page.next_offset
+        if not page.records or offset >= page.end_offset:
+            return records
--- a/packages/pomelobank-node/src/pomelobank_node/_log_client.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_log_client.py
@@ -4,7 +4,12 @@
 import attrs
 import msgpack
 
-from pomelobank_node._log import LogError, LogErrorKind, LogPage
+from pomelobank_node._log import (
+    LogError,
+    LogErrorKind,
+    LogPage,
+    read_all_retained,
+)
 from pomelobank_node._log_era import LogEra
 from pomelobank_schema.generated.settings import LogSettings
 
@@ -114,6 +119,25 @@
         page = msgpack.unpackb(body)
         return LogPage(page["first"], tuple(page["records"]), page["end"])
 
+    async def put_keyed(self, stream: str, key: str, record: bytes) -> None:
+        """Appends the record; the service has no records by key.
+
+        Raises:
+            LogError: As for `append`.
+        """
+        await self.append(stream, record)
+
+    async def drop_keyed(self, stream: str, key: str) -> None:
+        """Does nothing: the service drops records after its retention time."""
+
+    async def read_keyed(self, stream: str) -> list[bytes]:
+        """Reads all records of a stream that the service keeps.
+
+        Raises:
+            LogError: REJECTED or UNKNOWN if a call failed.
+        """
+        return await read_all_retained(self, stream)
+
     async def _call(
         self,
         method: str,
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_departure_log.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 import attrs
+import xxhash
 
 from pomelobank_core.departures import key_of
 from pomelobank_node._log import (
@@ -13,7 +14,6 @@
     Log,
     LogError,
     LogErrorKind,
-    read_retained,
 )
 from pomelobank_schema import SchemaError, decode, encode
 from pomelobank_schema.generated.records import KINDS, DepartureRecord
@@ -24,7 +24,11 @@
 # the response and then repeats the call, so the node must respond with an error
 # before that.
 _APPEND_TIMEOUT_S = 0.8
-_PAGE_RECORDS = 1000
+# Age from which a departure is dropped from the log. Its target has ended long
+# ago; a target that an operator drains runs on for hours at most.
+_RETENTION_MS = 24 * 3600 * 1000
+# Maximum length of a key in the log.
+_MAX_KEY_BYTES = 255
 # Maximum delay before departures are stored again. The store accepts a few
 # hundred writes per second, and nodes should not exceed them together.
 _MAX_STORING_DELAY_S = 0.5
@@ -77,7 +81,9 @@
     async def _append(self, departure: DepartureRecord) -> None:
         try:
             async with asyncio.timeout(_APPEND_TIMEOUT_S):
-                await self.log.append(DEPARTURES_STREAM, encode(departure))
+                await self.log.put_keyed(
+                    DEPARTURES_STREAM, _log_key(departure), encode(departure)
+                )
         except TimeoutError:
             raise LogError(
                 LogErrorKind.UNKNOWN,
@@ -119,18 +125,31 @@
             retry_ms = min(2 * retry_ms, _MAX_RETRY_MS)
         return departures
 
+    async def drop_stale(
+        self, departures: list[DepartureRecord], wall_ms: int
+    ) -> None:
+        """Drops the oldest departure from the log if it is stale.
+
+        Each start drops one at most, so that nodes that start together do not
+        all drop the same ones.
+
+        Args:
+            departures: Departures in the log.
+            wall_ms: Time since the Unix epoch.
+        """
+        oldest = min(departures, key=lambda item: item.at_ms, default=None)
+        if oldest is None or wall_ms - oldest.at_ms < _RETENTION_MS:
+            return
+        try:
+            await self.log.drop_keyed(DEPARTURES_STREAM, _log_key(oldest))
+        except LogError as error:
+            _logger.info("departures.not_dropped", extra={"error": str(error)})
+
     async def _read(self) -> list[DepartureRecord] | None:
-        departures: list[DepartureRecord] = []
-        offset = 0
         try:
-            while True:
-                page = await read_retained(
-                    self.log, DEPARTURES_STREAM, offset, _PAGE_RECORDS
-                )
-                departures += decode_departures(page.records)
-                offset = page.next_offset
-                if not page.records or offset >= page.end_offset:
-                    return departures
+            return decode_departures(
+                await self.log.read_keyed(DEPARTURES_STREAM)
+            )
         except LogError as error:
             _logger.warning(
                 "departures.log_failed", extra={"error": str(error)}
@@ -138,6 +157,13 @@
             return None
 
 
+def _log_key(departure: DepartureRecord) -> str:
+    key = key_of(departure)
+    if len(key.encode()) <= _MAX_KEY_BYTES:
+        return key
+    return xxhash.xxh3_128_hexdigest(key.encode())
+
+
 def decode_departures(records: Iterable[bytes]) -> list[DepartureRecord]:
     """Decodes departures; skips records that this program cannot decode.
 
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
@@ -123,6 +123,7 @@
         if self.known.add_all(departures):
             self._notify_learned()
         self._set_complete("log")
+        await self.log.drop_stale(departures, self.clock.wall_ms())
 
     async def _load_from_peers(self) -> None:
         try:
--- a/packages/pomelobank-node/src/pomelobank_node/departures/tests/test_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/tests/test_departure_log.py
@@ -1,11 +1,12 @@
 """Departures that a node reads from the log at its start."""
 
+import asyncio
+
 import attrs
 import pytest
 
 from pomelobank_core import MemberTable
 from pomelobank_node._clock import SystemClock
-from pomelobank_node._log import LogPage
 from pomelobank_node._log_era import LogEra
 from pomelobank_node._membership import Membership
 from pomelobank_node._peer_links import PeerLinks
@@ -18,6 +19,7 @@
 )
 from pomelobank_schema.generated.settings import MembershipSettings
 
+TEST_TIMEOUT_S = 30
 LEFT = DepartureRecord(instance="i-1", started_at_ms=7)
 
 
@@ -28,17 +30,16 @@
     era: LogEra = attrs.field(factory=LogEra)
     long_poll_ms: int = 0
     reads: int = 0
-    appends: int = 0
-
-    async def append(self, stream: str, record: bytes) -> int:
-        raise NotImplementedError
+    dropped: asyncio.Event = attrs.field(factory=asyncio.Event)
+    dropped_key: str = ""
 
-    async def read(
-        self, stream: str, offset: int, limit: int, wait_ms: int
-    ) -> LogPage:
+    async def read_keyed(self, stream: str) -> list[bytes]:
         self.reads += 1
-        records = (encode(LEFT),) if offset == 0 else ()
-        return LogPage(offset, records, 1)
+        return [encode(LEFT)]
+
+    async def drop_keyed(self, stream: str, key: str) -> None:
+        self.dropped_key = key
+        self.dropped.set()
 
 
 @attrs.define
@@ -87,3 +88,14 @@
         started_at_ms=LEFT.started_at_ms,
     )
     assert (log.reads, departures.has_departed(target)) == (reads, has_departed)
+
+
+async def test_a_stale_departure_is_dropped_from_the_log() -> None:
+    """The records of targets that ended long ago would fill the log."""
+    log = LogWithOneDeparture()
+    departures = registry(log, first_start=False)
+    await departures.start()
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        await log.dropped.wait()
+    await departures.stop()
+    assert log.dropped_key == LEFT.instance
