--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -30,6 +30,7 @@
     find_header,
 )
 from pomelobank_node._requests import RequestError
+from pomelobank_node.callers._collected_body import collect_body
 from pomelobank_node.callers._error_responses import error_response
 from pomelobank_node.callers._exchange import Exchange
 from pomelobank_node.callers._messages import (
@@ -81,7 +82,10 @@
         parser: The incremental HTTP parser.
         exchanges: Requests whose response is not fully written, oldest first.
         reading: The request whose body is being received.
-        streaming: Task that writes a long response's body; None without one.
+        streaming: Task that collects or writes a long response's body; None
+            without one.
+        holds_requests: Whether new requests wait until a long response is
+            written.
         writable: Set while the transport's write buffer accepts data.
         url: Request target of the head that is being received.
         headers: Headers of the head that is being received.
@@ -104,6 +108,7 @@
         self.exchanges: deque[Exchange] = deque()
         self.reading: Exchange | None = None
         self.streaming: asyncio.Task[None] | None = None
+        self.holds_requests = False
         self.writable = asyncio.Event()
         self.writable.set()
         self.url = b""
@@ -301,8 +306,21 @@
         self._start(exchange)
 
     def _start(self, exchange: Exchange) -> None:
+        if self.holds_requests:
+            # The connection has to be closed if the response being written
+            # breaks off. A request behind it is lost then if a target runs it;
+            # one that was not passed on can be sent again.
+            return
         exchange.task = self.loop.create_task(self._serve(exchange))
 
+    def _start_held(self) -> None:
+        self.holds_requests = False
+        for exchange in self.exchanges:
+            received = exchange is not self.reading or exchange.upload
+            is_new = exchange.task is None and exchange.response is None
+            if received and is_new:
+                self._start(exchange)
+
     def _adjust_reading(self) -> None:
         transport = self.transport
         if transport is None or transport.is_closing():
@@ -346,18 +364,43 @@
             exchange = self.exchanges[0]
             if exchange.response is None or self.transport is None:
                 return
+            if self._must_collect(exchange):
+                self.streaming = asyncio.create_task(self._collect(exchange))
+                return
             closes = self._closes_connection(exchange)
             head_only = exchange.method == "HEAD"
             self.transport.write(
                 encode_response(exchange.response, head_only, closes)
             )
             if exchange.response.rest is not None:
+                self.holds_requests = True
                 self.streaming = asyncio.create_task(
                     self._stream(exchange, closes)
                 )
                 return
             self._finish_exchange(closes)
 
+    def _must_collect(self, exchange: Exchange) -> bool:
+        # If the body breaks off after its head was written, the connection has
+        # to be closed, and the running requests behind it would be lost.
+        assert exchange.response is not None
+        if exchange.response.rest is None or exchange.collected:
+            return False
+        return any(
+            item.task is not None
+            for item in self.exchanges
+            if item is not exchange
+        )
+
+    async def _collect(self, exchange: Exchange) -> None:
+        assert exchange.response is not None
+        exchange.response = await collect_body(
+            exchange.response, self.server.http_conventions
+        )
+        exchange.collected = True
+        self.streaming = None
+        self._flush()
+
     def _closes_connection(self, exchange: Exchange) -> bool:
         assert exchange.response is not None
         if not exchange.keep_alive:
@@ -400,6 +443,7 @@
             return
         self.streaming = None
         self._finish_exchange(closes)
+        self._start_held()
         self._flush()
 
     async def _write_remaining_body(self, response: HttpResponse) -> bool:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_exchange.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_exchange.py
@@ -26,6 +26,7 @@
             None for other requests.
         task: Runs the handler; None until the handler is called.
         response: The response; None until the handler returns.
+        collected: Whether the response's body was collected as far as possible.
     """
 
     method: str
@@ -37,6 +38,7 @@
     upload: BodyBuffer | None = None
     task: asyncio.Task[None] | None = None
     response: HttpResponse | None = None
+    collected: bool = False
     head_length: int = attrs.field(init=False)
 
     @head_length.default
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -8,6 +8,8 @@
 import attrs
 import pytest
 
+from pomelobank_core import ErrorKind
+from pomelobank_node._bodies import BodyBuffer
 from pomelobank_node.callers import (
     CallerServer,
     Handler,
@@ -15,6 +17,7 @@
     HttpRequest,
     HttpResponse,
 )
+from pomelobank_node.callers._collected_body import MAX_COLLECTED_BYTES
 from pomelobank_schema import parse_address
 
 TEST_TIMEOUT_S = 20
@@ -271,6 +274,94 @@
     assert handler.cancelled == []
 
 
+class BreakingHandler(HeldHandler):
+    """Streams the first response, whose body breaks off once it is released.
+
+    Attributes:
+        rest: The rest of that body.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rest = BodyBuffer(lambda _: None, lambda: None)
+
+    async def __call__(self, request: HttpRequest) -> HttpResponse:
+        response = await super().__call__(request)
+        if request.target != b"/first":
+            return response
+        return attrs.evolve(
+            response,
+            headers=[*response.headers, (b"content-length", b"100000")],
+            rest=self.rest,
+        )
+
+
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [
+        pytest.param(ErrorKind.UPSTREAM_LOST, 502, id="target lost"),
+        pytest.param(ErrorKind.DEADLINE_UNKNOWN, 504, id="deadline"),
+        pytest.param(ErrorKind.DRAINING, 502, id="an error that says not run"),
+    ],
+)
+async def test_requests_behind_a_response_that_breaks_off_are_answered(
+    kind: ErrorKind, status: int
+) -> None:
+    """Guards against the loss of running requests with a broken response."""
+    handler = BreakingHandler()
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(FIRST + SECOND)
+        await handler.wait_for([b"/first", b"/second"], handler.arrived)
+        handler.release_event(b"/second").set()
+        handler.release_event(b"/first").set()
+        handler.rest.put(b"part")
+        handler.rest.fail(kind)
+        assert (await read_response(reader))[0] == status
+        assert (await read_response(reader))[2] == b"/second"
+        writer.close()
+
+
+async def test_request_behind_a_response_being_written_is_held() -> None:
+    """Guards against the loss of a request that a target runs already.
+
+    A long response that is being written can only break off by closing the
+    connection.
+    """
+    handler = BreakingHandler()
+    handler.release_event(b"/first").set()
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(FIRST)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await reader.readuntil(b"/first")
+        writer.write(SECOND)
+        for connection in server.connections:
+            async with asyncio.timeout(TEST_TIMEOUT_S):
+                while len(connection.exchanges) < 2:  # noqa: ASYNC110
+                    await asyncio.sleep(0.01)
+        assert handler.arrived == [b"/first"]
+        handler.rest.put(b"x" * 10)
+        handler.rest.end()
+        await handler.wait_for([b"/first", b"/second"], handler.arrived)
+        writer.close()
+
+
+async def test_long_body_is_streamed_behind_a_limit_of_memory() -> None:
+    """Guards against a body that fills the memory before it is written."""
+    handler = BreakingHandler()
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(FIRST + SECOND)
+        await handler.wait_for([b"/first", b"/second"], handler.arrived)
+        handler.release_event(b"/first").set()
+        handler.rest.put(b"x" * (MAX_COLLECTED_BYTES + 1))
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(MAX_COLLECTED_BYTES)
+        writer.close()
+
+
 async def test_body_is_read_completely_after_a_closing_response() -> None:
     """Guards against a hang when a body ends after a closing response.
 
