--- a/packages/pomelobank-core/src/pomelobank_core/departures/tests/test_departures.py
+++ b/packages/pomelobank-core/src/pomelobank_core/departures/tests/test_departures.py
@@ -56,6 +56,30 @@
     assert known.has_departed(target) is departed
 
 
+@pytest.mark.parametrize("reverse", [False, True], ids=["in order", "late"])
+@pytest.mark.parametrize(
+    ("records", "departed"),
+    [
+        pytest.param([(1, False), (2, True)], False, id="returned"),
+        pytest.param([(1, True), (2, False)], True, id="departed again"),
+        pytest.param([(1, False), (2, False)], True, id="departed twice"),
+    ],
+)
+def test_the_record_made_last_counts_in_any_order(
+    records: list[tuple[int, bool]], departed: bool, reverse: bool
+) -> None:
+    """Peers send a return before the earlier departure, or the reverse."""
+    known = Departures()
+    target = TargetAnnouncement(upstream="u", address="127.0.0.1:1", slots=2)
+    for at_ms, returned in sorted(records, reverse=reverse):
+        known.add(
+            DepartureRecord(
+                address=target.address, at_ms=at_ms, returned=returned
+            )
+        )
+    assert known.has_departed(target) is departed
+
+
 def test_the_number_of_departures_is_bounded() -> None:
     """A faulty writer fills the log with departures of unknown targets.
 
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -106,6 +106,7 @@
             self.held_back = announcement
             self.held_back_ms = self.clock.now_ms()
             return
+        self.held_back = None
         await self._apply_announcement(announcement)
 
     async def _handle_held_back(self) -> None:
@@ -252,7 +253,7 @@
             DepartureNotKeptError: If it is not certain that the drain is kept;
                 a restart of this node may then undo the drain.
         """
-        target = self.lease.announcement
+        target = self.lease.announcement or self.held_back
         if target is None:
             await self._drain()
         else:
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
@@ -154,8 +154,7 @@
         Args:
             max_peers: Maximum number of peers to query.
         """
-        if self.survey is not None:
-            return
+        assert self.survey is None, "a survey is under way"
         survey = self.survey = PeerSurvey(self.members, max_peers)
         try:
             while not survey.is_finished(self.clock.now_ms()):
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
@@ -134,7 +134,7 @@
             self._set_complete("peers")
         else:
             # The log may have lost its newest records.
-            await self.peers.collect(REFRESH_PEERS)
+            await self._refresh()
 
     def _set_complete(self, origin: str) -> None:
         if self.complete.is_set():
@@ -158,11 +158,16 @@
         interruptions = membership.swim.pauses + membership.table.refutations
         if interruptions == self.interruptions:
             return
+        if not self.complete.is_set() or self.peers.survey is not None:
+            # The next check follows once the present survey has ended.
+            return
         self.interruptions = interruptions
         self.tasks = [task for task in self.tasks if not task.done()]
-        self.tasks.append(
-            asyncio.create_task(self.peers.collect(REFRESH_PEERS))
-        )
+        self.tasks.append(asyncio.create_task(self._refresh()))
+
+    async def _refresh(self) -> None:
+        if self.peers.survey is None:
+            await self.peers.collect(REFRESH_PEERS)
 
     def _notify_learned(self) -> None:
         for callback in self.on_learned:
