--- a/packages/pomelobank-testing/src/pomelobank_testing/tests/test_membership.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_membership.py
@@ -179,6 +179,8 @@
     """
     async with TestMesh(FAST_SETTINGS) as mesh:
         first = await mesh.add_node("a", "hobart", UpstreamService("a", "u"))
+        # The others learn from this node that no target has departed.
+        await wait_states(mesh, ["a"], {"a": "ready"})
         mesh.log.faults.outage = True
         seeds = {"seeds": [first.addresses["peer"]]}
         mesh.overrides = {
