--- a/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_links.py
@@ -124,7 +124,10 @@
         return outgoing
 
     def _handle_frame(self, frame: WireMessage, stream: FrameStream) -> None:
-        if self.links.on_frame is not None:
+        handler = self.links.frame_handlers.get(type(frame))
+        if handler is not None:
+            handler(frame)
+        elif self.links.on_frame is not None:
             self.links.on_frame(frame, stream.send)
 
     async def _run(self, outgoing: OutgoingStream) -> None:
@@ -253,7 +256,9 @@
             Without this limit, the handshakes would delay each other when most
             of the fleet returns, or when every connection attempt to a
             partitioned data centre times out.
-        on_frame: Handles frames that belong to no request.
+        on_frame: Handles frames that belong to no request, unless there is a
+            handler for their type.
+        frame_handlers: Handlers of replies on a link's stream, by frame type.
         links: The links.
         withdrawals: Number of times that all requests were withdrawn.
         handshakes: Semaphore that enforces `connect_limit`.
@@ -263,6 +268,9 @@
     hello: Hello
     connect_limit: int = DEFAULT_CONNECT_LIMIT
     on_frame: FrameHandler | None = None
+    frame_handlers: dict[type[WireMessage], Callable[[WireMessage], None]] = (
+        attrs.field(factory=dict)
+    )
     links: dict[str, PeerLink] = attrs.field(factory=dict)
     closed_bytes: int = 0
     withdrawals: int = 0
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol
 
 import attrs
@@ -30,7 +31,6 @@
     BodyCredit,
     CancelRequest,
     CrashReport,
-    DepartureSyncReply,
     DepartureSyncRequest,
     DocumentPush,
     ForwardReply,
@@ -101,11 +101,12 @@
 class DepartureFrames(Protocol):
     """Handles peers' frames about departures of targets."""
 
-    def receive_request(self, frame: DepartureSyncRequest) -> None:
-        """Keeps a peer's departures and replies."""
-
-    def receive_reply(self, frame: DepartureSyncReply) -> None:
-        """Handles a peer's reply."""
+    def receive_request(
+        self,
+        frame: DepartureSyncRequest,
+        reply: Callable[[WireMessage], None],
+    ) -> None:
+        """Adds a peer's departure and replies."""
 
 
 @attrs.define(eq=False)
@@ -444,13 +445,7 @@
 @handle_frame.register
 def _(frame: DepartureSyncRequest, connection: PeerConnection) -> None:
     if connection.departures is not None:
-        connection.departures.receive_request(frame)
-
-
-@handle_frame.register
-def _(frame: DepartureSyncReply, connection: PeerConnection) -> None:
-    if connection.departures is not None:
-        connection.departures.receive_reply(frame)
+        connection.departures.receive_request(frame, connection.stream.send)
 
 
 @handle_frame.register(TokenRequest)
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
@@ -34,6 +34,9 @@
 # replies may arrive late. They stay below 2**63.
 _ID_BYTES = 7
 
+# Sends a frame on the stream that a request arrived on.
+ReplySender = Callable[[WireMessage], None]
+
 
 @attrs.define(eq=False)
 class Notice:
@@ -81,7 +84,7 @@
         query_ids: Ids of these queries.
         replied: Set when a peer replies to one of them.
         incomplete_replies: Queries answered before this node knew every
-            departure, by peer.
+            departure, each with the function that sends a reply, by peer.
         notices: Departures that wait for confirmations, by request id.
         tasks: Frames that are being sent.
         sent: Frames sent, for the metrics.
@@ -97,13 +100,16 @@
     survey: PeerSurvey | None = None
     query_ids: set[int] = attrs.field(factory=set)
     replied: asyncio.Event = attrs.field(factory=asyncio.Event)
-    incomplete_replies: dict[str, DepartureSyncRequest] = attrs.field(
-        factory=dict
+    incomplete_replies: dict[str, tuple[DepartureSyncRequest, ReplySender]] = (
+        attrs.field(factory=dict)
     )
     notices: dict[int, Notice] = attrs.field(factory=dict)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     sent: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.links.frame_handlers[DepartureSyncReply] = self.receive_reply
+
     async def stop(self) -> None:
         """Cancels the frames that are being sent."""
         for task in list(self.tasks):
@@ -184,11 +190,9 @@
     def _request(
         self, departure: DepartureRecord | None
     ) -> DepartureSyncRequest:
-        own = self.members.own
         return DepartureSyncRequest(
             request_id=int.from_bytes(os.urandom(_ID_BYTES), "big"),
-            address=own.peer_address,
-            node=own.node,
+            node=self.members.own.node,
             departure=b"" if departure is None else encode(departure),
             digest=digest_of(self.known.newest(_MAX_SHARED)),
         )
@@ -220,38 +224,44 @@
             if on_failed is not None:
                 on_failed()
 
-    def receive_request(self, frame: DepartureSyncRequest) -> None:
-        """Adds a peer's departure, or replies with all that this node knows."""
+    def receive_request(
+        self, frame: DepartureSyncRequest, reply: ReplySender
+    ) -> None:
+        """Adds a peer's departure, or replies with all that this node knows.
+
+        Args:
+            frame: The request.
+            reply: Sends a frame back on the stream of the request.
+        """
         if frame.departure:
             self._learn([frame.departure])
         elif not self.complete.is_set():
-            self.incomplete_replies[frame.node] = frame
-        self._reply(frame)
+            self.incomplete_replies[frame.node] = frame, reply
+        reply(self._reply_to(frame))
 
     def reply_again(self) -> None:
         """Replies to the peers that got an incomplete reply."""
-        frames = list(self.incomplete_replies.values())
+        for frame, reply in self.incomplete_replies.values():
+            reply(self._reply_to(frame))
         self.incomplete_replies.clear()
-        for frame in frames:
-            self._reply(frame)
 
-    def _reply(self, frame: DepartureSyncRequest) -> None:
+    def _reply_to(self, frame: DepartureSyncRequest) -> DepartureSyncReply:
         departures: list[DepartureRecord] = []
         if not frame.departure:
             departures = self.known.newest(_MAX_SHARED)
             if digest_of(departures) == frame.digest:
                 departures = []
-        reply = DepartureSyncReply(
+        return DepartureSyncReply(
             request_id=frame.request_id,
             node=self.members.own.node,
             complete=self.complete.is_set(),
             members=1 + sum(map(_is_not(frame.node), self.members.present())),
             departures=tuple(encode(item) for item in departures),
         )
-        self._post(frame.address, reply)
 
-    def receive_reply(self, frame: DepartureSyncReply) -> None:
+    def receive_reply(self, frame: WireMessage) -> None:
         """Handles a peer's confirmation or its departures."""
+        assert isinstance(frame, DepartureSyncReply)
         self._learn(frame.departures)
         notice = self.notices.get(frame.request_id)
         if notice is not None:
