--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -323,11 +323,7 @@
 
 
 async def test_request_behind_a_response_being_written_is_held() -> None:
-    """Guards against the loss of a request that a target runs already.
-
-    A long response that is being written can only break off by closing the
-    connection.
-    """
+    """Guards against the loss of a running request with a broken response."""
     handler = BreakingHandler()
     handler.release_event(b"/first").set()
     async with running_server(handler) as server:
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
@@ -87,7 +87,6 @@
             departure, each with the function that sends a reply, by peer.
         notices: Departures that wait for confirmations, by request id.
         tasks: Frames that are being sent.
-        sent: Frames sent, for the metrics.
     """
 
     known: Departures
@@ -105,7 +104,6 @@
     )
     notices: dict[int, Notice] = attrs.field(factory=dict)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
-    sent: int = 0
 
     def __attrs_post_init__(self) -> None:
         self.links.frame_handlers[DepartureSyncReply] = self.receive_reply
@@ -215,7 +213,6 @@
     ) -> None:
         try:
             await self.links.to(address).send(frame)
-            self.sent += 1
         except RequestError as error:
             _logger.debug(
                 "departures.not_sent",
