--- a/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
@@ -24,7 +24,15 @@
 _logger = logging.getLogger(__name__)
 # Time limit for the peers to confirm a departure. The target repeats its call
 # after 1 s, so the node must respond before that.
-NOTICE_TIMEOUT_S = 0.7
+NOTICE_TIMEOUT_S = 0.8
+# Minimum pause between two frames with a departure to one member.
+_NOTICE_INTERVAL_MS = 1000
+# Time for which a departure is sent to members that have not confirmed it. A
+# member that is away for longer queries its peers when it is back.
+_NOTICE_KEPT_MS = 60_000
+# Time limit of the wait for a first peer before that, after which a node counts
+# as the only one of the mesh.
+_JOIN_TIMEOUT_S = 0.5
 # Maximum pause between two checks of the replies to queries.
 _MAX_PAUSE_S = 0.1
 # Maximum number of departures in one frame, about 60 bytes each. They cover the
@@ -40,31 +48,38 @@
 
 @attrs.define(eq=False)
 class Notice:
-    """A departure that peers have not all confirmed yet.
+    """A departure that this node sends to every member.
 
     Attributes:
-        pending: Peers that have not confirmed.
-        confirmed: Number of peers that have.
-        done: Set once no peer is pending.
+        request: The frame with the departure.
+        began_ms: Time of the departure.
+        confirmed: Members that have confirmed the departure.
+        unreachable: Members to which no stream could be opened.
+        sent_ms: When the frame was last sent to each member.
+        changed: Set when a member confirms or turns out to be unreachable.
     """
 
-    pending: set[str]
-    confirmed: int = 0
-    done: asyncio.Event = attrs.field(factory=asyncio.Event)
+    request: DepartureSyncRequest
+    began_ms: int
+    confirmed: set[str] = attrs.field(factory=set)
+    unreachable: set[str] = attrs.field(factory=set)
+    sent_ms: dict[str, int] = attrs.field(factory=dict)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def remove(self, node: str, confirmed: bool) -> None:
-        """Stops waiting for a peer.
+    def on_confirmed(self, node: str) -> None:
+        """Records that a member has the departure."""
+        self.confirmed.add(node)
+        self.changed.set()
 
-        Args:
-            node: The peer.
-            confirmed: Whether the peer has the departure; False if no stream
-                to the peer could be opened.
-        """
-        if node in self.pending:
-            self.pending.remove(node)
-            self.confirmed += confirmed
-        if not self.pending:
-            self.done.set()
+    def on_unreachable(self, node: str) -> None:
+        """Records that no stream to a member could be opened."""
+        self.unreachable.add(node)
+        self.changed.set()
+
+    def pending(self, members: Iterable[MemberEntry]) -> list[MemberEntry]:
+        """Returns the members that have neither confirmed nor failed."""
+        settled = self.confirmed | self.unreachable
+        return [entry for entry in members if entry.node not in settled]
 
 
 @attrs.define(eq=False)
@@ -85,7 +100,7 @@
         replied: Set when a peer replies to one of them.
         incomplete_replies: Queries answered before this node knew every
             departure, each with the function that sends a reply, by peer.
-        notices: Departures that wait for confirmations, by request id.
+        notices: Departures that this process has sent, by request id.
         tasks: Frames that are being sent.
     """
 
@@ -119,36 +134,68 @@
     async def notify(self, departure: DepartureRecord) -> bool:
         """Sends a departure to every member present.
 
+        Members that have not confirmed it in time, or that join later, get it
+        again.
+
         Returns:
             Whether a peer has confirmed the departure, or none can be reached.
         """
-        peers = [item for item in self.members.present() if item.peer_address]
-        if not peers:
-            return True
         request = self._request(departure)
-        notice = Notice({entry.node for entry in peers})
+        notice = Notice(request, self.clock.now_ms())
         self.notices[request.request_id] = notice
-        for entry in peers:
-            self._post(
-                entry.peer_address,
-                request,
-                functools.partial(notice.remove, entry.node, confirmed=False),
-            )
         try:
             async with asyncio.timeout(NOTICE_TIMEOUT_S):
-                await notice.done.wait()
+                await self._wait_joined()
+                self._send_notice(notice)
+                while notice.pending(self._peers()):
+                    notice.changed.clear()
+                    await notice.changed.wait()
         except TimeoutError:
+            pending = [entry.node for entry in notice.pending(self._peers())]
             _logger.warning(
                 "departures.not_confirmed",
                 extra={
                     "instance": departure.instance,
-                    "pending": sorted(notice.pending),
-                    "confirmed": notice.confirmed,
+                    "pending": sorted(pending),
+                    "confirmed": len(notice.confirmed),
                 },
             )
-        finally:
-            del self.notices[request.request_id]
-        return bool(notice.confirmed) or not notice.pending
+            return bool(notice.confirmed)
+        return True
+
+    def _peers(self) -> list[MemberEntry]:
+        return [item for item in self.members.present() if item.peer_address]
+
+    def _send_notice(self, notice: Notice) -> None:
+        now_ms = self.clock.now_ms()
+        for entry in self._peers():
+            sent_ms = notice.sent_ms.get(entry.node)
+            is_due = sent_ms is None or now_ms - sent_ms >= _NOTICE_INTERVAL_MS
+            if entry.node in notice.confirmed or not is_due:
+                continue
+            notice.sent_ms[entry.node] = now_ms
+            self._post(
+                entry.peer_address,
+                notice.request,
+                functools.partial(notice.on_unreachable, entry.node),
+            )
+
+    def send_notices(self) -> None:
+        """Sends departures to members that have not confirmed them."""
+        oldest_ms = self.clock.now_ms() - _NOTICE_KEPT_MS
+        for request_id, notice in list(self.notices.items()):
+            if notice.began_ms < oldest_ms:
+                del self.notices[request_id]
+            else:
+                self._send_notice(notice)
+
+    async def _wait_joined(self) -> None:
+        # A node that has just started does not know its peers yet.
+        try:
+            async with asyncio.timeout(_JOIN_TIMEOUT_S):
+                await self.joined.wait()
+        except TimeoutError:
+            _logger.info("departures.no_peers")
 
     # Queries for the departures of peers.
 
@@ -262,7 +309,7 @@
         self._learn(frame.departures)
         notice = self.notices.get(frame.request_id)
         if notice is not None:
-            notice.remove(frame.node, confirmed=True)
+            notice.on_confirmed(frame.node)
         elif self.survey is not None and frame.request_id in self.query_ids:
             now_ms = self.clock.now_ms()
             self.survey.on_reply(
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
@@ -100,7 +100,7 @@
     async def start(self) -> None:
         """Starts to load the departures that earlier processes acknowledged."""
         await self.log.start()
-        self.membership.on_tick.append(self._check_interruptions)
+        self.membership.on_tick.append(self._tick)
         if self.first_start:
             self.complete.set()
             return
@@ -151,7 +151,11 @@
         if not self.complete.is_set():
             _logger.warning("departures.not_loaded")
 
-    def _check_interruptions(self, _: int) -> None:
+    def _tick(self, _: int) -> None:
+        self.peers.send_notices()
+        self._check_interruptions()
+
+    def _check_interruptions(self) -> None:
         # Peers that could not reach this node may have acknowledged departures
         # without it.
         membership = self.membership
