--- a/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
@@ -23,7 +23,6 @@
 )
 
 _logger = logging.getLogger(__name__)
-_MS_PER_S = 1000
 # Time limit of the wait for the log before the node queries its peers. The log
 # normally answers within a few ms.
 _EXPECTED_READ_S = 0.2
