--- a/packages/pomelobank-node/src/pomelobank_node/departures/tests/departure_mesh.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/tests/departure_mesh.py
@@ -317,27 +317,26 @@
             self.log.available = True
 
     async def _check(self) -> None:
-        available_s = complete = 0.0
+        log_available_s = 0.0
         loading: set[Node] = set()
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
-            available_s = (
-                available_s + CHECK_PERIOD_S if (self.log.available) else 0.0
-            )
+            log_available_s += CHECK_PERIOD_S
+            if not self.log.available:
+                log_available_s = 0.0
             for node in self.nodes.values():
                 for callback in node.on_tick:
-                    callback(0)
+                    callback(self.clock.now_ms())
                 if node.registry is None:
                     continue
-                complete = node.registry.complete.is_set()
-                if not complete:
+                if not node.registry.complete.is_set():
                     loading.add(node)
                     continue
                 if node in loading:
                     loading.discard(node)
                     node.excused = self._is_excused(node)
                     self.excuses += node.excused and node.acknowledged
-                self._check_node(node, available_s)
+                self._check_node(node, log_available_s)
 
     def check_kept(self, node: Node) -> None:
         """Checks that a peer has the departure that a node acknowledges."""
@@ -379,11 +378,11 @@
         )
         return complete and not known and not self.log.available
 
-    def _check_node(self, node: Node, available_s: float) -> None:
+    def _check_node(self, node: Node, log_available_s: float) -> None:
         calm_s = self.time.now_s - node.disturbed_s
         if node.frozen or calm_s < STABILITY_WINDOW_S:
             return
-        told = not node.excused or available_s > STABILITY_WINDOW_S
+        told = not node.excused or log_available_s > STABILITY_WINDOW_S
         if node.acknowledged and told and not node.knows(node.target):
             self.problems.append(
                 f"{self.time.now_s:.2f} s: {node.name} forgot {node.target}"
