--- a/packages/pomelobank-node/src/pomelobank_node/departures/tests/departure_mesh.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/_departure_mesh.py
@@ -7,10 +7,10 @@
 
 import attrs
 
-from pomelobank_core import MemberTable
+from pomelobank_core import ErrorKind, MemberTable
 from pomelobank_node._log import LogError, LogErrorKind
 from pomelobank_node._log_era import LogEra
-from pomelobank_node._requests import ErrorKind, RequestError
+from pomelobank_node._requests import RequestError
 from pomelobank_node.departures import (
     DepartureLog,
     DepartureNotKeptError,
@@ -56,13 +56,16 @@
             raise LogError(LogErrorKind.UNKNOWN, "unavailable")
 
     async def put_keyed(self, stream: str, key: str, record: bytes) -> None:
+        """Stores the newest record of a key."""
         await self._call()
         self.records[key] = record
 
     async def drop_keyed(self, stream: str, key: str) -> None:
+        """Does nothing; runs are shorter than the retention time."""
         await self._call()
 
     async def read_keyed(self, stream: str) -> list[bytes]:
+        """Returns the newest record of each key."""
         await self._call()
         return list(self.records.values())
 
@@ -103,20 +106,25 @@
 
     @property
     def links(self) -> "Node":
+        """The streams to peers."""
         return self
 
     @property
     def swim(self) -> "Node":
+        """The failure detector, of which only `pauses` is used."""
         return self
 
     @property
     def finder(self) -> "Node":
+        """The contact finder, of which only `joined` is used."""
         return self
 
     def to(self, address: str) -> "Link":
+        """Returns the link to a node."""
         return Link(self, self.mesh.nodes[address])
 
     def knows(self, instance: str) -> bool:
+        """Returns whether the present process knows of a departure."""
         return self.registry is not None and self.registry.known.has_departed(
             TargetAnnouncement(
                 upstream="u", address="127.0.0.1:1", slots=1, instance=instance
@@ -124,6 +132,7 @@
         )
 
     async def start(self, first_start: bool = False) -> None:
+        """Starts a process, which joins the mesh later."""
         self.starts += 1
         start = self.starts
         self.table = MemberTable(
@@ -145,12 +154,14 @@
             self.mesh.introduce(self)
 
     async def kill(self) -> None:
+        """Ends the present process."""
         registry, self.registry = self.registry, None
         if registry is not None:
             await registry.stop()
             self.mesh.spawn(self.mesh.detect_end(self, self.starts))
 
     async def freeze(self, duration_s: float) -> None:
+        """Suspends the present process."""
         self.frozen = True
         await asyncio.sleep(duration_s)
         self.frozen = False
@@ -182,6 +193,11 @@
     destination: Node
 
     async def send(self, frame: WireMessage) -> None:
+        """Sends a frame.
+
+        Raises:
+            RequestError: If the destination is down.
+        """
         if self.destination.registry is None:
             raise RequestError(ErrorKind.PEER_UNREACHABLE)
         starts = self.source.starts, self.destination.starts
@@ -237,14 +253,17 @@
 
     @property
     def clock(self) -> VirtualClock:
+        """A clock of the virtual time."""
         return VirtualClock(self.time)
 
     def spawn(self, work: Any) -> None:
+        """Runs a coroutine until the end of the run."""
         task = asyncio.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     def introduce(self, node: Node) -> None:
+        """Makes a node and its peers known to each other."""
         for other in self.nodes.values():
             if other.registry is not None and other is not node:
                 node.table.merge((other.table.own,))
@@ -254,6 +273,7 @@
                 node.joined.set()
 
     async def detect_end(self, node: Node, start: int) -> None:
+        """Marks a node as gone unless it starts again in time."""
         await asyncio.sleep(DETECTION_S)
         if node.starts == start and node.registry is None:
             for other in self.nodes.values():
--- a/packages/pomelobank-node/src/pomelobank_node/departures/tests/test_departure_faults.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/tests/test_departure_faults.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from pomelobank_node.departures.tests.departure_mesh import DepartureMesh
 from pomelobank_node.tests.virtual_time import run_in_virtual_time
+from pomelobank_testing._departure_mesh import DepartureMesh
 
 
 @pytest.mark.parametrize("seed", range(12))
