--- a/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_peer_departures.py
@@ -239,9 +239,12 @@
             request_id=int.from_bytes(os.urandom(_ID_BYTES), "big"),
             node=self.members.own.node,
             departure=b"" if departure is None else encode(departure),
-            digest=digest_of(self.known.newest(_MAX_SHARED)),
+            digest=0 if departure else digest_of(self._shared()),
         )
 
+    def _shared(self) -> list[DepartureRecord]:
+        return self.known.newest(_MAX_SHARED)
+
     def _post(
         self,
         address: str,
@@ -292,7 +295,7 @@
     def _reply_to(self, frame: DepartureSyncRequest) -> DepartureSyncReply:
         departures: list[DepartureRecord] = []
         if not frame.departure:
-            departures = self.known.newest(_MAX_SHARED)
+            departures = self._shared()
             if digest_of(departures) == frame.digest:
                 departures = []
         return DepartureSyncReply(
