Name the revision of targets and of attempts in logs and membership

No line told which revision of an upstream a request ran at, so that the hypotheses of the postmortem could not be told apart. The platform's heartbeat names the version of a target's software, and nothing decoded it.

The revision now goes from the announcement into the target's state, the member entry and the log: `target.taken` and `target.not_served` name the target's, and each attempt of a request's line (`tries`) ends with it. Entries of earlier nodes have none, and a target without one is logged as before. No decision uses it yet.

--- a/packages/pomelobank-core/src/pomelobank_core/_members.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_members.py
@@ -87,6 +87,7 @@
         entry.peer_address,
         entry.upstream,
         entry.slots,
+        entry.revision,
     )
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -426,7 +426,7 @@
         outcome = RequestOutcome(TargetResult.NEUTRAL)
         trace = current_trace()
         attempt = trace.begin_attempt(
-            target.node, target.incarnation, started_ms
+            target.node, target.incarnation, started_ms, target.revision
         )
         try:
             reply = await self._send(target, request, binding)
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -84,6 +84,8 @@
         instance: The instance's name, which the node sends with each request.
         started_at_ms: Start time of the instance in ms since the epoch; 0 if
             unknown.
+        revision: Revision of the software that the instance runs; empty if
+            unknown.
     """
 
     upstream: str
@@ -91,6 +93,7 @@
     slots: int
     instance: str = ""
     started_at_ms: int = 0
+    revision: str = ""
 
 
 @attrs.define
@@ -221,6 +224,7 @@
                     self.admission_queue.expected_service_ms(request.route)
                 ),
                 "instance": self.target.instance if self.target else "",
+                "revision": self.target.revision if self.target else "",
                 "lines_dropped": self.log_limiter.pop_dropped(),
             },
         )
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -168,6 +168,7 @@
             extra={
                 "instance": announcement.instance,
                 "started_at_ms": announcement.started_at_ms,
+                "revision": announcement.revision,
                 "restarted": restarted,
             },
         )
@@ -178,6 +179,7 @@
                 announcement.slots,
                 announcement.instance,
                 announcement.started_at_ms,
+                announcement.revision,
             )
         )
         table = self.membership.table
@@ -190,12 +192,14 @@
                 state=state,
                 upstream=announcement.upstream,
                 slots=announcement.slots,
+                revision=announcement.revision,
             )
         else:
             table.update_own(
                 state=state,
                 upstream=announcement.upstream,
                 slots=announcement.slots,
+                revision=announcement.revision,
             )
         self.membership.gossip_own_entry()
 
--- a/packages/pomelobank-node/src/pomelobank_node/_tracing.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_tracing.py
@@ -18,6 +18,7 @@
         outcome: Status of the response, or the kind of the error.
         took_ms: Time from the begin to the outcome; None while the attempt is
             in progress.
+        revision: Revision of the target; empty if unknown.
     """
 
     node: str
@@ -25,6 +26,7 @@
     started_ms: int
     outcome: str = IN_PROGRESS
     took_ms: int | None = None
+    revision: str = ""
 
     def end(self, outcome: str, took_ms: int) -> None:
         """Records the outcome of the attempt."""
@@ -36,11 +38,18 @@
 
         >>> AttemptTrace("node-1", 7, started_ms=100).describe(now_ms=150)
         'node-1@7:in_progress:50ms'
+        >>> AttemptTrace("node-1", 7, 100, "200", 20, "v2").describe(now_ms=150)
+        'node-1@7:200:20ms:v2'
         """
         took_ms = self.took_ms
         if took_ms is None:
             took_ms = now_ms - self.started_ms
-        return f"{self.node}@{self.incarnation}:{self.outcome}:{took_ms}ms"
+        parts = [
+            f"{self.node}@{self.incarnation}",
+            self.outcome,
+            f"{took_ms}ms",
+        ]
+        return ":".join(parts + [self.revision] * bool(self.revision))
 
 
 @attrs.define(eq=False)
@@ -78,10 +87,10 @@
         return {name: value for name, value in fields.items() if value}
 
     def begin_attempt(
-        self, node: str, incarnation: int, now_ms: int
+        self, node: str, incarnation: int, now_ms: int, revision: str = ""
     ) -> AttemptTrace:
         """Adds an attempt and returns it, so that its end can be recorded."""
-        attempt = AttemptTrace(node, incarnation, now_ms)
+        attempt = AttemptTrace(node, incarnation, now_ms, revision=revision)
         self.attempts.append(attempt)
         return attempt
 
