Bound the exposure of a revision that is not proven

Callers of an upstream got failures in proportion to the targets of a bad revision, from its first announcement on, through every node: revisions were not told apart, and the operator's order of a roll-out was not read.

Each entry now keeps a credit per upstream. A response of a proven revision earns 0.075 of a request, a first attempt at an unproven revision costs a whole one, the credit begins at 0 and is never negative. So the sum over all entries stays within the share whatever is lost, restarted or cut off, and no message is needed. Every attempt goes through the forwarder: retries, hedges, late binding, offers, suspect requests and the node's own target use proven targets only. The few targets that the credit goes to change every 4 s, so that each of them sees about the load of a proven one.

A revision is unproven while its roll-out runs, and gets nothing once it was rolled back. A revision that no roll-out names counts as unproven too until the node knows the source's state as of a time after the first sight of the revision; "order not read" is not "no order". The readers of configurations pass orders on to all members; their digests carry a hash of the known roll-outs and the age of that knowledge, so that a node which missed a frame queries the sender. Without a roll-out only two small numbers are added to each digest. The records form a set that only grows; a roll-back wins over a completion, and an order that is read again in a later era of the source keeps its verdict.

It takes effect where the settings name a share (`rollouts.max_share`, from the platform's bound).

--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -4,6 +4,7 @@
 import math
 import random
 from collections.abc import Coroutine
+from collections.abc import Set as AbstractSet
 
 import attrs
 
@@ -29,6 +30,7 @@
     TwoChoices,
     isolation_target,
 )
+from pomelobank_core.rollouts import RevisionSplit
 from pomelobank_core.shedding import CallGroup, is_random_rejection
 from pomelobank_node._bodies import (
     DeferredBody,
@@ -64,6 +66,7 @@
     reply_error,
 )
 from pomelobank_node._tracing import current_trace
+from pomelobank_node.rollouts import Exposure
 from pomelobank_schema.generated.peer import Header, MemberEntry
 from pomelobank_schema.generated.settings import RequestSettings
 
@@ -110,6 +113,7 @@
         retry_header: Header that marks a retried request; empty if the
             requests are not marked.
         index: The targets of each upstream.
+        exposure: Bounds the requests sent to unproven revisions.
         retries: Decides whether a failed attempt is retried.
         deferred_body_min_bytes: Size from which a body for a remote data
             centre is sent only once its target has a slot.
@@ -135,6 +139,7 @@
     load_balancer: LoadBalancer
     retry_header: bytes = RETRY_HEADER
     index: CandidateIndex = attrs.field()
+    exposure: Exposure = attrs.field()
     retries: RetryPolicy = attrs.field(factory=RetryPolicy)
     deferred_body_min_bytes: int = DEFERRED_BODY_MIN_BYTES
     uplink_bytes_per_ms: float = math.inf
@@ -151,6 +156,10 @@
     def _new_index(self) -> CandidateIndex:
         return CandidateIndex(self.members)
 
+    @exposure.default
+    def _new_exposure(self) -> Exposure:
+        return Exposure(self.clock)
+
     async def forward(self, request: ForwardRequest) -> ForwardReply:
         """Forwards one request until a target answers or no retry is left.
 
@@ -202,7 +211,8 @@
         target = self._choose_target(state)
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
-        self._reject_if_all_full(request, now_ms)
+        if not self.exposure.is_limited(target):
+            self._reject_if_all_full(request, now_ms)
         state.offers_left = self._max_offers(state)
         while True:
             offers = state.offers_left
@@ -236,7 +246,7 @@
             target = next_target
 
     def _max_offers(self, state: ForwardingState) -> int:
-        targets = self.index.of(state.request.upstream).targets
+        targets = self._split(state.request.upstream).proven.targets
         if not self.retries.free_rejections or state.runs_isolated:
             return 0
         if len(targets) < MAX_OFFERS:
@@ -246,8 +256,60 @@
         return MAX_OFFERS
 
     def _may_bind_late(self, state: ForwardingState) -> bool:
-        candidates = self.index.of(state.request.upstream)
-        return may_bind_late(state, candidates)
+        split = self._split(state.request.upstream)
+        return may_bind_late(state, split.proven)
+
+    def _split(self, upstream: str) -> RevisionSplit:
+        return self.exposure.split(upstream, self.index.of(upstream))
+
+    def _pick(
+        self,
+        state: ForwardingState,
+        now_ms: float,
+        excluded: AbstractSet[str] = frozenset(),
+    ) -> MemberEntry | None:
+        """Picks a target of a proven revision that was not attempted yet.
+
+        Args:
+            state: The request and its attempts so far.
+            now_ms: Current time.
+            excluded: Nodes that the request must not go to, in place of those
+                of unproven revisions.
+        """
+        split = self._split(state.request.upstream)
+        excluded = excluded or split.limited_nodes
+        attempted = state.attempted_nodes
+        return self.load_balancer.pick(
+            split.all_targets,
+            attempted | excluded if excluded else attempted,
+            rejection_key(state.request),
+            now_ms,
+        )
+
+    def _pick_unproven(
+        self, state: ForwardingState, now_ms: float
+    ) -> MemberEntry | None:
+        """Picks a target of an unproven revision if the credit allows that.
+
+        Only first attempts go there, so that retries reach a proven revision.
+        """
+        if state.attempts:
+            return None
+        upstream = state.request.upstream
+        split = self._split(upstream)
+        if not split.limited_nodes:
+            return None
+        allowed = self.exposure.exposed_targets(upstream, split)
+        if not allowed:
+            return None
+        others = {item.node for item in split.all_targets.targets} - allowed
+        target = self._pick(state, now_ms, others)
+        if target is None or not self.load_balancer.may_accept(
+            target, rejection_key(state.request), now_ms
+        ):
+            return None
+        self.exposure.spend(upstream)
+        return target
 
     def _target_after_decline(self, state: ForwardingState) -> MemberEntry:
         now_ms = self.clock.now_ms()
@@ -265,9 +327,8 @@
         return state.least_busy()
 
     def _reject_if_all_full(self, request: ForwardRequest, now_ms: int) -> None:
-        candidates = self.index.of(request.upstream)
         retry_after_ms = self.load_balancer.all_full_retry_after_ms(
-            candidates, rejection_key(request), now_ms
+            self._split(request.upstream).proven, rejection_key(request), now_ms
         )
         if retry_after_ms:
             self.rejected += 1
@@ -275,7 +336,6 @@
 
     def _choose_target(self, state: ForwardingState) -> MemberEntry | None:
         request = state.request
-        candidates = self.index.of(request.upstream)
         now_ms = self.clock.now_ms()
         quarantine_state = self.owner.crash_reports.check(request)
         state.runs_isolated = quarantine_state is QuarantineState.SUSPECT
@@ -284,14 +344,14 @@
             # its copies run one at a time and a crash stops one target only.
             fingerprint = request_fingerprint(request)
             return isolation_target(
-                candidates, fingerprint, state.attempted_nodes
+                self._split(request.upstream).proven,
+                fingerprint,
+                state.attempted_nodes,
             )
-        return self.load_balancer.pick(
-            candidates, state.attempted_nodes, rejection_key(request), now_ms
-        )
+        return self._pick_unproven(state, now_ms) or self._pick(state, now_ms)
 
     async def _bind_late(self, state: ForwardingState) -> ForwardReply:
-        candidates = self.index.of(state.request.upstream)
+        candidates = self._split(state.request.upstream).proven
         targets = self.load_balancer.pick_several(
             candidates,
             late_binding_target_count(candidates),
@@ -360,13 +420,9 @@
         if self._is_suspect(request) or self._remaining_ms(state) <= 0:
             return None
         now_ms = self.clock.now_ms()
-        candidates = self.index.of(request.upstream)
-        traffic_class = rejection_key(request)
-        other = self.load_balancer.pick(
-            candidates, state.attempted_nodes, traffic_class, now_ms
-        )
+        other = self._pick(state, now_ms)
         if other is None or not self.load_balancer.has_capacity(
-            other, traffic_class, now_ms
+            other, rejection_key(request), now_ms
         ):
             return None
         if not self.retries.allow_hedge(request.upstream, now_ms):
@@ -404,6 +460,11 @@
         remaining_ms = state.deadline_ms - started_ms
         original = state.request
         spent_ms = original.spent_ms + original.remaining_ms - remaining_ms
+        max_wait_ms = HEDGE_MAX_WAIT_MS if is_hedge else state.max_wait_ms
+        if self.exposure.is_limited(target):
+            # The targets of an unproven revision have little load, and a
+            # declined request would have to go there again.
+            max_wait_ms = 0
         request = attrs.evolve(
             original,
             sent_ms=started_ms,
@@ -411,7 +472,7 @@
             # A request past its objective is sent with 1 ms, because 0 means
             # that the route has no latency objective.
             aim_ms=max(1, original.aim_ms - spent_ms) if original.aim_ms else 0,
-            max_wait_ms=HEDGE_MAX_WAIT_MS if is_hedge else state.max_wait_ms,
+            max_wait_ms=max_wait_ms,
             bind_late=binding is not None,
         )
         if binding is None and state.attempts > state.transparent_retries:
@@ -431,6 +492,7 @@
         try:
             reply = await self._send(target, request, binding)
             took_ms = self.clock.now_ms() - started_ms
+            self.exposure.on_reply(target, reply)
             if was_declined(request, reply):
                 state.record_decline(target, reply, is_offer=not is_hedge)
             outcome = observation(request, reply, took_ms, original.aim_ms)
@@ -567,10 +629,7 @@
 
     def _other_has_capacity(self, state: ForwardingState, now_ms: int) -> bool:
         traffic_class = rejection_key(state.request)
-        candidates = self.index.of(state.request.upstream)
-        other = self.load_balancer.pick(
-            candidates, state.attempted_nodes, traffic_class, now_ms
-        )
+        other = self._pick(state, now_ms)
         if other is None:
             return False
         if self.retries.free_rejections:
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -44,6 +44,7 @@
     ProbeRequest,
     RecordsPull,
     RecordsPush,
+    RolloutSync,
     SlotAccept,
     SlotOffer,
     SnapshotPush,
@@ -138,6 +139,8 @@
         usage_caps: Handles the peer's frames about usage caps; None if the node
             has none.
         departures: Handles the peer's frames about departures of targets.
+        rollouts: Handles the peer's frames about roll-outs; None if the node
+            does not handle any.
         running: Tasks of the peer's requests, by request id.
         uploads: Request bodies that are being received, by request id.
         credits: Credit that the peer granted for response bodies, by request
@@ -160,6 +163,7 @@
     freshness: FreshnessFrames | None = None
     usage_caps: PeerFrames | None = None
     departures: DepartureFrames | None = None
+    rollouts: PeerFrames | None = None
     running: dict[int, asyncio.Task[None]] = attrs.field(factory=dict)
     uploads: dict[int, Upload] = attrs.field(factory=dict)
     credits: dict[int, Credit] = attrs.field(factory=dict)
@@ -448,6 +452,12 @@
         connection.departures.receive_request(frame, connection.stream.send)
 
 
+@handle_frame.register
+def _(frame: RolloutSync, connection: PeerConnection) -> None:
+    if connection.rollouts is not None:
+        connection.rollouts.receive(frame)
+
+
 @handle_frame.register(TokenRequest)
 @handle_frame.register(TokenGrant)
 def _(frame: WireMessage, connection: PeerConnection) -> None:
@@ -471,6 +481,8 @@
         usage_caps: Handles peers' frames about usage caps; None if the node has
             none.
         departures: Handles peers' frames about departures of targets.
+        rollouts: Handles peers' frames about roll-outs; None if the node does
+            not handle any.
         address: The bound address, once the server listens.
         connections: Accepted streams and their tasks.
         rejected_streams: Number of streams closed because of `MAX_STREAMS`.
@@ -485,6 +497,7 @@
     freshness: FreshnessFrames | None = None
     usage_caps: PeerFrames | None = None
     departures: DepartureFrames | None = None
+    rollouts: PeerFrames | None = None
     stop_timeout_ms: int = _STOP_TIMEOUT_MS
     address: str = ""
     server: asyncio.Server | None = None
@@ -521,6 +534,7 @@
             self.freshness,
             self.usage_caps,
             self.departures,
+            self.rollouts,
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,6 +47,7 @@
     PublishedSource,
     PublishedStore,
 )
+from pomelobank_node.rollouts import Exposure, RolloutRegistry
 from pomelobank_node.workspaces import (
     FreshnessQueries,
     LeasedUsageCaps,
@@ -121,6 +122,11 @@
             identity.hello, settings.membership.connect_limit
         )
         self.table = MemberTable(identity.entry)
+        self.exposure = Exposure(self.clock, settings.rollouts.max_share)
+        self.rollouts = None
+        if self.exposure.share:
+            self.rollouts = RolloutRegistry(self.table, self.links, self.clock)
+            self.exposure.revisions = self.rollouts.revisions
         self.feed = PublishedFeed(
             adapter.source,
             self.store,
@@ -128,6 +134,7 @@
             self.links,
             self.clock,
             era=adapter.log.era,
+            rollouts=self.rollouts,
         )
         self.freshness = FreshnessQueries.of(self.feed, settings.workspaces)
         self.crash_reports = CrashReports(self.table, self.links, self.clock)
@@ -169,6 +176,7 @@
             self.links,
             self.clock,
             new_load_balancer(settings.requests),
+            exposure=self.exposure,
             retry_header=conventions.retry,
             retries=RetryPolicy(
                 new_budget=self._new_budget, free_rejections=True
@@ -240,6 +248,7 @@
             self.freshness,
             self.usage_caps,
             self.target.departures.peers,
+            self.rollouts,
         )
         self.limits = LimitsWatch(self.store, self.http)
         self.membership.on_tick += [self.feed.tick, self._check_timeouts]
@@ -275,6 +284,8 @@
             self.peers,
         ):
             await self._start(component)
+        if self.rollouts is not None:
+            await self._start(self.rollouts)
         advertised = self.settings.listen.peer_advertised
         self.table.update_own(peer_address=advertised or self.peers.address)
         for component in (
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -23,12 +23,14 @@
     SourceError,
 )
 from pomelobank_node.published._store import PublishedStore
+from pomelobank_node.rollouts import RolloutRegistry
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     DocumentPush,
     RecordsPull,
     VersionDigest,
 )
+from pomelobank_schema.generated.records import RolloutRecord
 
 _logger = logging.getLogger(__name__)
 
@@ -126,6 +128,8 @@
         clock: Monotonic clock.
         rng: Source of randomness.
         era: Era of the source, to which positions belong.
+        rollouts: Gets the orders of roll-outs that the source holds; None if
+            this node does not handle any.
         position: Position up to which the source was read; None if unknown.
         peer_position: Highest position that a peer has read up to, if this
             node has the version read there; 0 if unknown.
@@ -180,6 +184,7 @@
     clock: Clock
     rng: random.Random = attrs.field(factory=random.Random)
     era: LogEra = attrs.field(factory=LogEra)
+    rollouts: RolloutRegistry | None = None
     position: int | None = None
     peer_position: int = 0
     last_read_ms: int = 0
@@ -218,6 +223,7 @@
         self.publisher = PeerPublisher(
             self.store, self.members, self.links, self.clock, self.rng
         )
+        self.publisher.rollouts = self.rollouts
 
     def _on_new_era(self) -> None:
         self.position = None
@@ -363,8 +369,10 @@
             # The source has no document at all, or none after the position.
             self.position = self._known_position()
             self._report_read()
+            self._report_orders(())
             return False
         self.position = document.position
+        self._report_orders(document.orders, document.complete)
         previous_version = self.store.version
         self.store.propagation.on_read(now_ms)
         updated = bool(document.data) and self.store.offer(
@@ -406,6 +414,12 @@
         if self.contains_source:
             self.tolerated = unreadable
 
+    def _report_orders(
+        self, orders: tuple[RolloutRecord, ...], complete: bool = True
+    ) -> None:
+        if self.rollouts is not None:
+            self.rollouts.on_source_read(orders, self.read_started_ms, complete)
+
     def _report_read(self) -> None:
         if not self.contains_source:
             return
@@ -533,12 +547,16 @@
     def handle_digest(self, frame: VersionDigest) -> None:
         """Handles a peer's version digest; pulls a newer version."""
         is_current_era = self.era.advance(frame.log_era)
+        knows_orders = self.rollouts is None or self.rollouts.matches(frame)
+        if self.rollouts is not None:
+            self.rollouts.on_digest(frame)
         if frame.heartbeat:
             self._handle_heartbeat(frame)
         elif frame.version == self.store.version:
             self._note_peer_read(frame.log_age_ms)
         if frame.version <= self.store.version:
-            if self.store.ready and is_current_era:
+            # A read after the peer's position would miss the orders before it.
+            if self.store.ready and is_current_era and knows_orders:
                 self.peer_position = max(self.peer_position, frame.next_offset)
             return
         self.fetch_version(frame.version, frame.address, frame.version_age_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_peer_publisher.py
@@ -12,6 +12,7 @@
 from pomelobank_node._requests import RequestError
 from pomelobank_node.published._packing import pack
 from pomelobank_node.published._store import PublishedStore
+from pomelobank_node.rollouts import RolloutRegistry
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     DocumentPush,
@@ -41,6 +42,7 @@
         links: Streams to peers.
         clock: Monotonic clock.
         rng: Source of randomness.
+        rollouts: Roll-outs that digests describe; None without any.
         pushes: The document in force, compressed, by the version that the
             receiver has. Compressing takes milliseconds, and many peers may
             pull the document at the same time.
@@ -52,6 +54,7 @@
     links: PeerLinks
     clock: Clock
     rng: random.Random
+    rollouts: RolloutRegistry | None = None
     pushes: dict[int, DocumentPush] = attrs.field(factory=dict)
     send_tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -143,6 +146,7 @@
                 version; 0 if unknown.
             era: Era of the source that the position belongs to; 0 if unknown.
         """
+        rollouts = self.rollouts
         return VersionDigest(
             version=self.store.version,
             next_offset=position,
@@ -153,6 +157,8 @@
             ready=self.store.ready,
             version_age_ms=self._version_age_ms(),
             log_era=era,
+            rollouts_digest=rollouts.rollouts.digest if rollouts else 0,
+            rollouts_age_ms=rollouts.age_ms if rollouts else 0,
         )
 
     def _version_age_ms(self) -> int:
--- a/packages/pomelobank-node/src/pomelobank_node/published/_source.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_source.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from pomelobank_schema.generated.records import RolloutRecord
+
 
 @attrs.frozen
 class SourceError(Exception):
@@ -27,11 +29,13 @@
             position returns newer documents only.
         complete: Whether the source held nothing after the position. A response
             may end before the source does.
+        orders: Orders of roll-outs in the same response.
     """
 
     data: bytes
     position: int
     complete: bool = True
+    orders: tuple[RolloutRecord, ...] = ()
 
 
 class PublishedSource(Protocol):
