Judge revisions in roll-outs and roll bad ones back

Requests went on to a bad revision for as long as its targets ran: nothing compared its answers with those of the others, and no status told the operator.

The node beside each target counts its answers while its upstream has a roll-out: failures, service times by route in logarithmic buckets, cancelled requests by the time they had run; times of a target that says it is still warming up do not count. The counts only grow and are sent to three members, chosen by the same order at all nodes, four times a second. Each of the three runs a sequential test (CUSUM of log-likelihood ratios, Page 1954) against the answers of the other revisions in the same time, for each route and for all together. One faulty target is not enough. A verdict goes to all members at once, and into every later digest; each node stops on its own knowledge, and the node of a condemned target rejects what has not begun.

The nodes store the state where operators read it, in turns by rank, under the condition that nothing came in between; a status is replaced only by a later state or a newer roll-out, and is stored again when the store comes back from an older copy. A node that reads the source also reads the stored states before it relies on the absence of an order, so that a verdict outlives the order and all nodes. Without a roll-out nothing is counted, sent or stored.

--- a/packages/pomelobank-core/src/pomelobank_core/_target_lease.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_target_lease.py
@@ -66,7 +66,7 @@
             return self.drain()
         if self.draining:
             return self._restart(previous, new, was_lapsed)
-        if was_lapsed or previous != new:
+        if was_lapsed or previous is None or _differs(previous, new):
             return TargetChange.ACTIVATED
         return TargetChange.NONE
 
@@ -116,3 +116,8 @@
         announcement.started_at_ms,
         announcement.address,
     )
+
+
+def _differs(first: TargetAnnouncement, second: TargetAnnouncement) -> bool:
+    # A target that has warmed up gets the same requests as before.
+    return attrs.evolve(first, warming_up=second.warming_up) != second
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/__init__.py
@@ -1,9 +1,11 @@
 """Roll-outs: how far a new revision is exposed, and whether it is good."""
 
+from pomelobank_core.rollouts._answer_counts import AnswerCounts
 from pomelobank_core.rollouts._exposure_credit import (
     EARNED_PART,
     ExposureCredit,
 )
+from pomelobank_core.rollouts._judge import Judge, Verdict
 from pomelobank_core.rollouts._revisions import (
     CONFIRMATION_MARGIN_MS,
     Revisions,
@@ -11,17 +13,28 @@
 )
 from pomelobank_core.rollouts._rollouts import (
     RevisionStatus,
+    RolloutKey,
     Rollouts,
     RolloutState,
+    is_later_state,
+    is_newer_order,
 )
+from pomelobank_core.rollouts._sequential_test import SequentialTest
 
 __all__ = [
     "CONFIRMATION_MARGIN_MS",
     "EARNED_PART",
+    "AnswerCounts",
     "ExposureCredit",
+    "Judge",
     "RevisionSplit",
     "RevisionStatus",
     "Revisions",
+    "RolloutKey",
     "RolloutState",
     "Rollouts",
+    "SequentialTest",
+    "Verdict",
+    "is_later_state",
+    "is_newer_order",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_revisions.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_revisions.py
@@ -75,9 +75,12 @@
             self.changes += 1
 
     @property
-    def has_unconfirmed(self) -> bool:
-        """Whether an upstream has a revision that may have an unread order."""
-        return bool(self.first_seen_ms)
+    def has_unexplained(self) -> bool:
+        """Whether an upstream has several revisions, one not confirmed."""
+        counts = Counter(
+            upstream for upstream, _ in (*self.first_seen_ms, *self.confirmed)
+        )
+        return any(counts[upstream] > 1 for upstream, _ in self.first_seen_ms)
 
     def split(self, candidates: Candidates, now_ms: float) -> RevisionSplit:
         """Splits the targets of an upstream by their revisions.
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
@@ -98,6 +98,16 @@
     )
 
 
+def is_later_state(first: RolloutRecord, second: RolloutRecord) -> bool:
+    """Returns whether a record's state replaces another one's."""
+    return _state_rank(first)[0] > _state_rank(second)[0]
+
+
+def is_newer_order(first: RolloutRecord, second: RolloutRecord) -> bool:
+    """Returns whether a roll-out was ordered after another one."""
+    return _age_rank(first) > _age_rank(second)
+
+
 def _state_rank(record: RolloutRecord) -> tuple[int, str]:
     return _ORDER.get(record.state, 0), record.reason
 
@@ -170,5 +180,5 @@
         return _STATUSES.get(record.state, RevisionStatus.UNPROVEN)
 
 
-def _age_rank(record: RolloutRecord) -> tuple[int, int, int]:
-    return record.era, record.position, record.ordered_at_ms
+def _age_rank(record: RolloutRecord) -> tuple[int, int]:
+    return record.era, record.position
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -6,6 +6,7 @@
 import math
 import random
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import attrs
 
@@ -96,6 +97,27 @@
     revision: str = ""
 
 
+class AnswerCounter(Protocol):
+    """Counts the answers of the target.
+
+    Attributes:
+        warming_up: Whether the target has just started and is still slow.
+    """
+
+    warming_up: bool
+
+    def on_response(
+        self, target: Target, route: str, status: int, took_ms: float
+    ) -> None:
+        """Counts a response."""
+
+    def on_error(self, target: Target, route: str, kind: ErrorKind) -> None:
+        """Counts an error."""
+
+    def on_cancelled(self, target: Target, route: str, took_ms: float) -> None:
+        """Counts a request that was cancelled while it ran."""
+
+
 @attrs.define
 class Owner:
     """Runs all requests for the node's target, so that its counts are exact.
@@ -114,6 +136,9 @@
         rejection_delay: Delay after which a caller may retry after them.
         crash_detector: Detects crashes of the target.
         log_limiter: Limits the rate of log lines.
+        answers: Counts the target's answers; None if nothing judges them.
+        is_condemned: Returns whether a revision of an upstream must not get
+            requests.
         on_leaving: Called with the target whose response says that it leaves;
             None if nothing handles it.
         rng: Source of randomness.
@@ -134,6 +159,8 @@
     rejection_delay: RejectionDelay = attrs.field(factory=RejectionDelay)
     crash_detector: CrashDetector = attrs.field()
     log_limiter: LogRateLimiter = attrs.field(factory=LogRateLimiter)
+    answers: AnswerCounter | None = None
+    is_condemned: Callable[[str, str], bool] = lambda *_: False
     on_leaving: Callable[[Target], None] | None = None
     rng: random.Random = attrs.field(factory=random.Random)
     draining: bool = False
@@ -238,6 +265,7 @@
             raise RequestError(ErrorKind.NO_TARGET)
         if self.target.upstream != request.upstream:
             raise RequestError(ErrorKind.NO_TARGET)
+        self._raise_if_condemned(self.target)
         if request.remaining_ms <= 0:
             raise RequestError(ErrorKind.DEADLINE_NOT_RUN)
         now_ms = self.clock.now_ms()
@@ -261,6 +289,19 @@
             admission_request, self.pool, request, offer_slot
         )
 
+    def _raise_if_condemned(self, target: Target) -> None:
+        # The sender may not know the verdict yet.
+        if self.is_condemned(target.upstream, target.revision):
+            raise RequestError(ErrorKind.NO_TARGET)
+
+    def reject_if_condemned(self) -> None:
+        """Rejects queued requests if the target's revision is condemned."""
+        target = self.target
+        if target is not None and self.is_condemned(
+            target.upstream, target.revision
+        ):
+            self.admission_queue.reject_waiting()
+
     async def _run_admitted(
         self,
         admission_request: AdmissionRequest,
@@ -332,6 +373,8 @@
         target = self.target
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
+        self._raise_if_condemned(target)
+        started_ms = self.clock.now_ms()
         with self.crash_detector.track(request):
             try:
                 reply = await call_target(
@@ -344,8 +387,13 @@
                 )
             except asyncio.CancelledError:
                 self._record_abandoned(request)
+                if self.answers is not None:
+                    took_ms = self.clock.now_ms() - started_ms
+                    self.answers.on_cancelled(target, request.route, took_ms)
                 raise
             except RequestError as error:
+                if self.answers is not None:
+                    self.answers.on_error(target, request.route, error.kind)
                 if (
                     error.kind in _CONNECTION_LOST_ERRORS
                     and self.target is not None
@@ -358,6 +406,11 @@
                 if error.kind is ErrorKind.TARGET_REFUSED:
                     raise self._rejection(request, target) from None
                 raise
+        if self.answers is not None:
+            took_ms = self.clock.now_ms() - started_ms
+            self.answers.on_response(
+                target, request.route, reply.status, took_ms
+            )
         self.crash_reports.on_request_completed(request)
         return reply
 
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -27,6 +27,7 @@
     parse_address,
 )
 from pomelobank_schema.generated.peer import (
+    AnswerReport,
     BodyChunk,
     BodyCredit,
     CancelRequest,
@@ -452,8 +453,9 @@
         connection.departures.receive_request(frame, connection.stream.send)
 
 
-@handle_frame.register
-def _(frame: RolloutSync, connection: PeerConnection) -> None:
+@handle_frame.register(AnswerReport)
+@handle_frame.register(RolloutSync)
+def _(frame: WireMessage, connection: PeerConnection) -> None:
     if connection.rollouts is not None:
         connection.rollouts.receive(frame)
 
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -47,7 +47,13 @@
     PublishedSource,
     PublishedStore,
 )
-from pomelobank_node.rollouts import Exposure, RolloutRegistry
+from pomelobank_node.rollouts import (
+    Exposure,
+    RolloutRegistry,
+    RolloutService,
+    StatusStore,
+    StatusWriter,
+)
 from pomelobank_node.workspaces import (
     FreshnessQueries,
     LeasedUsageCaps,
@@ -79,6 +85,7 @@
         new_readiness_handler: Creates the handler of the platform's readiness
             polls.
         new_control_handler: Creates the handler of the target's announcements.
+        status_store: Store of the states of roll-outs.
         components: Additional components, started first and stopped last.
         listener: Socket already listening for callers; None to open one.
     """
@@ -89,6 +96,7 @@
     decode: Decoder
     new_readiness_handler: Callable[["SidecarNode"], Handler]
     new_control_handler: Callable[["SidecarNode"], Handler]
+    status_store: StatusStore
     components: tuple[Component, ...] = ()
     listener: socket.socket | None = None
 
@@ -123,10 +131,10 @@
         )
         self.table = MemberTable(identity.entry)
         self.exposure = Exposure(self.clock, settings.rollouts.max_share)
-        self.rollouts = None
+        registry = None
         if self.exposure.share:
-            self.rollouts = RolloutRegistry(self.table, self.links, self.clock)
-            self.exposure.revisions = self.rollouts.revisions
+            registry = RolloutRegistry(self.table, self.links, self.clock)
+            self.exposure.revisions = registry.revisions
         self.feed = PublishedFeed(
             adapter.source,
             self.store,
@@ -134,7 +142,7 @@
             self.links,
             self.clock,
             era=adapter.log.era,
-            rollouts=self.rollouts,
+            rollouts=registry,
         )
         self.freshness = FreshnessQueries.of(self.feed, settings.workspaces)
         self.crash_reports = CrashReports(self.table, self.links, self.clock)
@@ -144,6 +152,7 @@
             self.crash_reports,
             adapter.http_conventions,
         )
+        self.rollouts = self._new_rollouts(registry)
         self.membership = Membership(
             self.table,
             settings.membership,
@@ -168,6 +177,19 @@
         self._build_request_path()
         self._build_servers()
 
+    def _new_rollouts(
+        self, registry: RolloutRegistry | None
+    ) -> RolloutService | None:
+        if registry is None:
+            return None
+        writer = StatusWriter(
+            self.table,
+            registry.rollouts,
+            self.adapter.status_store,
+            self.adapter.log.era,
+        )
+        return RolloutService(registry, self.owner, writer)
+
     def _build_request_path(self) -> None:
         settings, conventions = self.settings, self.adapter.http_conventions
         self.forwarder = Forwarder(
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -119,6 +119,8 @@
     async def _apply_announcement(
         self, announcement: TargetAnnouncement
     ) -> None:
+        if self.owner.answers is not None:
+            self.owner.answers.warming_up = announcement.warming_up
         if self._has_departed(announcement):
             announcement = attrs.evolve(announcement, draining=True)
         change = self.lease.on_announcement(announcement, self.clock.now_ms())
--- a/packages/pomelobank-node/src/pomelobank_node/platform_api.py
+++ b/packages/pomelobank-node/src/pomelobank_node/platform_api.py
@@ -31,6 +31,7 @@
     PublishedSource,
     SourceError,
 )
+from pomelobank_node.rollouts import StoredStatuses
 
 __all__ = [
     "BoundedOutput",
@@ -52,6 +53,7 @@
     "RequestError",
     "SidecarNode",
     "SourceError",
+    "StoredStatuses",
     "UpstreamPool",
     "UpstreamResponse",
     "encode_request",
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_registry.py
@@ -8,7 +8,7 @@
 import attrs
 
 from pomelobank_core import Clock, MemberTable
-from pomelobank_core.rollouts import Revisions, Rollouts
+from pomelobank_core.rollouts import Revisions, RevisionStatus, Rollouts
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_schema import SchemaError, WireMessage, decode, encode
@@ -36,6 +36,10 @@
         rollouts: The known roll-outs.
         revisions: Tells the revisions of upstreams apart.
         on_changed: Callbacks for changes of the known roll-outs.
+        load_statuses: Returns whether the stored states of roll-outs were read;
+            starts to read them if not.
+        stored_digest: Returns the digest of the roll-outs whose states are
+            stored.
         queried_ms: When each peer was last queried, by address.
         tasks: Frames that are being sent.
     """
@@ -46,6 +50,8 @@
     rollouts: Rollouts = attrs.field(factory=Rollouts)
     revisions: Revisions = attrs.field()
     on_changed: list[Callable[[], None]] = attrs.field(factory=list)
+    load_statuses: Callable[[], bool] = lambda: True
+    stored_digest: Callable[[], int] = lambda: 0
     queried_ms: dict[str, int] = attrs.field(factory=dict)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
@@ -53,9 +59,6 @@
     def _new_revisions(self) -> Revisions:
         return Revisions(self.rollouts)
 
-    async def start(self) -> None:
-        """Does nothing; frames and reads of the source drive the registry."""
-
     async def stop(self) -> None:
         """Cancels the frames that are being sent."""
         tasks = list(self.tasks)
@@ -80,8 +83,24 @@
             (attrs.evolve(order, ordered_at_ms=wall_ms) for order in orders),
             "source",
         )
-        if complete:
-            self.revisions.confirm(as_of_ms)
+        if not complete:
+            return
+        # The status of a roll-out outlives its order.
+        is_relevant = self.rollouts.records or self.revisions.has_unexplained
+        if is_relevant and not self.load_statuses():
+            return
+        self.revisions.confirm(as_of_ms)
+
+    def add_statuses(self, records: Iterable[RolloutRecord]) -> None:
+        """Adds the stored states of roll-outs."""
+        self._learn(records, "status")
+
+    def is_condemned(self, upstream: str, revision: str) -> bool:
+        """Returns whether a revision must not get requests."""
+        if not self.rollouts.records:
+            return False
+        status = self.rollouts.status(upstream, revision)
+        return status is RevisionStatus.CONDEMNED
 
     def _learn(self, records: Iterable[RolloutRecord], origin: str) -> None:
         """Adds records; passes what the source or a decision adds to all."""
@@ -100,7 +119,7 @@
             )
         if not new:
             return
-        if origin in ("source", "decision"):
+        if origin != "peer":
             self.broadcast()
         for callback in self.on_changed:
             callback()
@@ -115,13 +134,14 @@
         """Sends the known roll-outs to every member."""
         frame = self._frame()
         for entry in self.table.present():
-            self._post(entry.peer_address, frame)
+            self.post(entry.peer_address, frame)
 
     def _frame(self, address: str = "") -> RolloutSync:
         return RolloutSync(
             rollouts=tuple(map(encode, self.rollouts.records.values())),
             age_ms=self.age_ms,
             address=address,
+            stored_digest=self.stored_digest(),
         )
 
     @property
@@ -159,7 +179,7 @@
             if now_ms - sent_ms < _QUERY_INTERVAL_MS
         }
         self.queried_ms[address] = now_ms
-        self._post(address, self._frame(self.table.own.peer_address))
+        self.post(address, self._frame(self.table.own.peer_address))
 
     def receive(self, frame: WireMessage) -> None:
         """Adds a peer's roll-outs, and replies to a query."""
@@ -167,16 +187,17 @@
         self._learn(decode_rollouts(frame.rollouts), "peer")
         self._confirm(frame.age_ms)
         if frame.address:
-            self._post(frame.address, self._frame())
+            self.post(frame.address, self._frame())
 
-    def _post(self, address: str, frame: RolloutSync) -> None:
+    def post(self, address: str, frame: WireMessage) -> None:
+        """Starts to send a frame to one address and returns at once."""
         if not address:
             return
         task = asyncio.create_task(self._send(address, frame))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _send(self, address: str, frame: RolloutSync) -> None:
+    async def _send(self, address: str, frame: WireMessage) -> None:
         try:
             await self.links.to(address).send(frame)
         except RequestError as error:
--- a/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/__main__.py
@@ -23,6 +23,7 @@
     "plots": "_plots",
     "queueing-target": "_queueing_target",
     "rest": "_rest",
+    "rollout": "_rollout",
 }
 
 
