Move all requests to a good revision before the old targets end

A good revision stayed at its small share for ever, and its roll-out was never completed. The old targets end without a drain at the completion, so that a completion by itself would cut off what runs there.

Shortly before the deadline, one of the judging nodes leads a step: all members send new requests to the new revision and report how many they still have at the old one. Once every member reports none, the leader completes the roll-out. The step is a lease that the leader renews four times a second; if it is lost, if a member does not take part, or if the revision gets into doubt, requests go back to the old targets. It begins only with enough answers, without doubt and with about as many slots as the old targets have.

A completion has two states. `completing` is known to the nodes, and a roll-back still wins over it; `completed` is stored under the condition that no other state was, and stays, since the old targets are gone then. Revisions seen before are superseded and get nothing more. During a step only its leader decides.

--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/__init__.py
@@ -6,6 +6,12 @@
     ExposureCredit,
 )
 from pomelobank_core.rollouts._judge import Judge, Verdict
+from pomelobank_core.rollouts._promotion import (
+    DrainWatch,
+    Evidence,
+    obstacle,
+    step_ms,
+)
 from pomelobank_core.rollouts._revisions import (
     CONFIRMATION_MARGIN_MS,
     Revisions,
@@ -25,6 +31,8 @@
     "CONFIRMATION_MARGIN_MS",
     "EARNED_PART",
     "AnswerCounts",
+    "DrainWatch",
+    "Evidence",
     "ExposureCredit",
     "Judge",
     "RevisionSplit",
@@ -37,4 +45,6 @@
     "Verdict",
     "is_later_state",
     "is_newer_order",
+    "obstacle",
+    "step_ms",
 ]
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_judge.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_judge.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from pomelobank_core.rollouts._sequential_test import SequentialTest
+from pomelobank_core.rollouts._sequential_test import THRESHOLD, SequentialTest
 from pomelobank_schema.generated.peer import AnswerReport, RouteAnswers
 
 # Answers of other revisions are compared over this time, so that a fault that
@@ -163,6 +163,21 @@
         if known is None or _total(report) > _total(known):
             self.reports[key] = report
 
+    @property
+    def answers(self) -> int:
+        """Number of answers of the judged revision."""
+        return sum(
+            _total(report)
+            for (_, _, revision), report in self.reports.items()
+            if revision == self.revision
+        )
+
+    @property
+    def doubt(self) -> float:
+        """How near the judge is to a verdict, from 0 to 1."""
+        sums = (max(item.test.sums) for item in self.comparisons.values())
+        return min(1.0, max(sums, default=0.0) / THRESHOLD)
+
     def evaluate(self, now_ms: float) -> Verdict | None:
         """Evaluates the answers since the last call.
 
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_revisions.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_revisions.py
@@ -50,13 +50,18 @@
         first_seen_ms: When this node first saw each revision that is not
             confirmed, by upstream and revision.
         confirmed: Revisions without a roll-out at a time after the first sight.
-        changes: Counter of the changes of `confirmed`.
+        superseded: Revisions that another one has replaced in a roll-out.
+        promoted: Revision that gets all requests of an upstream in the last
+            step of its roll-out, and the end of that step.
+        changes: Counter of the changes of these.
     """
 
     rollouts: Rollouts
     known_as_of_ms: float = -math.inf
     first_seen_ms: dict[tuple[str, str], float] = attrs.field(factory=dict)
     confirmed: set[tuple[str, str]] = attrs.field(factory=set)
+    superseded: set[tuple[str, str]] = attrs.field(factory=set)
+    promoted: dict[str, tuple[str, float]] = attrs.field(factory=dict)
     changes: int = 0
 
     def confirm(self, as_of_ms: float) -> None:
@@ -74,6 +79,37 @@
             self.confirmed.add(key)
             self.changes += 1
 
+    def promote(self, upstream: str, revision: str, until_ms: float) -> None:
+        """Gives a revision all requests of its upstream until a time."""
+        known = self.promoted.get(upstream)
+        self.promoted[upstream] = (revision, until_ms)
+        if known is None or known[0] != revision:
+            self.changes += 1
+
+    def end_promotion(self, upstream: str) -> None:
+        """Ends the promotion of an upstream's revision."""
+        if self.promoted.pop(upstream, None) is not None:
+            self.changes += 1
+
+    def expire(self, now_ms: float) -> None:
+        """Ends the promotions whose time is over."""
+        for upstream, (_, until_ms) in list(self.promoted.items()):
+            if now_ms >= until_ms:
+                self.end_promotion(upstream)
+
+    def supersede(self, upstream: str, revision: str) -> None:
+        """Records that a revision has replaced all others seen so far."""
+        seen = [
+            key
+            for key in (*self.first_seen_ms, *self.confirmed)
+            if key[0] == upstream and key[1] != revision
+        ]
+        for key in seen:
+            self.first_seen_ms.pop(key, None)
+            self.confirmed.discard(key)
+            self.superseded.add(key)
+            self.changes += 1
+
     @property
     def has_unexplained(self) -> bool:
         """Whether an upstream has several revisions, one not confirmed."""
@@ -101,6 +137,9 @@
             for revision in counts
         }
         proven = self._proven(upstream, counts, statuses)
+        promoted, _ = self.promoted.get(upstream, ("", 0.0))
+        if statuses.get(promoted) is RevisionStatus.UNPROVEN:
+            proven = {promoted}
         if len(proven) == len(counts):
             return RevisionSplit(candidates, candidates)
         usable = {
@@ -118,7 +157,14 @@
                 _with_revision(candidates.local, proven),
                 _with_revision(candidates.remote, proven),
             ),
-            _with_revision(targets, usable - proven),
+            _with_revision(
+                targets,
+                {
+                    revision
+                    for revision in usable - proven
+                    if (upstream, revision) not in self.superseded
+                },
+            ),
             frozenset(
                 item.node for item in targets if item.revision not in proven
             ),
@@ -126,7 +172,7 @@
 
     def _note_seen(self, upstream: str, revision: str, now_ms: float) -> None:
         key = (upstream, revision)
-        if key not in self.confirmed:
+        if key not in self.confirmed and key not in self.superseded:
             self.first_seen_ms.setdefault(key, now_ms)
 
     def _proven(
@@ -148,6 +194,9 @@
         proven |= {
             item for item in unknown if (upstream, item) in self.confirmed
         }
+        unknown = {
+            item for item in unknown if (upstream, item) not in self.superseded
+        }
         if not proven and unknown:
             proven = {max(unknown, key=lambda item: (counts[item], item))}
         return proven
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
@@ -18,18 +18,22 @@
 class RolloutState(enum.Enum):
     """State of a roll-out; a later state replaces an earlier one.
 
-    A roll-back is final: a revision that was found bad stays bad, whatever
-    another node has decided meanwhile.
+    Until a completion is stored, a roll-back wins over it: a revision that was
+    found bad stays bad, whatever another node has decided meanwhile. The store
+    accepts one of the two only, under a condition. After a stored completion
+    the old targets end, so that a roll-back would leave no target.
 
     Attributes:
         RUNNING: The revision is not proven yet.
-        COMPLETED: The revision is good, and all requests move to it.
+        COMPLETING: The revision is good and gets all requests.
         ROLLED_BACK: The revision is bad and gets no requests.
+        COMPLETED: As `COMPLETING`, and stored.
     """
 
     RUNNING = "running"
-    COMPLETED = "completed"
+    COMPLETING = "completing"
     ROLLED_BACK = "rolled_back"
+    COMPLETED = "completed"
 
 
 _ORDER = {state.value: rank for rank, state in enumerate(RolloutState)}
@@ -41,7 +45,7 @@
     Attributes:
         UNKNOWN: No roll-out names the revision.
         UNPROVEN: Its roll-out is running.
-        PROVEN: Its roll-out was completed.
+        PROVEN: Its roll-out is completing or completed.
         CONDEMNED: Its roll-out was rolled back.
     """
 
@@ -53,6 +57,7 @@
 
 _STATUSES = {
     RolloutState.RUNNING.value: RevisionStatus.UNPROVEN,
+    RolloutState.COMPLETING.value: RevisionStatus.PROVEN,
     RolloutState.COMPLETED.value: RevisionStatus.PROVEN,
     RolloutState.ROLLED_BACK.value: RevisionStatus.CONDEMNED,
 }
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_sequential_test.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_sequential_test.py
@@ -8,10 +8,10 @@
 # answers that turned bad. A small one finds a revision of which few answers are
 # bad, a large one finds a broken revision within some ten answers.
 RISES = (0.1, 0.25, 0.5, 0.9)
-# Logarithm of the likelihood ratio at which the test decides. With it, one
-# test of a good revision with rates at the reference is wrong once in some
-# hundred thousand answers.
-THRESHOLD = 12.0
+# Logarithm of the likelihood ratio at which the test decides. With it, each sum
+# is wrong once in some twenty thousand answers of a revision whose rate is the
+# reference, which lies above the rate of the other revisions.
+THRESHOLD = 10.0
 
 
 @attrs.define(eq=False)
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_revisions.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_revisions.py
@@ -139,3 +139,44 @@
     assert not revisions.split(mixed, now_ms=5000).limited_nodes
     rollouts.add(ORDER)
     assert revisions.split(mixed, now_ms=6000).limited_nodes
+
+
+def test_superseded_revision_gets_nothing_while_the_new_one_serves() -> None:
+    """Guards against requests at old targets, which end at a completion."""
+    rollouts = Rollouts()
+    revisions = Revisions(rollouts)
+    mixed = candidates(v1=3, v2=2)
+    revisions.split(mixed, now_ms=1000)
+    revisions.confirm(5000)
+    rollouts.add(attrs.evolve(ORDER, state="completing"))
+    revisions.supersede("stock", "v2")
+    split = revisions.split(mixed, now_ms=6000)
+    assert {item.revision for item in split.proven.targets} == {"v2"}
+    assert split.unproven == ()
+    revisions.confirm(9000)
+    replaced = candidates(v1=1, v2=2, v3=2)
+    revisions.split(replaced, now_ms=9000)
+    revisions.confirm(9600)
+    split = revisions.split(replaced, now_ms=9600)
+    assert {item.revision for item in split.proven.targets} == {"v2", "v3"}
+
+
+def test_promotion_ends_with_its_time_or_a_roll_back() -> None:
+    """Guards against a step whose leader is lost, and one that fails."""
+    rollouts = Rollouts()
+    rollouts.add(ORDER)
+    revisions = Revisions(rollouts)
+    mixed = candidates(v1=3, v2=2)
+
+    def proven() -> set[str]:
+        split = revisions.split(mixed, now_ms=1000)
+        return {item.revision for item in split.proven.targets}
+
+    assert proven() == {"v1"}
+    revisions.promote("stock", "v2", until_ms=2500)
+    assert proven() == {"v2"}
+    revisions.expire(2500)
+    assert proven() == {"v1"}
+    revisions.promote("stock", "v2", until_ms=4000)
+    rollouts.add(attrs.evolve(ORDER, state="rolled_back"))
+    assert proven() == {"v1"}
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollouts.py
@@ -19,6 +19,7 @@
     state="running",
 )
 ROLLED_BACK = attrs.evolve(ORDER, state="rolled_back", reason="failures")
+COMPLETING = attrs.evolve(ORDER, state="completing")
 COMPLETED = attrs.evolve(ORDER, state="completed")
 
 RECORDS = st.builds(
@@ -29,7 +30,9 @@
     era=st.integers(1, 2),
     duration_ms=st.just(60_000),
     ordered_at_ms=st.integers(0, 3),
-    state=st.sampled_from(["running", "completed", "rolled_back"]),
+    state=st.sampled_from(
+        ["running", "completing", "rolled_back", "completed"]
+    ),
     reason=st.sampled_from(["", "failures"]),
 )
 
@@ -59,14 +62,22 @@
         assert rollouts.status("stock", "v3") is RevisionStatus.UNPROVEN
 
 
-def test_roll_back_wins_over_a_completion() -> None:
+def test_roll_back_wins_over_a_completion_that_is_not_stored() -> None:
     """Guards against two deciding nodes, of which one found failures."""
-    for records in itertools.permutations([ROLLED_BACK, COMPLETED, ORDER]):
+    for records in itertools.permutations([ROLLED_BACK, COMPLETING, ORDER]):
         rollouts = Rollouts()
         rollouts.add_all(records)
         assert rollouts.status("stock", "v2") is RevisionStatus.CONDEMNED
 
 
+def test_stored_completion_wins_over_a_roll_back() -> None:
+    """Guards against a roll-back to targets that have ended already."""
+    for records in itertools.permutations([ROLLED_BACK, COMPLETED, COMPLETING]):
+        rollouts = Rollouts()
+        rollouts.add_all(records)
+        assert rollouts.status("stock", "v2") is RevisionStatus.PROVEN
+
+
 def test_second_order_of_a_condemned_revision_is_a_new_roll_out() -> None:
     rollouts = Rollouts()
     rollouts.add_all([ROLLED_BACK, attrs.evolve(ORDER, position=9)])
--- a/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_forwarder.py
@@ -480,6 +480,7 @@
         state.attempts += 1
         state.attempted_nodes.add(target.node)
         self.load_balancer.on_sent(target, started_ms)
+        self.exposure.on_sent(target)
         # This attempt may be cancelled, for example because another target
         # answered first. A cancellation counts against the target only if the
         # request took longer than the hedge delay there and was not just
@@ -522,6 +523,7 @@
             candidates = self.index.of(request.upstream)
             now_ms = self.clock.now_ms()
             self.load_balancer.on_ended(target, candidates, outcome, now_ms)
+            self.exposure.on_ended(target)
             if binding is not None and binding.node != target.node:
                 state.discard_attempt(target)
 
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -43,6 +43,8 @@
     IndirectProbe,
     ProbeReply,
     ProbeRequest,
+    PromotionAck,
+    PromotionStep,
     RecordsPull,
     RecordsPush,
     RolloutSync,
@@ -454,6 +456,8 @@
 
 
 @handle_frame.register(AnswerReport)
+@handle_frame.register(PromotionAck)
+@handle_frame.register(PromotionStep)
 @handle_frame.register(RolloutSync)
 def _(frame: WireMessage, connection: PeerConnection) -> None:
     if connection.rollouts is not None:
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -188,7 +188,7 @@
             self.adapter.status_store,
             self.adapter.log.era,
         )
-        return RolloutService(registry, self.owner, writer)
+        return RolloutService(registry, self.owner, writer, self.exposure)
 
     def _build_request_path(self) -> None:
         settings, conventions = self.settings, self.adapter.http_conventions
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_exposure.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_exposure.py
@@ -1,5 +1,7 @@
 """Limits the requests that this node sends to unproven revisions."""
 
+from collections import Counter
+
 import attrs
 
 from pomelobank_core import (
@@ -49,6 +51,7 @@
         split_changes: Changes of roll-outs and revisions at that time.
         credits: Credit by upstream; only while a revision is limited.
         exposed: Requests sent to unproven revisions, for the metrics.
+        outstanding: Attempts in progress, by upstream and revision.
     """
 
     clock: Clock
@@ -58,6 +61,28 @@
     split_changes: tuple[int, int] = (0, 0)
     credits: dict[str, ExposureCredit] = attrs.field(factory=dict)
     exposed: int = 0
+    outstanding: Counter[tuple[str, str]] = attrs.field(factory=Counter)
+
+    def on_sent(self, target: MemberEntry) -> None:
+        """Records that an attempt begins."""
+        if self.share:
+            self.outstanding[target.upstream, target.revision] += 1
+
+    def on_ended(self, target: MemberEntry) -> None:
+        """Records that an attempt has ended."""
+        if self.share:
+            key = (target.upstream, target.revision)
+            self.outstanding[key] -= 1
+            if not self.outstanding[key]:
+                del self.outstanding[key]
+
+    def outstanding_elsewhere(self, upstream: str, revision: str) -> int:
+        """Returns the attempts at an upstream's other revisions."""
+        return sum(
+            count
+            for key, count in self.outstanding.items()
+            if key[0] == upstream and key[1] != revision
+        )
 
     def split(self, upstream: str, candidates: Candidates) -> RevisionSplit:
         """Returns the upstream's targets by revision.
@@ -68,6 +93,8 @@
         """
         if not self.share:
             return RevisionSplit(candidates, candidates)
+        if self.revisions.promoted:
+            self.revisions.expire(self.clock.now_ms())
         changes = (self.revisions.rollouts.changes, self.revisions.changes)
         if changes != self.split_changes:
             self.splits.clear()
@@ -120,7 +147,7 @@
     def on_reply(self, target: MemberEntry, reply: ForwardReply) -> None:
         """Records the reply to an attempt."""
         credit = self.credits.get(target.upstream)
-        if credit is None:
+        if credit is None or target.upstream in self.revisions.promoted:
             return
         if not self.is_limited(target):
             if was_served(reply):
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_judging.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_judging.py
@@ -38,6 +38,8 @@
         rollouts: The known roll-outs.
         clock: The node's clock.
         decide: Called with a roll-out in its new state.
+        is_held: Returns whether only another node may decide about a roll-out
+            for now.
         judges: Judges of roll-outs that reports have arrived for.
     """
 
@@ -45,6 +47,7 @@
     rollouts: Rollouts
     clock: Clock
     decide: Callable[[RolloutRecord], None]
+    is_held: Callable[[RolloutRecord], bool] = lambda _: False
     judges: dict[RolloutKey, Judge] = attrs.field(factory=dict)
 
     def running(self) -> list[RolloutRecord]:
@@ -87,7 +90,7 @@
         }
         for key, judge in list(self.judges.items()):
             verdict = judge.evaluate(self.clock.now_ms())
-            if verdict is not None:
+            if verdict is not None and not self.is_held(running[key]):
                 self._roll_back(running[key], judge, verdict)
 
     def _roll_back(
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_service.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_service.py
@@ -6,13 +6,21 @@
 
 import attrs
 
+from pomelobank_core.rollouts import RolloutState
 from pomelobank_node._owner import Owner
 from pomelobank_node.rollouts._answers import TargetAnswers
+from pomelobank_node.rollouts._exposure import Exposure
 from pomelobank_node.rollouts._judging import Judging
+from pomelobank_node.rollouts._promotion import Promotions
 from pomelobank_node.rollouts._registry import RolloutRegistry
 from pomelobank_node.rollouts._statuses import StatusWriter
 from pomelobank_schema import WireMessage
-from pomelobank_schema.generated.peer import AnswerReport, RolloutSync
+from pomelobank_schema.generated.peer import (
+    AnswerReport,
+    PromotionAck,
+    PromotionStep,
+    RolloutSync,
+)
 
 _logger = logging.getLogger(__name__)
 _MS_PER_S = 1000
@@ -20,6 +28,9 @@
 # some 20 answers of an unproven revision per second, each evaluation sees a few
 # new ones.
 REPORT_INTERVAL_MS = 250
+_GOOD_STATES = frozenset(
+    {RolloutState.COMPLETING.value, RolloutState.COMPLETED.value}
+)
 
 
 @attrs.define(eq=False)
@@ -32,8 +43,10 @@
         registry: The known roll-outs.
         owner: Runs requests on the node's target.
         writer: Stores the states of roll-outs.
+        exposure: Chooses revisions for this node's requests.
         answers: Counts the target's answers.
         judging: The roll-outs that this node judges.
+        promotions: The last steps of roll-outs.
         loading: Whether the stored states are being read.
         rollout_running: Set while a roll-out is running.
         tasks: Running background tasks.
@@ -42,8 +55,10 @@
     registry: RolloutRegistry
     owner: Owner
     writer: StatusWriter
+    exposure: Exposure
     answers: TargetAnswers = attrs.field(init=False)
     judging: Judging = attrs.field(init=False)
+    promotions: Promotions = attrs.field(init=False)
     loading: bool = False
     rollout_running: asyncio.Event = attrs.field(factory=asyncio.Event)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
@@ -57,6 +72,17 @@
             registry.clock,
             registry.decide,
         )
+        self.promotions = Promotions(
+            registry.table,
+            registry.rollouts,
+            self.exposure,
+            self.owner,
+            self.judging,
+            registry.clock,
+            registry.post,
+            registry.decide,
+        )
+        self.judging.is_held = self.promotions.is_held
         registry.on_changed.append(self._on_changed)
         registry.load_statuses = self._load_statuses
         registry.stored_digest = lambda: self.writer.stored_digest
@@ -86,6 +112,11 @@
             self.rollout_running.set()
         else:
             self.rollout_running.clear()
+        for rollout in self.registry.rollouts.records.values():
+            if rollout.state in _GOOD_STATES:
+                self.registry.revisions.supersede(
+                    rollout.upstream, rollout.revision
+                )
         self.writer.due.set()
         self.owner.reject_if_condemned()
 
@@ -110,6 +141,7 @@
             try:
                 self._send_reports()
                 self.judging.evaluate()
+                self.promotions.lead()
             except Exception:
                 # The next roll-out, and the other nodes' reports, still need
                 # this task.
@@ -151,3 +183,7 @@
         elif isinstance(frame, RolloutSync):
             self.registry.receive(frame)
             self.writer.on_stored(frame.stored_digest)
+        elif isinstance(frame, PromotionStep):
+            self.promotions.receive_step(frame)
+        elif isinstance(frame, PromotionAck):
+            self.promotions.receive_ack(frame)
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_statuses.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_statuses.py
@@ -11,6 +11,7 @@
 from pomelobank_core.rollouts import (
     RolloutKey,
     Rollouts,
+    RolloutState,
     is_later_state,
     is_newer_order,
 )
@@ -130,7 +131,8 @@
         """Waits until statuses have to be stored, and stores them.
 
         Returns:
-            The statuses that were stored before, which this node may not know.
+            The statuses that were stored before, which this node may not know,
+            and those that it has stored.
         """
         await self.due.wait()
         self.due.clear()
@@ -156,6 +158,7 @@
         digest = self.rollouts.digest
         stored = await self.store.read_statuses()
         end = stored.end
+        written: list[RolloutRecord] = []
         by_upstream = {item.upstream: item for item in stored.rollouts}
         upstreams = {item.upstream for item in self.rollouts.records.values()}
         for upstream in sorted(upstreams):
@@ -163,7 +166,9 @@
             assert rollout is not None
             if not _replaces(rollout, by_upstream.get(upstream)):
                 continue
+            rollout = _stored_form(rollout)
             await self.store.write_status(rollout, end)
+            written.append(rollout)
             end += 1
             _logger.info(
                 "rollout.status_stored",
@@ -174,8 +179,17 @@
                     "state": rollout.state,
                 },
             )
-        self.stored_digest = digest
-        return stored.rollouts
+        if digest == self.rollouts.digest:
+            self.stored_digest = digest
+        return stored.rollouts + written
+
+
+def _stored_form(rollout: RolloutRecord) -> RolloutRecord:
+    # The old targets end as soon as the completion is stored, which nobody may
+    # revoke then. A stored roll-back is a later state and stays.
+    if rollout.state != RolloutState.COMPLETING.value:
+        return rollout
+    return attrs.evolve(rollout, state=RolloutState.COMPLETED.value)
 
 
 def _replaces(rollout: RolloutRecord, stored: RolloutRecord | None) -> bool:
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_statuses.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_statuses.py
@@ -17,6 +17,8 @@
     upstream="stock", revision="v2", position=7, era=1, state="running"
 )
 ROLLED_BACK = attrs.evolve(RUNNING, state="rolled_back")
+COMPLETING = attrs.evolve(RUNNING, state="completing")
+COMPLETED = attrs.evolve(RUNNING, state="completed")
 LATER = attrs.evolve(RUNNING, revision="v3", position=9)
 
 
@@ -70,6 +72,13 @@
         pytest.param(None, RUNNING, RUNNING, id="first status"),
         pytest.param(RUNNING, ROLLED_BACK, ROLLED_BACK, id="later state"),
         pytest.param(ROLLED_BACK, RUNNING, ROLLED_BACK, id="earlier state"),
+        pytest.param(RUNNING, COMPLETING, COMPLETED, id="completion"),
+        pytest.param(
+            ROLLED_BACK, COMPLETING, ROLLED_BACK, id="completion too late"
+        ),
+        pytest.param(
+            COMPLETED, ROLLED_BACK, COMPLETED, id="roll-back too late"
+        ),
         pytest.param(ROLLED_BACK, LATER, LATER, id="newer roll-out"),
         pytest.param(LATER, ROLLED_BACK, LATER, id="older roll-out"),
     ],
@@ -85,7 +94,8 @@
     learned = await writer.store_when_due()
     assert store.newest["stock"] == expected
     assert writer.is_stored
-    assert learned == ([] if stored is None else [stored])
+    before = [] if stored is None else [stored]
+    assert learned == before + [expected] * (expected != stored)
 
 
 async def test_status_written_between_read_and_write_is_kept() -> None:
