Add metrics of roll-outs; bound and cache what is known of them

Five metrics show running roll-outs, exposed requests, limited targets, verdicts and whether the states are stored.

The known roll-outs were kept up to 1,024, sent whole in each frame, and searched at each answer of a target. Now 128 are kept, and the newest record of an upstream or a revision is cached until a record changes.

Two cases found by reading: the clocks of two readers differ, and by the earlier one a roll-out could complete before its revision has shown itself, so that the later time now counts; and targets without a revision (nodes of an earlier version during an upgrade) made the first targets with one look unexplained, so that they got a small share. Targets without a revision are not limited and are not compared.

--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_revisions.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_revisions.py
@@ -41,7 +41,9 @@
     unless its order has not reached this node yet. So a second revision of an
     upstream counts as unproven until the node knows the state of the source as
     of a time after the first sight of the revision. Of several revisions that
-    nothing explains, the one with the most targets counts as proven.
+    nothing explains, the one with the most targets counts as proven. Targets
+    that do not state a revision, such as those of nodes of an earlier version,
+    are not limited.
 
     Attributes:
         rollouts: The known roll-outs.
@@ -130,7 +132,7 @@
         if not counts:
             return RevisionSplit(candidates, candidates)
         upstream = targets[0].upstream
-        for revision in counts:
+        for revision in filter(None, counts):
             self._note_seen(upstream, revision, now_ms)
         statuses = {
             revision: self.rollouts.status(upstream, revision)
@@ -195,10 +197,14 @@
             item for item in unknown if (upstream, item) in self.confirmed
         }
         unknown = {
-            item for item in unknown if (upstream, item) not in self.superseded
+            item
+            for item in unknown
+            if item and (upstream, item) not in self.superseded
         }
         if not proven and unknown:
             proven = {max(unknown, key=lambda item: (counts[item], item))}
+        if "" in counts:
+            proven.add("")
         return proven
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
@@ -10,9 +10,9 @@
 from pomelobank_schema import encode
 from pomelobank_schema.generated.records import RolloutRecord
 
-# Maximum number of roll-outs in memory. An operator orders a few a day for each
-# upstream.
-_MAX_ROLLOUTS = 1024
+# Maximum number of roll-outs in memory and in a frame, about 100 bytes each.
+# They cover the last days of an operator who orders a few a day.
+_MAX_ROLLOUTS = 128
 
 
 class RolloutState(enum.Enum):
@@ -93,13 +93,12 @@
     exchange records in any order and any number of times.
     """
     newer = max(first, second, key=_state_rank)
-    known_times = [
-        item.ordered_at_ms for item in (first, second) if item.ordered_at_ms
-    ]
     return attrs.evolve(
         newer,
         era=max(first.era, second.era),
-        ordered_at_ms=min(known_times, default=0),
+        # Clocks of nodes differ. By the latest one, a roll-out ends rather too
+        # late than before its revision has shown itself.
+        ordered_at_ms=max(first.ordered_at_ms, second.ordered_at_ms),
     )
 
 
@@ -143,11 +142,15 @@
         records: The records by identity.
         changes: Counter of the changes.
         digest: Hash of the records, independent of their order; 0 without any.
+        newest_cache: Newest record by upstream, and by upstream and revision.
     """
 
     records: dict[RolloutKey, RolloutRecord] = attrs.field(factory=dict)
     changes: int = 0
     digest: int = 0
+    newest_cache: dict[tuple[str, ...], RolloutRecord | None] = attrs.field(
+        factory=dict
+    )
 
     def add(self, record: RolloutRecord) -> bool:
         """Adds what a record says; returns whether any of it is new."""
@@ -161,6 +164,7 @@
             oldest = min(self.records.values(), key=_age_rank)
             del self.records[RolloutKey.of(oldest)]
         self.changes += 1
+        self.newest_cache.clear()
         self.digest = self._compute_digest()
         return True
 
@@ -177,31 +181,28 @@
 
     def newest(self, upstream: str) -> RolloutRecord | None:
         """Returns the newest roll-out of an upstream; None without any."""
-        return max(
-            (
-                item
-                for item in self.records.values()
-                if item.upstream == upstream
-            ),
-            key=_age_rank,
-            default=None,
-        )
+        return self._newest((upstream,))
 
     def status(self, upstream: str, revision: str) -> RevisionStatus:
         """Returns what the newest roll-out to a revision says about it."""
-        record = max(
-            (
-                item
-                for item in self.records.values()
-                if item.upstream == upstream and item.revision == revision
-            ),
-            key=_age_rank,
-            default=None,
-        )
+        record = self._newest((upstream, revision))
         if record is None:
             return RevisionStatus.UNKNOWN
         return _STATUSES.get(record.state, RevisionStatus.UNPROVEN)
 
+    def _newest(self, names: tuple[str, ...]) -> RolloutRecord | None:
+        # Cached, because each answer of a target asks for it.
+        if names not in self.newest_cache:
+            matching = (
+                record
+                for key, record in self.records.items()
+                if key[: len(names)] == names
+            )
+            self.newest_cache[names] = max(
+                matching, key=_age_rank, default=None
+            )
+        return self.newest_cache[names]
+
 
 def _age_rank(record: RolloutRecord) -> tuple[int, int]:
     return record.era, record.position
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_revisions.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_revisions.py
@@ -34,6 +34,9 @@
         pytest.param(
             {}, {"v1": 3, "v2": 2}, {"v1"}, {"v2"}, id="unexplained revision"
         ),
+        pytest.param(
+            {}, {"": 3, "v1": 1}, {"", "v1"}, set(), id="nodes without it"
+        ),
         pytest.param(
             {"v2": "running"},
             {"v1": 2, "v2": 3},
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -476,6 +476,35 @@
     monotonic=True,
 )
 
+ROLLOUTS_RUNNING = Instrument(
+    "pomelobank.rollouts.running",
+    "1",
+    "Roll-outs whose revision is not proven yet.",
+)
+ROLLOUTS_EXPOSED = Instrument(
+    "pomelobank.rollouts.exposed",
+    "1",
+    "Requests that this node sent to unproven revisions.",
+    monotonic=True,
+)
+ROLLOUTS_LIMITED = Instrument(
+    "pomelobank.rollouts.limited_targets",
+    "1",
+    "Targets that get no requests, or a small share only, because of their"
+    " revision.",
+)
+ROLLOUTS_CONDEMNED = Instrument(
+    "pomelobank.rollouts.rolled_back",
+    "1",
+    "Roll-outs that this node found bad.",
+    monotonic=True,
+)
+ROLLOUTS_STORED = Instrument(
+    "pomelobank.rollouts.stored",
+    "1",
+    "1 while the states of all known roll-outs are stored.",
+)
+
 ALL = tuple(
     value
     for name, value in sorted(globals().items())
@@ -500,5 +529,10 @@
     CAP_AUTHORITIES,
     CAP_RESETS,
     CAP_SHARE,
+    ROLLOUTS_RUNNING,
+    ROLLOUTS_EXPOSED,
+    ROLLOUTS_LIMITED,
+    ROLLOUTS_CONDEMNED,
+    ROLLOUTS_STORED,
     OUTPUT_DROPPED,
 )
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -27,6 +27,7 @@
     from pomelobank_node._target_watch import TargetWatch
     from pomelobank_node.callers import Ingress
     from pomelobank_node.published import PublishedFeed, PublishedStore
+    from pomelobank_node.rollouts import Exposure, RolloutService
     from pomelobank_node.workspaces import (
         FreshnessQueries,
         LeasedUsageCaps,
@@ -108,6 +109,14 @@
     def usage_caps(self) -> LeasedUsageCaps:
         """Limits the rates of workspaces."""
 
+    @property
+    def exposure(self) -> Exposure:
+        """Bounds the requests sent to unproven revisions."""
+
+    @property
+    def rollouts(self) -> RolloutService | None:
+        """Judges and ends roll-outs; None if revisions are not told apart."""
+
 
 class ObservedApplication(ObservedNode, Protocol):
     """The components of a node that uses the product's own log."""
@@ -162,6 +171,7 @@
         _requests(node),
         _load_balancing(node),
         _quarantine(node),
+        _rollouts(node),
         _workspaces(node),
     ):
         for instrument, read in readings:
@@ -188,6 +198,17 @@
     yield instruments.KEYS_STALE, lambda: freshness.rejected
 
 
+def _rollouts(node: ObservedSidecar) -> Readings:
+    rollouts, exposure = node.rollouts, node.exposure
+    yield instruments.ROLLOUTS_EXPOSED, lambda: exposure.exposed
+    yield instruments.ROLLOUTS_LIMITED, lambda: exposure.limited_targets
+    if rollouts is not None:
+        judging, writer = rollouts.judging, rollouts.writer
+        yield instruments.ROLLOUTS_RUNNING, lambda: len(judging.running())
+        yield instruments.ROLLOUTS_CONDEMNED, lambda: judging.condemned
+        yield instruments.ROLLOUTS_STORED, lambda: int(writer.is_stored)
+
+
 def _usage_caps(node: ObservedSidecar) -> Readings:
     caps = node.usage_caps
     yield instruments.CAP_TOKENS, lambda: caps.authority.granted
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_exposure.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_exposure.py
@@ -63,6 +63,11 @@
     exposed: int = 0
     outstanding: Counter[tuple[str, str]] = attrs.field(factory=Counter)
 
+    @property
+    def limited_targets(self) -> int:
+        """Number of targets that get requests by credit only, or none."""
+        return sum(len(item.limited_nodes) for item in self.splits.values())
+
     def on_sent(self, target: MemberEntry) -> None:
         """Records that an attempt begins."""
         if self.share:
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_judging.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_judging.py
@@ -40,6 +40,7 @@
         decide: Called with a roll-out in its new state.
         is_held: Returns whether only another node may decide about a roll-out
             for now.
+        condemned: Roll-outs that this node has found bad, for the metrics.
         judges: Judges of roll-outs that reports have arrived for.
     """
 
@@ -48,6 +49,7 @@
     clock: Clock
     decide: Callable[[RolloutRecord], None]
     is_held: Callable[[RolloutRecord], bool] = lambda _: False
+    condemned: int = 0
     judges: dict[RolloutKey, Judge] = attrs.field(factory=dict)
 
     def running(self) -> list[RolloutRecord]:
@@ -96,6 +98,7 @@
     def _roll_back(
         self, rollout: RolloutRecord, judge: Judge, verdict: Verdict
     ) -> None:
+        self.condemned += 1
         reason = verdict.describe()
         _logger.warning(
             "rollout.bad_revision",
