Give a starting node what its peers know of requests that crash targets

A request that crashes targets was quarantined at all nodes, and a node that restarted ran it again: evidence is sent once, when it arises, so a node that starts later gets none.

A node that sees a member start sends it its suspicions, if it has any, with points, quarantine and the times left; three peers do so, chosen by rank. The graver of two suspicions counts, so that the frames may come in any order. At rest and without suspicions nothing is sent.

A new test covers the merging.

--- a/packages/pomelobank-core/src/pomelobank_core/_quarantine.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_quarantine.py
@@ -5,6 +5,8 @@
 import attrs
 import xxhash
 
+from pomelobank_schema.generated.peer import SuspicionEntry
+
 # Points for a crash while the request was in flight. The loss of a target is
 # strong evidence. The loss of a node is weak evidence, because many nodes can
 # fail together for a cause that has nothing to do with requests.
@@ -162,6 +164,37 @@
             return QuarantineState.SUSPECT
         return QuarantineState.CLEAR
 
+    def newest(self, now_ms: float, limit: int) -> list[SuspicionEntry]:
+        """Returns the newest suspicions for a node that has just started.
+
+        Args:
+            now_ms: Current time.
+            limit: Maximum number of suspicions.
+        """
+        entries = [
+            SuspicionEntry(
+                fingerprint=fingerprint,
+                points=entry.points,
+                remaining_ms=int(entry.until_ms - now_ms),
+                quarantine_ms=max(0, int(entry.quarantined_until_ms - now_ms)),
+                quarantines=entry.quarantines,
+            )
+            for fingerprint, entry in self.entries.items()
+            if entry.until_ms > now_ms
+        ]
+        return entries[-limit:]
+
+    def merge(self, received: SuspicionEntry, now_ms: float) -> None:
+        """Adds a suspicion of another node; the graver of the two counts."""
+        entry = self._entry(received.fingerprint)
+        entry.points = max(entry.points, received.points)
+        entry.until_ms = max(entry.until_ms, now_ms + received.remaining_ms)
+        entry.quarantines = max(entry.quarantines, received.quarantines)
+        if received.quarantine_ms > 0:
+            entry.quarantined_until_ms = max(
+                entry.quarantined_until_ms, now_ms + received.quarantine_ms
+            )
+
     def retry_after_ms(self, fingerprint: bytes, now_ms: float) -> int:
         """Returns the time until a quarantine ends, in ms; 0 without one."""
         entry = self.entries.get(fingerprint)
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_quarantine.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_quarantine.py
@@ -11,7 +11,7 @@
     QuarantineTable,
     fingerprint,
 )
-from pomelobank_core._quarantine import MAX_ENTRIES
+from pomelobank_core._quarantine import MAX_ENTRIES, QUARANTINE_POINTS
 
 FAULTY = fingerprint("stock", "GET", b"/stock/bad", b"")
 HARMLESS = fingerprint("stock", "GET", b"/stock/1", b"")
@@ -142,3 +142,16 @@
             single.add(item, 0)
     assert len(table.entries) <= MAX_ENTRIES
     assert table.state(b"7", 1) is single.state(b"7", 1)
+
+
+def test_node_that_starts_gets_the_graver_suspicion() -> None:
+    """Guards against a peer's weaker view that ends a quarantine."""
+    grave, weak, started = (QuarantineTable() for _ in range(3))
+    grave.add(Evidence(b"f", points=QUARANTINE_POINTS), 1000)
+    weak.add(Evidence(b"f", points=1), 1000)
+    for table in (weak, grave, weak):
+        for entry in table.newest(2000, limit=10):
+            started.merge(entry, 50_000)
+    assert started.state(b"f", 50_000) is QuarantineState.QUARANTINED
+    left_ms = grave.retry_after_ms(b"f", 2000)
+    assert started.retry_after_ms(b"f", 50_000) == left_ms
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -83,6 +83,9 @@
             self.store,
             self.clock,
         )
+        self.membership.on_member_changed.append(
+            self.crash_reports.on_member_changed
+        )
         self.target = TargetWatch(
             self.owner,
             self.membership,
--- a/packages/pomelobank-node/src/pomelobank_node/_crash_reports.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_crash_reports.py
@@ -18,10 +18,17 @@
     QuarantineState,
     QuarantineTable,
     fingerprint,
+    rank_of,
 )
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import ForwardRequest, RequestError
-from pomelobank_schema.generated.peer import CrashEvidence, CrashReport
+from pomelobank_schema import WireMessage
+from pomelobank_schema.generated.peer import (
+    CrashEvidence,
+    CrashReport,
+    MemberEntry,
+    SuspicionSync,
+)
 
 # Up to this many peers a node sends a report directly to every peer. With more
 # peers, each node that receives a report for the first time forwards the report
@@ -33,6 +40,11 @@
 # ids of an hour with one crash per second fit.
 _MAX_SEEN_REPORTS = 4096
 _ID_BYTES = 8
+# Number of peers that send their suspicions to a member that has started, in
+# case one of them has just started too, and the maximum number of suspicions
+# that each sends, about 30 bytes each.
+_SYNC_SENDERS = 3
+_MAX_SYNCED = 256
 
 
 def request_fingerprint(request: ForwardRequest) -> bytes:
@@ -54,6 +66,7 @@
         clock: The node's clock.
         table: Evidence against requests, and quarantined requests.
         seen: Ids of handled reports, oldest first.
+        incarnations: Incarnation of each member when it was last seen.
         tasks: Tasks that send reports.
         sent: Reports sent, for the metrics.
         rejected: Requests rejected as quarantined, for the metrics.
@@ -64,6 +77,7 @@
     clock: Clock
     table: QuarantineTable = attrs.field(factory=QuarantineTable)
     seen: dict[bytes, None] = attrs.field(factory=dict)
+    incarnations: dict[str, int] = attrs.field(factory=dict)
     tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
     sent: int = 0
     rejected: int = 0
@@ -118,6 +132,34 @@
         if len(self.members.others) > _MAX_DIRECT_PEERS:
             self._forward(report)
 
+    def on_member_changed(self, entry: MemberEntry) -> None:
+        """Sends the suspicions to a member that has just started.
+
+        Its earlier process may have known of a request that crashes targets,
+        and the caller may send that request again at once.
+        """
+        if entry.state == MemberState.GONE.value:
+            self.incarnations.pop(entry.node, None)
+            return
+        if self.incarnations.get(entry.node) == entry.incarnation:
+            return
+        self.incarnations[entry.node] = entry.incarnation
+        if not self.table.entries or not entry.peer_address:
+            return
+        others = {item.node for item in self.members.present()} - {entry.node}
+        own_rank = rank_of(self.members.own.node, others, entry.node)
+        if own_rank < _SYNC_SENDERS:
+            entries = self.table.newest(self.clock.now_ms(), _MAX_SYNCED)
+            self._post(
+                entry.peer_address, SuspicionSync(entries=tuple(entries))
+            )
+
+    def receive_sync(self, frame: SuspicionSync) -> None:
+        """Adds the suspicions of a peer to those of this node."""
+        now_ms = self.clock.now_ms()
+        for entry in frame.entries:
+            self.table.merge(entry, now_ms)
+
     def _publish(self, evidence: Iterable[Evidence]) -> None:
         report = CrashReport(
             report_id=os.urandom(_ID_BYTES),
@@ -154,13 +196,16 @@
         if len(addresses) > _MAX_DIRECT_PEERS:
             addresses = random.sample(addresses, _FAN_OUT)
         for address in addresses:
-            task = asyncio.create_task(self._send(address, report))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
+            self._post(address, report)
+
+    def _post(self, address: str, frame: WireMessage) -> None:
+        task = asyncio.create_task(self._send(address, frame))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
 
-    async def _send(self, address: str, report: CrashReport) -> None:
+    async def _send(self, address: str, frame: WireMessage) -> None:
         try:
-            await self.links.to(address).send(report)
+            await self.links.to(address).send(frame)
             self.sent += 1
         except RequestError:
             return
--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -70,6 +70,7 @@
         on_tick: Callbacks that get the monotonic time in ms at every tick,
             about twice per period. Components register their periodic checks
             here, so that one timer wakes the process for all of them.
+        on_member_changed: Callbacks for changed entries of other members.
         dropped_frames: Frames dropped because too many were waiting, for the
             metrics.
         failed_sends: Frames whose peer was unreachable, for the metrics.
@@ -90,6 +91,9 @@
     store: Versioned
     clock: Clock
     on_tick: list[Callable[[int], None]] = attrs.field(factory=list)
+    on_member_changed: list[Callable[[MemberEntry], None]] = attrs.field(
+        factory=list
+    )
     dropped_frames: int = 0
     failed_sends: int = 0
     tick_due: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -229,6 +233,8 @@
                 else:
                     self.links.disconnect(entry.peer_address)
             self._track_draining(entry)
+            for callback in self.on_member_changed:
+                callback(entry)
         self._update_joined()
 
     def _track_draining(self, entry: MemberEntry) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -52,6 +52,7 @@
     SlotOffer,
     SnapshotPush,
     StreamClosing,
+    SuspicionSync,
     SyncReply,
     SyncRequest,
     TokenGrant,
@@ -428,6 +429,11 @@
     connection.owner.crash_reports.receive(frame)
 
 
+@handle_frame.register
+def _(frame: SuspicionSync, connection: PeerConnection) -> None:
+    connection.owner.crash_reports.receive_sync(frame)
+
+
 @handle_frame.register(RecordsPull)
 @handle_frame.register(RecordsPush)
 @handle_frame.register(SnapshotPush)
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -161,6 +161,9 @@
             self.store,
             self.clock,
         )
+        self.membership.on_member_changed.append(
+            self.crash_reports.on_member_changed
+        )
         self.target = TargetWatch(
             self.owner,
             self.membership,
