Keep the time of an order that a started node reads again

The earlier time counts again. A clock that is set back at a reader may therefore end a roll-out early, though not before 50 answers without doubt.

A new test of both orders of records failed before.

--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
@@ -93,12 +93,14 @@
     exchange records in any order and any number of times.
     """
     newer = max(first, second, key=_state_rank)
+    known_times = [
+        item.ordered_at_ms for item in (first, second) if item.ordered_at_ms
+    ]
     return attrs.evolve(
         newer,
         era=max(first.era, second.era),
-        # Clocks of nodes differ. By the latest one, a roll-out ends rather too
-        # late than before its revision has shown itself.
-        ordered_at_ms=max(first.ordered_at_ms, second.ordered_at_ms),
+        # A node that starts later reads the order again, at a later time.
+        ordered_at_ms=min(known_times, default=0),
     )
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollouts.py
@@ -62,6 +62,17 @@
         assert rollouts.status("stock", "v3") is RevisionStatus.UNPROVEN
 
 
+def test_order_that_a_started_node_reads_again_keeps_its_time() -> None:
+    """Guards against a deadline that moves with each restart of a reader."""
+    again = attrs.evolve(ORDER, ordered_at_ms=9000)
+    for records in ([ORDER, again], [again, ORDER]):
+        rollouts = Rollouts()
+        rollouts.add_all(records)
+        newest = rollouts.newest("stock")
+        assert newest is not None
+        assert newest.ordered_at_ms == ORDER.ordered_at_ms
+
+
 def test_roll_back_wins_over_a_completion_that_is_not_stored() -> None:
     """Guards against two deciding nodes, of which one found failures."""
     for records in itertools.permutations([ROLLED_BACK, COMPLETING, ORDER]):
