Name the state of a rolled-back roll-out in the product's own word

Code outside platform/ used the platform's name of the state. Two docstrings of tests are one line now.

--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/_rollouts.py
@@ -26,13 +26,13 @@
     Attributes:
         RUNNING: The revision is not proven yet.
         COMPLETING: The revision is good and gets all requests.
-        ROLLED_BACK: The revision is bad and gets no requests.
+        REVERTED: The revision is bad and gets no requests.
         COMPLETED: As `COMPLETING`, and stored.
     """
 
     RUNNING = "running"
     COMPLETING = "completing"
-    ROLLED_BACK = "rolled_back"
+    REVERTED = "reverted"
     COMPLETED = "completed"
 
 
@@ -59,7 +59,7 @@
     RolloutState.RUNNING.value: RevisionStatus.UNPROVEN,
     RolloutState.COMPLETING.value: RevisionStatus.PROVEN,
     RolloutState.COMPLETED.value: RevisionStatus.PROVEN,
-    RolloutState.ROLLED_BACK.value: RevisionStatus.CONDEMNED,
+    RolloutState.REVERTED.value: RevisionStatus.CONDEMNED,
 }
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_exposure_credit.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_exposure_credit.py
@@ -1,4 +1,8 @@
-"""Credit for requests to unproven revisions."""
+"""Credit for requests to unproven revisions.
+
+In the events, a node gets a response (r), tries to expose a request (s) or
+restarts (k).
+"""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -17,10 +21,7 @@
 def test_nodes_without_messages_stay_within_the_share(
     events: list[tuple[int, str]],
 ) -> None:
-    """Guards against nodes that each round their few requests up.
-
-    Nodes get responses (r), try to expose a request (s) or restart (k).
-    """
+    """Guards against nodes that each round their few requests up."""
     entries = [ExposureCredit(SHARE) for _ in range(62)]
     responses = exposed = 0
     for node, event in events:
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_promotion.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_promotion.py
@@ -29,7 +29,7 @@
             {}, {"new_slots": 80}, 14_000, "too few targets", id="no room"
         ),
         pytest.param(
-            {"state": "rolled_back"}, {}, 14_000, "not running", id="ended"
+            {"state": "reverted"}, {}, 14_000, "not running", id="ended"
         ),
         pytest.param(
             {"duration_ms": 0}, {}, 14_000, "not running", id="no duration"
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_revisions.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_revisions.py
@@ -52,14 +52,14 @@
             id="completed roll-out, old targets unexplained",
         ),
         pytest.param(
-            {"v2": "rolled_back"},
+            {"v2": "reverted"},
             {"v1": 3, "v2": 2},
             {"v1"},
             set(),
             id="rolled back",
         ),
         pytest.param(
-            {"v2": "rolled_back", "v3": "running"},
+            {"v2": "reverted", "v3": "running"},
             {"v1": 3, "v2": 2, "v3": 1},
             {"v1"},
             {"v3"},
@@ -80,7 +80,7 @@
             id="no proven target is left",
         ),
         pytest.param(
-            {"v2": "rolled_back"},
+            {"v2": "reverted"},
             {"v2": 2},
             set(),
             set(),
@@ -181,5 +181,5 @@
     revisions.expire(2500)
     assert proven() == {"v1"}
     revisions.promote("stock", "v2", until_ms=4000)
-    rollouts.add(attrs.evolve(ORDER, state="rolled_back"))
+    rollouts.add(attrs.evolve(ORDER, state="reverted"))
     assert proven() == {"v1"}
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollout_model.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollout_model.py
@@ -18,7 +18,7 @@
 from pomelobank_schema.generated.records import RolloutRecord
 
 RUNNING, COMPLETING = "running", "completing"
-ROLLED_BACK, COMPLETED = "rolled_back", "completed"
+REVERTED, COMPLETED = "reverted", "completed"
 MAX_STATES = 1_000_000
 PROPERTIES = (
     "some_targets_are_left",
@@ -162,7 +162,7 @@
         if node.state == RUNNING:
             if not system.old_ended:
                 # A verdict needs answers of the old targets to compare with.
-                steps.append(after("rolls back", state=ROLLED_BACK))
+                steps.append(after("rolls back", state=REVERTED))
             if name == "leader" and self.takes_part(other):
                 steps.append(after("completes", state=COMPLETING))
         if node.state and node.read is None:
@@ -203,13 +203,13 @@
         if not status or not self.may_write(node.read, system):
             return label, attrs.evolve(system, **{name: done})
         done = attrs.evolve(done, state=self.join(joined, status))
-        replaced = system.status in (ROLLED_BACK, COMPLETED)
+        replaced = system.status in (REVERTED, COMPLETED)
         return label, attrs.evolve(
             system,
             status=status,
             writes=system.writes + 1,
             old_ended=system.old_ended or status == COMPLETED,
-            new_ended=system.new_ended or status == ROLLED_BACK,
+            new_ended=system.new_ended or status == REVERTED,
             replaced_verdict=system.replaced_verdict
             or (replaced and status != system.status),
             **{name: done},
@@ -226,7 +226,7 @@
             holds = not system.replaced_verdict
         else:
             holds = not any(
-                node.calm and not node.state and system.status == ROLLED_BACK
+                node.calm and not node.state and system.status == REVERTED
                 for node in nodes
             )
         self.broken = self.broken or not holds
@@ -253,13 +253,13 @@
     """Mutation: a roll-back replaces a stored completion."""
 
     def join(self, first: str, second: str) -> str:
-        if ROLLED_BACK in (first, second):
-            return ROLLED_BACK
+        if REVERTED in (first, second):
+            return REVERTED
         return join(first, second)
 
     def status_to_store(self, state: str, stored: str) -> str:
-        if (state, stored) == (ROLLED_BACK, COMPLETED):
-            return ROLLED_BACK
+        if (state, stored) == (REVERTED, COMPLETED):
+            return REVERTED
         return super().status_to_store(state, stored)
 
 
--- a/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollouts.py
+++ b/packages/pomelobank-core/src/pomelobank_core/rollouts/tests/test_rollouts.py
@@ -18,7 +18,7 @@
     ordered_at_ms=1000,
     state="running",
 )
-ROLLED_BACK = attrs.evolve(ORDER, state="rolled_back", reason="failures")
+REVERTED = attrs.evolve(ORDER, state="reverted", reason="failures")
 COMPLETING = attrs.evolve(ORDER, state="completing")
 COMPLETED = attrs.evolve(ORDER, state="completed")
 
@@ -30,9 +30,7 @@
     era=st.integers(1, 2),
     duration_ms=st.just(60_000),
     ordered_at_ms=st.integers(0, 3),
-    state=st.sampled_from(
-        ["running", "completing", "rolled_back", "completed"]
-    ),
+    state=st.sampled_from(["running", "completing", "reverted", "completed"]),
     reason=st.sampled_from(["", "failures"]),
 )
 
@@ -55,7 +53,7 @@
     """Guards against a verdict lost when a store returns from an older copy."""
     again = attrs.evolve(ORDER, era=2, ordered_at_ms=9000)
     other = attrs.evolve(ORDER, revision="v3", position=5, era=2)
-    for records in itertools.permutations([ROLLED_BACK, again, other]):
+    for records in itertools.permutations([REVERTED, again, other]):
         rollouts = Rollouts()
         rollouts.add_all(records)
         assert rollouts.status("stock", "v2") is RevisionStatus.CONDEMNED
@@ -75,7 +73,7 @@
 
 def test_roll_back_wins_over_a_completion_that_is_not_stored() -> None:
     """Guards against two deciding nodes, of which one found failures."""
-    for records in itertools.permutations([ROLLED_BACK, COMPLETING, ORDER]):
+    for records in itertools.permutations([REVERTED, COMPLETING, ORDER]):
         rollouts = Rollouts()
         rollouts.add_all(records)
         assert rollouts.status("stock", "v2") is RevisionStatus.CONDEMNED
@@ -83,7 +81,7 @@
 
 def test_stored_completion_wins_over_a_roll_back() -> None:
     """Guards against a roll-back to targets that have ended already."""
-    for records in itertools.permutations([ROLLED_BACK, COMPLETED, COMPLETING]):
+    for records in itertools.permutations([REVERTED, COMPLETED, COMPLETING]):
         rollouts = Rollouts()
         rollouts.add_all(records)
         assert rollouts.status("stock", "v2") is RevisionStatus.PROVEN
@@ -91,7 +89,7 @@
 
 def test_second_order_of_a_condemned_revision_is_a_new_roll_out() -> None:
     rollouts = Rollouts()
-    rollouts.add_all([ROLLED_BACK, attrs.evolve(ORDER, position=9)])
+    rollouts.add_all([REVERTED, attrs.evolve(ORDER, position=9)])
     assert rollouts.status("stock", "v2") is RevisionStatus.UNPROVEN
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -494,7 +494,7 @@
     " revision.",
 )
 ROLLOUTS_CONDEMNED = Instrument(
-    "pomelobank.rollouts.rolled_back",
+    "pomelobank.rollouts.reverted",
     "1",
     "Roll-outs that this node found bad.",
     monotonic=True,
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_judging.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_judging.py
@@ -113,6 +113,6 @@
         )
         self.decide(
             attrs.evolve(
-                rollout, state=RolloutState.ROLLED_BACK.value, reason=reason
+                rollout, state=RolloutState.REVERTED.value, reason=reason
             )
         )
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_exposure.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_exposure.py
@@ -124,14 +124,14 @@
     assert 0.02 * len(peers.reached) < exposed < SHARE * len(peers.reached)
 
 
-async def test_rolled_back_revision_gets_nothing() -> None:
+async def test_reverted_revision_gets_nothing() -> None:
     """Guards against attempts at a revision that was found bad."""
     peers = RandomPeers()
     forwarder = _forwarder(peers)
     await _send(forwarder, 300)
     exposed = _reached_new(peers)
     forwarder.exposure.revisions.rollouts.add(
-        RolloutRecord(upstream="stock", revision="v2", state="rolled_back")
+        RolloutRecord(upstream="stock", revision="v2", state="reverted")
     )
     await _send(forwarder, 300)
     assert _reached_new(peers) == exposed
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_judging.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_judging.py
@@ -83,13 +83,13 @@
     judging.evaluate()
     record = rollouts.newest("stock")
     assert record is not None
-    assert record.state == "rolled_back"
+    assert record.state == "reverted"
     assert "failures" in record.reason
 
 
 def test_answers_are_counted_only_while_a_roll_out_runs() -> None:
     """Guards against the cost of counting without a roll-out."""
-    done = attrs.evolve(ORDER, state="rolled_back")
+    done = attrs.evolve(ORDER, state="reverted")
     for records in ([], [done]):
         rollouts = _new_rollouts(*records)
         assert _answers("n1", "v1", rollouts, [200] * 5) == []
@@ -101,7 +101,7 @@
     answers = TargetAnswers("n1", rollouts)
     target = Target("stock", "127.0.0.1:1", 3, "i-1", 0, "v1")
     answers.on_error(target, "lookup", ErrorKind.UPSTREAM_LOST)
-    rollouts.add(attrs.evolve(ORDER, state="rolled_back"))
+    rollouts.add(attrs.evolve(ORDER, state="reverted"))
     rollouts.add(attrs.evolve(ORDER, revision="v3", position=9))
     answers.on_response(target, "lookup", 200, 20.0)
     (report,) = answers.reports()
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_statuses.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_statuses.py
@@ -16,7 +16,7 @@
 RUNNING = RolloutRecord(
     upstream="stock", revision="v2", position=7, era=1, state="running"
 )
-ROLLED_BACK = attrs.evolve(RUNNING, state="rolled_back")
+REVERTED = attrs.evolve(RUNNING, state="reverted")
 COMPLETING = attrs.evolve(RUNNING, state="completing")
 COMPLETED = attrs.evolve(RUNNING, state="completed")
 LATER = attrs.evolve(RUNNING, revision="v3", position=9)
@@ -70,17 +70,13 @@
     ("stored", "known", "expected"),
     [
         pytest.param(None, RUNNING, RUNNING, id="first status"),
-        pytest.param(RUNNING, ROLLED_BACK, ROLLED_BACK, id="later state"),
-        pytest.param(ROLLED_BACK, RUNNING, ROLLED_BACK, id="earlier state"),
+        pytest.param(RUNNING, REVERTED, REVERTED, id="later state"),
+        pytest.param(REVERTED, RUNNING, REVERTED, id="earlier state"),
         pytest.param(RUNNING, COMPLETING, COMPLETED, id="completion"),
-        pytest.param(
-            ROLLED_BACK, COMPLETING, ROLLED_BACK, id="completion too late"
-        ),
-        pytest.param(
-            COMPLETED, ROLLED_BACK, COMPLETED, id="roll-back too late"
-        ),
-        pytest.param(ROLLED_BACK, LATER, LATER, id="newer roll-out"),
-        pytest.param(LATER, ROLLED_BACK, LATER, id="older roll-out"),
+        pytest.param(REVERTED, COMPLETING, REVERTED, id="completion too late"),
+        pytest.param(COMPLETED, REVERTED, COMPLETED, id="roll-back too late"),
+        pytest.param(REVERTED, LATER, LATER, id="newer roll-out"),
+        pytest.param(LATER, REVERTED, LATER, id="older roll-out"),
     ],
 )
 async def test_status_is_replaced_only_by_a_later_one(
@@ -100,34 +96,34 @@
 
 async def test_status_written_between_read_and_write_is_kept() -> None:
     """Guards against two nodes that write at the same time."""
-    store = FakeStatuses(intruder=ROLLED_BACK)
+    store = FakeStatuses(intruder=REVERTED)
     writer = _writer(store, RUNNING)
     await writer.store_when_due()
-    assert store.newest["stock"] == ROLLED_BACK
+    assert store.newest["stock"] == REVERTED
 
 
 async def test_failed_calls_are_repeated_until_the_store_is_back() -> None:
     """Guards against a verdict that an outage of the store swallows."""
     store = FakeStatuses(failures=3)
-    await _writer(store, ROLLED_BACK).store_when_due()
-    assert store.newest["stock"] == ROLLED_BACK
+    await _writer(store, REVERTED).store_when_due()
+    assert store.newest["stock"] == REVERTED
 
 
 async def test_status_is_stored_again_in_a_new_era() -> None:
     """Guards against a store that came back without the roll-back."""
     store = FakeStatuses()
-    writer = _writer(store, ROLLED_BACK)
+    writer = _writer(store, REVERTED)
     await writer.store_when_due()
     store.newest.clear()
     writer.era.advance(2)
     async with asyncio.timeout(5):
         await writer.store_when_due()
-    assert store.newest["stock"] == ROLLED_BACK
+    assert store.newest["stock"] == REVERTED
 
 
 async def test_peers_need_not_look_at_what_is_stored() -> None:
     store = FakeStatuses(failures=1000)
-    writer = _writer(store, ROLLED_BACK)
+    writer = _writer(store, REVERTED)
     writer.on_stored(writer.rollouts.digest)
     assert await writer.store_when_due() == []
     assert store.failures == 1000
--- a/packages/pomelobank-testing/src/pomelobank_testing/rollouts/tests/test_model.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/rollouts/tests/test_model.py
@@ -9,10 +9,7 @@
 
 @pytest.mark.parametrize("kind", sorted(REVISIONS))
 def test_revision_is_judged_rightly_within_its_exposure(kind: str) -> None:
-    """Guards against bad revisions that stay and good ones that are condemned.
-
-    The kinds are described by `REVISIONS`.
-    """
+    """Guards against bad revisions that stay, and good ones condemned."""
     is_bad = REVISIONS[kind].is_bad
     for seed in SEEDS:
         outcome = RolloutModel(seed, kind, duration_ms=20_000).run()
