Supersede revisions only when their roll-out ends, not at each later change

Found by reading: the revisions seen before a completion were superseded again at every later change of any roll-out, and at a node that learned of an old completion after its start. An ordinary replacement that came after the roll-out would have got nothing while the rolled-out revision had targets.

A completion supersedes only at the moment in which a node sees its roll-out go from running to completing or completed. A node that learns of it later treats other revisions as unexplained until it has read the source.

--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_registry.py
@@ -8,7 +8,13 @@
 import attrs
 
 from pomelobank_core import Clock, MemberTable
-from pomelobank_core.rollouts import Revisions, RevisionStatus, Rollouts
+from pomelobank_core.rollouts import (
+    Revisions,
+    RevisionStatus,
+    RolloutKey,
+    Rollouts,
+    RolloutState,
+)
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_schema import SchemaError, WireMessage, decode, encode
@@ -18,6 +24,9 @@
 _logger = logging.getLogger(__name__)
 # Minimum pause between two queries to one peer. A reply takes one round trip.
 _QUERY_INTERVAL_MS = 200
+_GOOD_STATES = frozenset(
+    {RolloutState.COMPLETING.value, RolloutState.COMPLETED.value}
+)
 
 
 @attrs.define(eq=False)
@@ -104,7 +113,7 @@
 
     def _learn(self, records: Iterable[RolloutRecord], origin: str) -> None:
         """Adds records; passes what the source or a decision adds to all."""
-        new = [record for record in records if self.rollouts.add(record)]
+        new = [record for record in records if self._add(record)]
         for record in new:
             _logger.info(
                 "rollout.learned",
@@ -124,6 +133,19 @@
         for callback in self.on_changed:
             callback()
 
+    def _add(self, record: RolloutRecord) -> bool:
+        known = self.rollouts.records.get(RolloutKey.of(record))
+        is_new = self.rollouts.add(record)
+        if (
+            known is not None
+            and known.state == RolloutState.RUNNING.value
+            and record.state in _GOOD_STATES
+        ):
+            # A node that learns of an earlier completion later may have seen
+            # revisions that came after it.
+            self.revisions.supersede(record.upstream, record.revision)
+        return is_new
+
     def decide(self, record: RolloutRecord) -> None:
         """Adds a state of a roll-out that this node has decided."""
         self._learn([record], "decision")
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_service.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_service.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from pomelobank_core.rollouts import RolloutState
 from pomelobank_node._owner import Owner
 from pomelobank_node.rollouts._answers import TargetAnswers
 from pomelobank_node.rollouts._exposure import Exposure
@@ -28,9 +27,6 @@
 # some 20 answers of an unproven revision per second, each evaluation sees a few
 # new ones.
 REPORT_INTERVAL_MS = 250
-_GOOD_STATES = frozenset(
-    {RolloutState.COMPLETING.value, RolloutState.COMPLETED.value}
-)
 
 
 @attrs.define(eq=False)
@@ -112,11 +108,6 @@
             self.rollout_running.set()
         else:
             self.rollout_running.clear()
-        for rollout in self.registry.rollouts.records.values():
-            if rollout.state in _GOOD_STATES:
-                self.registry.revisions.supersede(
-                    rollout.upstream, rollout.revision
-                )
         self.writer.due.set()
         self.owner.reject_if_condemned()
 
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/tests/test_registry.py
@@ -4,10 +4,11 @@
 
 import attrs
 
-from pomelobank_core import ManualClock, MemberTable
+from pomelobank_core import Candidates, ManualClock, MemberTable
 from pomelobank_core.rollouts import RevisionStatus
 from pomelobank_node._requests import RequestError
 from pomelobank_node.rollouts import RolloutRegistry
+from pomelobank_schema import encode
 from pomelobank_schema.generated.peer import (
     MemberEntry,
     RolloutSync,
@@ -131,3 +132,35 @@
         other.on_digest(_digest(reader))
     await _settle()
     assert mesh.sent == 0
+
+
+async def test_later_replacement_is_not_superseded_by_an_old_completion() -> (
+    None
+):
+    """Guards against new targets that get nothing after an earlier roll-out."""
+    node = Mesh().add("a")
+    targets = Candidates(
+        tuple(
+            MemberEntry(node=revision, upstream="stock", revision=revision)
+            for revision in ("v1", "v2", "v3")
+        )
+    )
+    completed = attrs.evolve(ORDER, state="completed")
+
+    def proven(*revisions: str) -> set[str]:
+        present = [t for t in targets.targets if t.revision in revisions]
+        split = node.revisions.split(
+            Candidates(tuple(present)), node.clock.now_ms()
+        )
+        return {item.revision for item in split.proven.targets}
+
+    node.on_source_read([ORDER], 9_000, complete=True)
+    assert proven("v1", "v2") == {"v1"}
+    node.receive(RolloutSync(rollouts=(encode(completed),)))
+    assert proven("v1", "v2") == {"v2"}
+    proven("v2", "v3")
+    node.clock.advance(2000)
+    node.on_source_read([], node.clock.now_ms(), complete=True)
+    other = attrs.evolve(ORDER, upstream="orders", position=9)
+    node.receive(RolloutSync(rollouts=(encode(completed), encode(other))))
+    assert proven("v1", "v2", "v3") == {"v2", "v3"}
