--- a/conftest.py
+++ b/conftest.py
@@ -34,7 +34,7 @@
     config: pytest.Config, items: list[pytest.Item]
 ) -> None:
     """Deselects only the listed tests."""
-    listed_ids = {line.split()[0] for line in known_red()}
+    listed_ids = {line.split(" | ")[0] for line in known_red()}
     known_failures = [item for item in items if item.nodeid in listed_ids]
     items[:] = [item for item in items if item.nodeid not in listed_ids]
     config.hook.pytest_deselected(items=known_failures)
