Count a head as it is parsed, not by the reads that it arrives in

What callers saw: 100 clients with short headers without end cost a node 885 MiB, and a legal client was refused for good: behind a body of 30 kB whose request arrived in two reads, a small pipelined request got 431.

Cause: the limit of a head counted whole reads. The first read (up to 256 KiB) did not count, the number of headers was checked only at the head's end, and a read that began inside an earlier head charged its body to the next head.

Change: each request target and header counts when the parser reports it, so a head at the limit is accepted however it arrives, and one beyond it ends the parsing at once. Long reads are parsed in slices of 4 KiB while a head arrives, and slices in which nothing becomes complete count as the minimum size of what the parser still holds. Bodies of stated length are parsed in one piece as before. The parser's state of a refused head is released with the refusal.

Some clients do not get to read the 431, because closing with unread bytes resets the connection.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -46,6 +46,13 @@
 # every slot of an upstream.
 _MAX_PIPELINED_REQUESTS = 32
 _MAX_HEADERS = 128
+# Maximum number of bytes that are parsed at once, while a head is received and
+# in a chunked body. Heads are checked between slices, so a slice bounds how far
+# a head may exceed its limit; longer slices keep the parts of a body long.
+_HEAD_SLICE_BYTES = 4 * 1024
+_CHUNKED_SLICE_BYTES = 64 * 1024
+# The colon, the space and the line break of a header.
+_HEADER_FRAMING_BYTES = 4
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MS_PER_S = 1000
 
@@ -89,7 +96,11 @@
         writable: Set while the transport's write buffer accepts data.
         url: Request target of the head that is being received.
         headers: Headers of the head that is being received.
-        head_bytes: Bytes of the incomplete head, not counting its first read.
+        head_bytes: Size of the request target and the headers parsed so far.
+        unparsed_bytes: Minimum size of an incomplete request target or header,
+            which the parser holds.
+        parsed_bytes: Size of everything that the parser has reported.
+        parse_error: Kind of the error that ended the parsing.
         last_activity_s: Loop time of the last received byte or written
             response.
         head_since_s: Loop time at which an incomplete head began; None if no
@@ -114,6 +125,9 @@
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
+        self.unparsed_bytes = 0
+        self.parsed_bytes = 0
+        self.parse_error = ErrorKind.BAD_REQUEST
         self.last_activity_s = 0.0
         self.head_since_s: float | None = None
         self.ignores_input = False
@@ -162,7 +176,28 @@
         if self.ignores_input:
             return
         self.last_activity_s = self.loop.time()
-        in_head = self.head_since_s is not None
+        if len(data) <= _HEAD_SLICE_BYTES:
+            self._parse(data)
+        else:
+            self._parse_slices(memoryview(data))
+        self._adjust_reading()
+
+    def _parse_slices(self, data: memoryview) -> None:
+        while data and not self.ignores_input:
+            size = self._slice_bytes()
+            self._parse(data[:size])
+            data = data[size:]
+
+    def _slice_bytes(self) -> int:
+        exchange = self.reading
+        if exchange is None or self.head_since_s is not None:
+            return _HEAD_SLICE_BYTES
+        if exchange.length is None:
+            return _CHUNKED_SLICE_BYTES
+        return max(exchange.length - exchange.size, _HEAD_SLICE_BYTES)
+
+    def _parse(self, data: bytes | memoryview) -> None:
+        parsed_bytes = self.parsed_bytes
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -171,10 +206,11 @@
             self.ignores_input = True
             self._close_after_last()
         except httptools.HttpParserError:
-            self._reject(ErrorKind.BAD_REQUEST)
-        if in_head and self.head_since_s is not None:
-            self._count_head(len(data))
-        self._adjust_reading()
+            self._reject(self.parse_error)
+        if self.parsed_bytes != parsed_bytes:
+            self.unparsed_bytes = 0
+        elif self.head_since_s is not None:
+            self._count_unparsed(len(data))
 
     # Parser callbacks.
 
@@ -183,18 +219,22 @@
         self.url = b""
         self.headers = []
         self.head_bytes = 0
+        self.parsed_bytes += 1
         self.head_since_s = self.last_activity_s
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
         self.url += url
+        self._count_parsed(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header with its name in lower case."""
         self.headers.append((name.lower(), value))
+        if self.head_since_s is not None:
+            self._count_parsed(len(name) + len(value) + _HEADER_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
-        """Creates the exchange, or rejects a head that exceeds a limit."""
+        """Creates the exchange, or rejects a body that exceeds the limit."""
         self.head_since_s = None
         if self.ignores_input or self.closing:
             return
@@ -206,7 +246,7 @@
         )
         self.exchanges.append(exchange)
         self.reading = exchange
-        error_kind = self._head_error(exchange)
+        error_kind = self._length_error(exchange)
         if error_kind is not None:
             self._end_with_error(exchange, error_kind)
         elif find_header(self.headers, b"expect") and not self._is_pipelined():
@@ -219,6 +259,7 @@
         if exchange is None or exchange.response is not None:
             return
         exchange.size += len(data)
+        self.parsed_bytes += len(data)
         if exchange.size > self.server.limits.body_bytes:
             self._body_too_large(exchange)
         elif exchange.upload is not None:
@@ -242,26 +283,33 @@
 
     # Receiving requests.
 
-    def _head_error(self, exchange: Exchange) -> ErrorKind | None:
-        limits = self.server.limits
-        size = len(exchange.target)
-        size += sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size > limits.head_bytes or len(self.headers) > _MAX_HEADERS:
-            return ErrorKind.HEAD_TOO_LARGE
-        length = content_length(self.headers)
-        if length is not None and length > limits.body_bytes:
+    def _length_error(self, exchange: Exchange) -> ErrorKind | None:
+        exchange.length = content_length(self.headers)
+        if exchange.length is None:
+            return None
+        if exchange.length > self.server.limits.body_bytes:
             return ErrorKind.BODY_TOO_LARGE
         return None
 
     def _is_pipelined(self) -> bool:
         return len(self.exchanges) > 1
 
-    def _count_head(self, size: int) -> None:
+    def _count_parsed(self, size: int) -> None:
+        self.parsed_bytes += size
+        self.head_bytes += size
+        if (
+            self.head_bytes > self.server.limits.head_bytes
+            or len(self.headers) > _MAX_HEADERS
+        ):
+            self.parse_error = ErrorKind.HEAD_TOO_LARGE
+            raise RequestError(ErrorKind.HEAD_TOO_LARGE)
+
+    def _count_unparsed(self, size: int) -> None:
         # The parser reports a header only once the header is complete. Without
         # this check, an endless header would grow in the parser's memory
         # without a bound.
-        self.head_bytes += size
-        if self.head_bytes > self.server.limits.head_bytes:
+        self.unparsed_bytes += size
+        if self.unparsed_bytes > self.server.limits.head_bytes:
             self._reject(ErrorKind.HEAD_TOO_LARGE)
 
     def _reject(self, kind: ErrorKind) -> None:
@@ -287,6 +335,8 @@
         )
         self.ignores_input = True
         self.head_since_s = None
+        # Releases what the parser holds of an incomplete head.
+        self.parser = httptools.HttpRequestParser(self)
         self._flush()
 
     def _body_too_large(self, exchange: Exchange) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_exchange.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_exchange.py
@@ -22,6 +22,7 @@
         keep_alive: Whether the connection stays open after the response.
         parts: Body data received before the handler is called.
         size: Bytes of the body received so far.
+        length: Stated length of the body; None if the head states none.
         upload: Receives the remainder of a body that is too long to buffer;
             None for other requests.
         task: Runs the handler; None until the handler is called.
@@ -35,6 +36,7 @@
     keep_alive: bool
     parts: list[bytes] = attrs.field(factory=list)
     size: int = 0
+    length: int | None = None
     upload: BodyBuffer | None = None
     task: asyncio.Task[None] | None = None
     response: HttpResponse | None = None
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -1,6 +1,7 @@
 """Callers' connections: response order, limits, disconnects and stops."""
 
 import asyncio
+import itertools
 import re
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -154,6 +155,11 @@
             id="two lengths",
         ),
         pytest.param(b"GET /slow HTTP/1.1\r\nhos", 408, id="head never ends"),
+        pytest.param(
+            b"GET / HTTP/1.1\r\n" + 129 * b"a:b\r\n" + b"c",
+            431,
+            id="too many headers, head never ends",
+        ),
     ],
 )
 async def test_request_beyond_a_limit_gets_one_error_and_a_closed_connection(
@@ -176,6 +182,57 @@
     assert handler.arrived == []
 
 
+async def send_in_pieces(
+    writer: asyncio.StreamWriter, data: bytes, cuts: list[int]
+) -> None:
+    """Sends data so that the server reads each piece on its own."""
+    for start, end in itertools.pairwise([0, *cuts, len(data)]):
+        writer.write(data[start:end])
+        await writer.drain()
+        await asyncio.sleep(0.02)
+
+
+async def test_head_is_not_charged_for_the_body_before_it() -> None:
+    """Guards against a refusal of a small head behind a long body."""
+    handler = HeldHandler()
+    for path in (b"/first", b"/second"):
+        handler.release_event(path).set()
+    head = b"POST /first HTTP/1.1\r\ncontent-length: 30000\r\n\r\n"
+    data = head + b"b" * 30000 + SECOND
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        await send_in_pieces(writer, data, [20, len(data) - 10])
+        assert (await read_response(reader))[0] == 200
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("size", "status"),
+    [
+        pytest.param(LIMITS.head_bytes, 200, id="at the limit"),
+        pytest.param(LIMITS.head_bytes + 1, 431, id="above the limit"),
+    ],
+)
+@pytest.mark.parametrize("piece_size", [200, 500, 5000])
+async def test_head_limit_does_not_depend_on_how_the_head_arrives(
+    size: int, status: int, piece_size: int
+) -> None:
+    """Guards against a limit that counts reads instead of the head."""
+    handler = HeldHandler()
+    handler.release_event(b"/first").set()
+    # The limit covers the target and, for each header, four bytes of framing.
+    value_size = size - len(b"/first") - len(b"x: \r\n")
+    data = b"GET /first HTTP/1.1\r\nx: " + value_size * b"y" + b"\r\n\r\n"
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        for at in range(0, len(data), piece_size):
+            writer.write(data[at : at + piece_size])
+            await asyncio.sleep(0)
+        assert (await read_response(reader))[0] == status
+        writer.close()
+
+
 async def test_error_for_a_bad_request_follows_earlier_responses() -> None:
     """Guards against an error that overtakes an earlier response.
 
