Give trailers and the framing of chunks the limits of a head

What callers saw: 60 clients with trailers without end cost a node 732 MiB and more, on each listener; nothing refused them.

Cause: the parser reports trailers like headers, and they were appended to the request's headers without a limit of size, number or time. A trailer or the size line of a chunk that does not end stayed in the parser.

Change: trailers count for themselves, with the size, the number and the time of a head; slices of a chunked body in which nothing becomes complete count as well. A short request has not begun and gets 431 or 408; the body of a long one breaks off, as for any other error in a body.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -96,15 +96,17 @@
         writable: Set while the transport's write buffer accepts data.
         url: Request target of the head that is being received.
         headers: Headers of the head that is being received.
-        head_bytes: Size of the request target and the headers parsed so far.
-        unparsed_bytes: Minimum size of an incomplete request target or header,
-            which the parser holds.
+        head_bytes: Size of the head, or of the trailers, parsed so far.
+        head_length: Number of headers that precede the trailers.
+        unparsed_bytes: Minimum size of the bytes since the last one that the
+            parser has reported: an incomplete header or trailer, or the
+            framing of a chunk.
         parsed_bytes: Size of everything that the parser has reported.
         parse_error: Kind of the error that ended the parsing.
         last_activity_s: Loop time of the last received byte or written
             response.
-        head_since_s: Loop time at which an incomplete head began; None if no
-            head is incomplete.
+        head_since_s: Loop time at which an incomplete head, or the trailers of
+            a body, began; None if neither is being received.
         ignores_input: Whether further received bytes are ignored.
         closing: Whether a response requires the connection to close. New
             requests are then ignored; pending requests still get a response.
@@ -125,6 +127,7 @@
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.head_bytes = 0
+        self.head_length = 0
         self.unparsed_bytes = 0
         self.parsed_bytes = 0
         self.parse_error = ErrorKind.BAD_REQUEST
@@ -209,7 +212,7 @@
             self._reject(self.parse_error)
         if self.parsed_bytes != parsed_bytes:
             self.unparsed_bytes = 0
-        elif self.head_since_s is not None:
+        elif self.head_since_s is not None or self.reading is not None:
             self._count_unparsed(len(data))
 
     # Parser callbacks.
@@ -218,7 +221,7 @@
         """Resets the head's state for a new request."""
         self.url = b""
         self.headers = []
-        self.head_bytes = 0
+        self.head_bytes = self.head_length = 0
         self.parsed_bytes += 1
         self.head_since_s = self.last_activity_s
 
@@ -228,14 +231,18 @@
         self._count_parsed(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header with its name in lower case."""
+        """Stores a header or a trailer with its name in lower case."""
         self.headers.append((name.lower(), value))
-        if self.head_since_s is not None:
-            self._count_parsed(len(name) + len(value) + _HEADER_FRAMING_BYTES)
+        if self.head_since_s is None:
+            # Trailers have as much time as a head, whatever their body took.
+            self.head_since_s = self.last_activity_s
+        self._count_parsed(len(name) + len(value) + _HEADER_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
         """Creates the exchange, or rejects a body that exceeds the limit."""
         self.head_since_s = None
+        self.head_bytes = 0
+        self.head_length = len(self.headers)
         if self.ignores_input or self.closing:
             return
         exchange = Exchange(
@@ -272,6 +279,7 @@
     def on_message_complete(self) -> None:
         """Passes a complete short request to the handler; ends a long body."""
         exchange, self.reading = self.reading, None
+        self.head_since_s = None
         if exchange is None or exchange.response is not None:
             return
         if exchange.upload is not None:
@@ -299,7 +307,7 @@
         self.head_bytes += size
         if (
             self.head_bytes > self.server.limits.head_bytes
-            or len(self.headers) > _MAX_HEADERS
+            or len(self.headers) - self.head_length > _MAX_HEADERS
         ):
             self.parse_error = ErrorKind.HEAD_TOO_LARGE
             raise RequestError(ErrorKind.HEAD_TOO_LARGE)
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -182,6 +182,39 @@
     assert handler.arrived == []
 
 
+CHUNKED = b"POST /first HTTP/1.1\r\ntransfer-encoding: chunked\r\n"
+
+
+@pytest.mark.parametrize(
+    ("size", "end", "status"),
+    [
+        pytest.param(2, b"0\r\n" + 9 * b"a: b\r\n", 200, id="small"),
+        pytest.param(2, b"0\r\n" + 130 * b"a:b\r\n", 431, id="too many"),
+        pytest.param(2, b"0\r\na:" + 2100 * b"b\r\na:", 431, id="too large"),
+        pytest.param(2, b"0\r\n" + 9000 * b"a", 431, id="one without end"),
+        pytest.param(2, b"2;" + 9000 * b"e", 431, id="chunk size without end"),
+        pytest.param(2, b"0\r\na:b\r\nc", 408, id="late"),
+    ],
+)
+async def test_trailers_have_the_limits_of_a_head(
+    size: int, end: bytes, status: int
+) -> None:
+    """Guards against trailers and chunk framing without a limit."""
+    handler = HeldHandler()
+    handler.release_event(b"/first").set()
+    headers = b"x: " + 1950 * b"y" + b"\r\n\r\n"
+    body = b"%x\r\n%b\r\n" % (size, size * b"b")
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        await send_in_pieces(
+            writer,
+            CHUNKED + headers + body + end + b"\r\n" * (status == 200),
+            [len(CHUNKED) + len(headers) + len(body)],
+        )
+        assert (await read_response(reader))[0] == status
+        writer.close()
+
+
 async def send_in_pieces(
     writer: asyncio.StreamWriter, data: bytes, cuts: list[int]
 ) -> None:
