Let only parts of requests renew the idle time-out

What callers saw: clients that send an empty line now and then stay connected for ever and take descriptors from others; so do clients that do not read a response. A legal upload that the node itself had stopped reading timed out after the idle time-out.

Cause: every received byte renewed the time, also empty lines before a request and the framing of chunks; the check closed only connections without a pending response; and it did not know whether the caller or the node was silent.

Change: a connection is active when the parser reports a part of a request, or when the caller has read a part of a response. Empty lines count against the limit of a head. While the node does not read, neither time-out runs.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -99,12 +99,15 @@
         head_bytes: Size of the head, or of the trailers, parsed so far.
         head_length: Number of headers that precede the trailers.
         unparsed_bytes: Minimum size of the bytes since the last one that the
-            parser has reported: an incomplete header or trailer, or the
-            framing of a chunk.
+            parser has reported: an incomplete header or trailer, the framing
+            of a chunk, or empty lines before a request.
         parsed_bytes: Size of everything that the parser has reported.
         parse_error: Kind of the error that ended the parsing.
-        last_activity_s: Loop time of the last received byte or written
-            response.
+        received_s: Loop time of the last received byte.
+        last_activity_s: Loop time of the last received part of a request, or
+            of the last part of a response that the caller read.
+        unsent_bytes: Bytes that the caller had not read at the last check of
+            the time-outs.
         head_since_s: Loop time at which an incomplete head, or the trailers of
             a body, began; None if neither is being received.
         ignores_input: Whether further received bytes are ignored.
@@ -131,7 +134,9 @@
         self.unparsed_bytes = 0
         self.parsed_bytes = 0
         self.parse_error = ErrorKind.BAD_REQUEST
+        self.received_s = 0.0
         self.last_activity_s = 0.0
+        self.unsent_bytes = 0
         self.head_since_s: float | None = None
         self.ignores_input = False
         self.closing = False
@@ -178,7 +183,7 @@
         """Parses received bytes."""
         if self.ignores_input:
             return
-        self.last_activity_s = self.loop.time()
+        self.received_s = self.loop.time()
         if len(data) <= _HEAD_SLICE_BYTES:
             self._parse(data)
         else:
@@ -212,7 +217,8 @@
             self._reject(self.parse_error)
         if self.parsed_bytes != parsed_bytes:
             self.unparsed_bytes = 0
-        elif self.head_since_s is not None or self.reading is not None:
+            self.last_activity_s = self.received_s
+        else:
             self._count_unparsed(len(data))
 
     # Parser callbacks.
@@ -223,7 +229,7 @@
         self.headers = []
         self.head_bytes = self.head_length = 0
         self.parsed_bytes += 1
-        self.head_since_s = self.last_activity_s
+        self.head_since_s = self.received_s
 
     def on_url(self, url: bytes) -> None:
         """Appends a part of the request target."""
@@ -235,7 +241,7 @@
         self.headers.append((name.lower(), value))
         if self.head_since_s is None:
             # Trailers have as much time as a head, whatever their body took.
-            self.head_since_s = self.last_activity_s
+            self.head_since_s = self.received_s
         self._count_parsed(len(name) + len(value) + _HEADER_FRAMING_BYTES)
 
     def on_headers_complete(self) -> None:
@@ -537,16 +543,32 @@
             now_s: Current loop time.
         """
         limits = self.server.limits
+        self._extend_timeouts(now_s)
         if self.head_since_s is not None:
             if now_s - self.head_since_s > limits.head_timeout_ms / _MS_PER_S:
                 self._reject(ErrorKind.HEAD_TIMEOUT)
             return
         idle = now_s - self.last_activity_s > limits.idle_timeout_ms / _MS_PER_S
-        if idle and self.reading is not None and not self.ignores_input:
+        if idle and not self.writable.is_set():
+            self.abort()
+        elif idle and self.reading is not None and not self.ignores_input:
             self._reject(ErrorKind.HEAD_TIMEOUT)
         elif idle:
             self.close_if_idle()
 
+    def _extend_timeouts(self, now_s: float) -> None:
+        if not self.writable.is_set():
+            assert self.transport is not None
+            unsent_bytes = self.transport.get_write_buffer_size()
+            if unsent_bytes != self.unsent_bytes:
+                self.unsent_bytes = unsent_bytes
+                self.last_activity_s = now_s
+        elif self.paused:
+            # The caller cannot send while the node does not read.
+            self.last_activity_s = now_s
+            if self.head_since_s is not None:
+                self.head_since_s = now_s
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in flight or arriving."""
         idle = not self.exchanges and self.head_since_s is None
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -266,6 +266,69 @@
         writer.close()
 
 
+FAR_FUTURE_S = 1e6
+
+
+async def test_empty_lines_do_not_keep_a_connection_open() -> None:
+    """Guards against a connection that never sends a request."""
+    async with running_server(HeldHandler()) as server:
+        reader, writer = await connect(server)
+        connected_s = asyncio.get_running_loop().time()
+        await send_in_pieces(writer, b"\r\n" * 20, [10, 20, 30])
+        (connection,) = server.connections
+        connection.check_timeouts(connected_s + LIMITS.idle_timeout_ms / 1000)
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await reader.read() == b""
+        writer.close()
+
+
+async def test_empty_lines_without_end_are_rejected() -> None:
+    """Guards against a client that sends empty lines for ever."""
+    async with running_server(HeldHandler()) as server:
+        reader, writer = await connect(server)
+        writer.write(b"\r\n" * LIMITS.head_bytes)
+        assert (await read_response(reader))[0] == 431
+        writer.close()
+
+
+async def test_pause_of_reading_is_no_silence_of_the_caller() -> None:
+    """Guards against a time-out of a body that the node does not read."""
+    handler = HeldHandler()
+    async with running_server(handler) as server:
+        server.limits = attrs.evolve(LIMITS, body_bytes=4_000_000)
+        reader, writer = await connect(server)
+        size = 3_000_000
+        head = b"POST /first HTTP/1.1\r\ncontent-length: %d\r\n\r\n" % size
+        writer.write(head + size * b"b")
+        (connection,) = server.connections
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not connection.paused:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        connection.check_timeouts(FAR_FUTURE_S)
+        handler.release_event(b"/first").set()
+        assert (await read_response(reader))[0] == 200
+        writer.close()
+
+
+async def test_response_that_is_not_read_does_not_keep_its_connection() -> None:
+    """Guards against a client that reads no response and stays for ever."""
+    handler = BreakingHandler()
+    handler.release_event(b"/first").set()
+    async with running_server(handler) as server:
+        _, writer = await connect(server)
+        writer.write(FIRST)
+        handler.rest.put(b"x" * 30_000_000)
+        (connection,) = server.connections
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while connection.writable.is_set():  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            while server.connections:
+                connection.check_timeouts(FAR_FUTURE_S)
+                connection.last_activity_s = 0
+                await asyncio.sleep(0.01)
+        writer.close()
+
+
 async def test_error_for_a_bad_request_follows_earlier_responses() -> None:
     """Guards against an error that overtakes an earlier response.
 
