Read on for a while after a request was rejected before its end

Cause: the node closed the socket with unread bytes, and the kernel then resets the connection, which discards what the client has not read yet.

Change: after the response of a request that broke off, the node closes its sending side and discards up to 256 KiB for at most a second before it closes the connection. The head of a request that arrives behind a rejected one is ignored, so it starts no time-out.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -53,6 +53,12 @@
 _CHUNKED_SLICE_BYTES = 64 * 1024
 # The colon, the space and the line break of a header.
 _HEADER_FRAMING_BYTES = 4
+# Bounds of the bytes and the time that a connection is read on for after it was
+# closed before the end of a request. If the node closed a socket with unread
+# bytes, the kernel would reset the connection, and the caller could lose the
+# response that says why.
+_MAX_DISCARDED_BYTES = 256 * 1024
+_LINGER_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _MS_PER_S = 1000
 
@@ -111,6 +117,11 @@
         head_since_s: Loop time at which an incomplete head, or the trailers of
             a body, began; None if neither is being received.
         ignores_input: Whether further received bytes are ignored.
+        discarded_bytes: Ignored bytes.
+        breaks_off: Whether the caller may still be sending a request that is
+            not read any further.
+        write_closed_s: Loop time at which the sending side was closed; None
+            before.
         closing: Whether a response requires the connection to close. New
             requests are then ignored; pending requests still get a response.
         paused: Whether reading from the transport is paused.
@@ -139,6 +150,9 @@
         self.unsent_bytes = 0
         self.head_since_s: float | None = None
         self.ignores_input = False
+        self.discarded_bytes = 0
+        self.breaks_off = False
+        self.write_closed_s: float | None = None
         self.closing = False
         self.paused = False
 
@@ -182,6 +196,7 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
         if self.ignores_input:
+            self._discard(len(data))
             return
         self.received_s = self.loop.time()
         if len(data) <= _HEAD_SLICE_BYTES:
@@ -190,6 +205,12 @@
             self._parse_slices(memoryview(data))
         self._adjust_reading()
 
+    def _discard(self, size: int) -> None:
+        self.discarded_bytes += size
+        if self.discarded_bytes > _MAX_DISCARDED_BYTES:
+            assert self.transport is not None
+            self.transport.pause_reading()
+
     def _parse_slices(self, data: memoryview) -> None:
         while data and not self.ignores_input:
             size = self._slice_bytes()
@@ -225,6 +246,8 @@
 
     def on_message_begin(self) -> None:
         """Resets the head's state for a new request."""
+        if self.ignores_input:
+            return
         self.url = b""
         self.headers = []
         self.head_bytes = self.head_length = 0
@@ -338,7 +361,7 @@
         if exchange.upload is not None:
             exchange.upload.fail(ErrorKind.BODY_INCOMPLETE)
             exchange.keep_alive = False
-            self.ignores_input = True
+            self._break_off()
             return
         self._end_with_error(exchange, kind)
 
@@ -347,10 +370,7 @@
         exchange.response = error_response(
             error, self.server.http_conventions, closes=True
         )
-        self.ignores_input = True
-        self.head_since_s = None
-        # Releases what the parser holds of an incomplete head.
-        self.parser = httptools.HttpRequestParser(self)
+        self._break_off()
         self._flush()
 
     def _body_too_large(self, exchange: Exchange) -> None:
@@ -361,7 +381,13 @@
         # therefore passed to the handler through the upload.
         exchange.upload.fail(ErrorKind.BODY_INCOMPLETE)
         exchange.keep_alive = False
-        self.ignores_input = True
+        self._break_off()
+
+    def _break_off(self) -> None:
+        self.ignores_input = self.breaks_off = True
+        self.head_since_s = None
+        # Releases what the parser holds of an incomplete head.
+        self.parser = httptools.HttpRequestParser(self)
 
     def _start_upload(self, exchange: Exchange) -> None:
         exchange.upload = BodyBuffer(
@@ -420,7 +446,7 @@
             # The request's body is not fully received. Its remaining bytes must
             # not be parsed as the next request.
             exchange.keep_alive = False
-            self.ignores_input = True
+            self._break_off()
         self._flush()
 
     def _flush(self) -> None:
@@ -489,7 +515,14 @@
         for exchange in self.exchanges:
             exchange.cancel()
         self.exchanges.clear()
-        if self.transport is not None:
+        if self.transport is None:
+            return
+        if self.breaks_off and not self.transport.is_closing():
+            self.reading = None
+            self._adjust_reading()
+            self.write_closed_s = self.loop.time()
+            self.transport.write_eof()
+        else:
             self.transport.close()
 
     async def _stream(self, exchange: Exchange, closes: bool) -> None:
@@ -543,6 +576,10 @@
             now_s: Current loop time.
         """
         limits = self.server.limits
+        if self.write_closed_s is not None:
+            if now_s - self.write_closed_s > _LINGER_S:
+                self.abort()
+            return
         self._extend_timeouts(now_s)
         if self.head_since_s is not None:
             if now_s - self.head_since_s > limits.head_timeout_ms / _MS_PER_S:
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -266,6 +266,36 @@
         writer.close()
 
 
+async def test_rejection_reaches_a_caller_that_goes_on_sending() -> None:
+    """Guards against a reset that discards the response."""
+    async with running_server(HeldHandler()) as server:
+        reader, writer = await connect(server)
+        writer.write(b"GET / HTTP/1.1\r\n" + 20_000 * b"a:b\r\n")
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not all(  # noqa: ASYNC110
+                item.write_closed_s for item in server.connections
+            ):
+                await asyncio.sleep(0.01)
+        writer.write(20_000 * b"a:b\r\n")
+        assert (await read_response(reader))[0] == 431
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            assert await reader.read() == b""
+        writer.close()
+
+
+async def test_rejected_caller_cannot_stay_connected() -> None:
+    """Guards against connections that are read on for without a bound."""
+    async with running_server(HeldHandler()) as server:
+        _, writer = await connect(server)
+        writer.write(b"rubbish\r\n\r\n")
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            while not server.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+            while server.connections:  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        writer.close()
+
+
 FAR_FUTURE_S = 1e6
 
 
