Bound what all clients together make a node hold

What callers saw: clients that each kept every limit ended a process together. 2,900 bodies of 60 kB that lack a byte took 213 MiB on each listener, 400 of 2 MiB 269 MiB, and up to 425 MiB at an entry whose target is elsewhere (with what the kernel holds for connections that are not read); responses that nobody reads grew with the number of pipelined requests.

Cause: bytes were bounded place by place (64 KiB of a short body, 256 KiB of a long one, 1 MiB collected, 32 requests a connection), nothing bounded their sum, and the kernel's receive buffers grew to megabytes a connection.

Change: one budget of the process, a quarter of the machine's memory. Core (`buffering`) decides: above one half, long bodies get a window of 32 KiB and pipelining connections are read less; above three quarters, new long bodies are refused; at the end, new bodies, and those connections end that hold bytes because of their client and have moved the fewest in that time. `callers` books and acts. What has not begun gets 503 `no_room` with a time, a body that a target may have got a part of 504 `body_stalled`, a response that nobody reads loses its connection. Responses are handed to the socket only while the client reads. Receive buffers have a fixed size, and bodies are merged into few parts, so that bodies sent byte by byte cost what others cost. Requests below 8 KiB cost no booking. Settings `buffers.*` and `connections.*`, metrics and a bounded log line say what happens.

--- a/packages/pomelobank-core/src/pomelobank_core/_errors.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_errors.py
@@ -35,6 +35,8 @@
     NOT_READY = "not_ready"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
+    NO_ROOM = "no_room"
+    BODY_STALLED = "body_stalled"
     DRAINING = "draining"
     QUARANTINED = "quarantined"
     DEADLINE_NOT_RUN = "deadline_not_run"
@@ -131,6 +133,18 @@
     ErrorKind.OVERLOADED: ErrorResponse(
         503, _NOT_RUN, 500, "The route's targets have no room for this request."
     ),
+    ErrorKind.NO_ROOM: ErrorResponse(
+        503,
+        _NOT_RUN,
+        1000,
+        "This node has no room for the request at the moment.",
+    ),
+    ErrorKind.BODY_STALLED: ErrorResponse(
+        504,
+        _UNKNOWN,
+        1000,
+        "The request's body arrived too slowly while other requests waited.",
+    ),
     ErrorKind.DRAINING: ErrorResponse(
         503, _NOT_RUN, 200, "The node is stopping and takes no new requests."
     ),
--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -27,6 +27,7 @@
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._target_watch import TargetWatch
+from pomelobank_node.buffering import BufferManager
 from pomelobank_node.callers import CallerServer, HttpLimits, Ingress
 from pomelobank_node.departures import DepartureRegistry
 from pomelobank_node.workspaces import WorkspaceGate
@@ -125,9 +126,13 @@
         listen = settings.listen
         admin_application = self.admin_api.application()
         admin_application.add_route("/metrics", self.metrics.handle_request)
+        self.buffers = BufferManager(
+            settings.buffers, settings.connections, self.clock
+        )
         self.http = CallerServer(
             listen.http,
             self.ingress,
+            buffers=self.buffers,
             limits=HttpLimits(body_bytes=settings.requests.max_body_bytes),
         )
         self.admin = HttpServer(listen.admin, admin_application)
--- a/packages/pomelobank-node/src/pomelobank_node/_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_bodies.py
@@ -27,6 +27,10 @@
 # them.
 WINDOW_BYTES = 256 * 1024
 
+# Maximum number of unread parts of a body. A body may arrive byte by byte, and
+# each part takes several times the memory of a byte.
+MAX_BODY_PARTS = 64
+
 # Largest body of a request with an idempotency key, and of its response. Both
 # are kept whole, because the claim covers a digest of the whole request and the
 # response is stored for a resend. Reorders and acknowledgements are much
@@ -159,6 +163,8 @@
         if data and not self.closed:
             self.parts.append(data)
             self.size += len(data)
+            if len(self.parts) > MAX_BODY_PARTS:
+                self.parts = deque([b"".join(self.parts)])
         self._wake()
 
     def end(self) -> None:
@@ -204,6 +210,7 @@
         if not self.closed:
             self.closed = True
             self.parts.clear()
+            self.size = 0
             self.on_close()
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -396,6 +396,29 @@
     " source was too old.",
     monotonic=True,
 )
+CONNECTIONS_CLOSED = Instrument(
+    "pomelobank.connections.closed",
+    "1",
+    "Requests of clients that were refused, and connections that were closed,"
+    " because of a limit.",
+    label="reason",
+    monotonic=True,
+)
+CONNECTIONS_OPEN = Instrument(
+    "pomelobank.connections.open",
+    "1",
+    "Open connections of callers.",
+)
+BUFFERS_HELD = Instrument(
+    "pomelobank.buffers.held_size",
+    "By",
+    "Bytes that clients and peers make the node hold.",
+)
+BUFFERS_CAPACITY = Instrument(
+    "pomelobank.buffers.capacity_size",
+    "By",
+    "Bytes that clients and peers may make the node hold.",
+)
 LINES_DROPPED = Instrument(
     "pomelobank.log_lines.dropped",
     "1",
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -25,7 +25,8 @@
     from pomelobank_node._peer_links import PeerLinks
     from pomelobank_node._peer_server import PeerServer
     from pomelobank_node._target_watch import TargetWatch
-    from pomelobank_node.callers import Ingress
+    from pomelobank_node.buffering import BufferManager
+    from pomelobank_node.callers import CallerServer, Ingress
     from pomelobank_node.published import PublishedFeed, PublishedStore
     from pomelobank_node.rollouts import Exposure, RolloutService
     from pomelobank_node.workspaces import (
@@ -73,6 +74,14 @@
     def ingress(self) -> Ingress:
         """Serves callers' requests."""
 
+    @property
+    def http(self) -> CallerServer:
+        """Accepts callers' connections."""
+
+    @property
+    def buffers(self) -> BufferManager:
+        """Books what clients and peers make the node hold."""
+
     @property
     def gate(self) -> WorkspaceGate:
         """Checks API keys and usage caps."""
@@ -169,6 +178,7 @@
         _members(node),
         _target(node),
         _requests(node),
+        _buffers(node),
         _load_balancing(node),
         _quarantine(node),
         _rollouts(node),
@@ -234,6 +244,7 @@
         _members(node),
         _target(node),
         _requests(node),
+        _buffers(node),
         _load_balancing(node),
         _quarantine(node),
         _workspaces(node),
@@ -351,6 +362,14 @@
     )
 
 
+def _buffers(node: ObservedNode) -> Readings:
+    buffers = node.buffers
+    yield instruments.CONNECTIONS_CLOSED, lambda: buffers.closed
+    yield instruments.CONNECTIONS_OPEN, lambda: len(node.http.connections)
+    yield instruments.BUFFERS_HELD, lambda: buffers.budget.held_bytes
+    yield instruments.BUFFERS_CAPACITY, lambda: buffers.budget.capacity_bytes
+
+
 def _load_balancing(node: ObservedNode) -> Readings:
     load_balancer = node.forwarder.load_balancer
     if isinstance(load_balancer, TwoChoices):
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -39,6 +39,7 @@
 from pomelobank_node._peer_server import PeerServer
 from pomelobank_node._stop_delay import StopDelay
 from pomelobank_node._target_watch import REJECT_AFTER_MS, TargetWatch
+from pomelobank_node.buffering import BufferManager
 from pomelobank_node.callers import CallerServer, Handler, Ingress
 from pomelobank_node.departures import DepartureRegistry
 from pomelobank_node.published import (
@@ -247,21 +248,29 @@
 
     def _build_servers(self) -> None:
         listen, adapter = self.settings.listen, self.adapter
+        self.buffers = BufferManager(
+            self.settings.buffers, self.settings.connections, self.clock
+        )
         self.http = CallerServer(
             listen.http,
             self.ingress,
             adapter.http_conventions,
+            buffers=self.buffers,
             auto_check_timeouts=False,
             listener=adapter.listener,
         )
         self.readiness_server = CallerServer(
             listen.ready,
             adapter.new_readiness_handler(self),
+            name="ready",
+            buffers=self.buffers,
             auto_check_timeouts=False,
         )
         self.control_server = CallerServer(
             listen.control,
             adapter.new_control_handler(self),
+            name="control",
+            buffers=self.buffers,
             auto_check_timeouts=False,
         )
         self.peers = PeerServer(
@@ -287,7 +296,12 @@
         if self.settings.listen.metrics:
             handler = MetricsHandler(self, output)
             await self._start(
-                CallerServer(self.settings.listen.metrics, handler)
+                CallerServer(
+                    self.settings.listen.metrics,
+                    handler,
+                    name="metrics",
+                    buffers=self.buffers,
+                )
             )
 
     @property
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_collected_body.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_collected_body.py
@@ -1,5 +1,7 @@
 """Collects a long response body before its head is written."""
 
+from collections.abc import Callable
+
 import attrs
 
 from pomelobank_core import ERROR_RESPONSES, ErrorKind, RunState
@@ -14,13 +16,16 @@
 
 
 async def collect_body(
-    response: HttpResponse, conventions: HttpConventions
+    response: HttpResponse,
+    conventions: HttpConventions,
+    on_size: Callable[[int], None],
 ) -> HttpResponse:
     """Reads the rest of a response's body.
 
     Args:
         response: A response whose body is not complete.
         conventions: Defines the format of an error response.
+        on_size: Called with the number of bytes collected so far.
 
     Returns:
         The response with its whole body; with a rest if the body is longer than
@@ -40,6 +45,7 @@
             return attrs.evolve(response, body=b"".join(parts), rest=None)
         parts.append(part)
         size += len(part)
+        on_size(size)
     return attrs.evolve(response, body=b"".join(parts))
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -17,6 +17,7 @@
 import httptools
 
 from pomelobank_core import ErrorKind
+from pomelobank_core.buffering import BufferAccount, CloseReason
 from pomelobank_node._bodies import (
     MAX_INLINE_BODY_BYTES,
     WINDOW_BYTES,
@@ -30,6 +31,7 @@
     find_header,
 )
 from pomelobank_node._requests import RequestError
+from pomelobank_node.buffering import MIN_BOOKED_BYTES, BufferManager
 from pomelobank_node.callers._collected_body import collect_body
 from pomelobank_node.callers._error_responses import error_response
 from pomelobank_node.callers._exchange import Exchange
@@ -51,6 +53,17 @@
 # a head may exceed its limit; longer slices keep the parts of a body long.
 _HEAD_SLICE_BYTES = 4 * 1024
 _CHUNKED_SLICE_BYTES = 64 * 1024
+# Memory that a header takes beside its bytes.
+_HEADER_COST = 200
+# Bytes of several requests of a connection from which it is not read while
+# memory is short: one short request that is answered and one that arrives.
+_MIN_CONNECTION_BYTES = 2 * MAX_INLINE_BODY_BYTES
+_CLOSE_REASONS = {
+    ErrorKind.BAD_REQUEST: CloseReason.MALFORMED,
+    ErrorKind.HEAD_TIMEOUT: CloseReason.TIMED_OUT,
+    ErrorKind.NO_ROOM: CloseReason.NO_MEMORY,
+    ErrorKind.BODY_STALLED: CloseReason.NO_MEMORY,
+}
 # The colon, the space and the line break of a header.
 _HEADER_FRAMING_BYTES = 4
 # Bounds of the bytes and the time that a connection is read on for after it was
@@ -70,6 +83,8 @@
         handler: Returns the response to each request.
         http_conventions: Defines the format of error responses.
         limits: Limits on requests.
+        name: Name of the listener, for logs.
+        buffers: Books what connections hold.
         draining: Whether each connection is closed after its pending responses.
         connections: Open connections.
     """
@@ -77,6 +92,8 @@
     handler: Handler
     http_conventions: HttpConventions
     limits: HttpLimits
+    name: str
+    buffers: BufferManager
     draining: bool
     connections: set[HttpConnection]
 
@@ -125,10 +142,14 @@
         closing: Whether a response requires the connection to close. New
             requests are then ignored; pending requests still get a response.
         paused: Whether reading from the transport is paused.
+        account: What the connection holds.
+        received_bytes: Bytes received in all.
     """
 
     def __init__(self, server: ConnectionHost) -> None:
         self.server = server
+        self.account = BufferAccount(self)
+        self.received_bytes = 0
         self.transport: asyncio.Transport | None = None
         self.loop: asyncio.AbstractEventLoop
         self.parser = httptools.HttpRequestParser(self)
@@ -176,6 +197,7 @@
         """
         self.ignores_input = True
         self.server.connections.discard(self)
+        self.server.buffers.budget.release(self.account)
         self.writable.set()
         if self.streaming is not None:
             self.streaming.cancel()
@@ -189,12 +211,14 @@
         self._adjust_reading()
 
     def resume_writing(self) -> None:
-        """Resumes reading once the caller has read its responses."""
+        """Goes on once the caller has read its responses."""
         self.writable.set()
         self._adjust_reading()
+        self._flush()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
+        self.received_bytes += len(data)
         if self.ignores_input:
             self._discard(len(data))
             return
@@ -280,9 +304,10 @@
             self.headers,
             self.parser.should_keep_alive(),
         )
+        exchange.head_cost = len(self.headers) * _HEADER_COST
         self.exchanges.append(exchange)
         self.reading = exchange
-        error_kind = self._length_error(exchange)
+        error_kind = self._body_error(exchange)
         if error_kind is not None:
             self._end_with_error(exchange, error_kind)
         elif find_header(self.headers, b"expect") and not self._is_pipelined():
@@ -301,7 +326,7 @@
         elif exchange.upload is not None:
             exchange.upload.put(data)
         else:
-            exchange.parts.append(data)
+            exchange.add_part(data)
             if exchange.size > MAX_INLINE_BODY_BYTES:
                 self._start_upload(exchange)
 
@@ -320,12 +345,21 @@
 
     # Receiving requests.
 
-    def _length_error(self, exchange: Exchange) -> ErrorKind | None:
-        exchange.length = content_length(self.headers)
-        if exchange.length is None:
-            return None
-        if exchange.length > self.server.limits.body_bytes:
+    def _body_error(self, exchange: Exchange) -> ErrorKind | None:
+        length = exchange.length = content_length(self.headers)
+        if length is None:
+            if find_header(self.headers, b"transfer-encoding") is None:
+                return None
+        elif length > self.server.limits.body_bytes:
             return ErrorKind.BODY_TOO_LARGE
+        elif not length:
+            return None
+        budget = self.server.buffers.budget
+        is_long = length is not None and length > MAX_INLINE_BODY_BYTES
+        if not budget.accepts_requests or (
+            is_long and not budget.accepts_long_bodies
+        ):
+            return ErrorKind.NO_ROOM
         return None
 
     def _is_pipelined(self) -> bool:
@@ -370,9 +404,18 @@
         exchange.response = error_response(
             error, self.server.http_conventions, closes=True
         )
+        exchange.discard_body()
+        self._record_close(_CLOSE_REASONS.get(kind, CloseReason.TOO_LARGE))
         self._break_off()
         self._flush()
 
+    def _record_close(self, reason: CloseReason) -> None:
+        assert self.transport is not None
+        client = self.transport.get_extra_info("peername") or ("", "")
+        self.server.buffers.record(
+            reason, self.server.name, f"{client[0]}:{client[1]}"
+        )
+
     def _body_too_large(self, exchange: Exchange) -> None:
         if exchange.upload is None:
             self._end_with_error(exchange, ErrorKind.BODY_TOO_LARGE)
@@ -390,6 +433,9 @@
         self.parser = httptools.HttpRequestParser(self)
 
     def _start_upload(self, exchange: Exchange) -> None:
+        if not self.server.buffers.budget.accepts_long_bodies:
+            self._end_with_error(exchange, ErrorKind.NO_ROOM)
+            return
         exchange.upload = BodyBuffer(
             lambda _: self._adjust_reading(), lambda: None
         )
@@ -418,17 +464,63 @@
         pause = (
             len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
             or not self.writable.is_set()
-            or self._upload_is_full()
+            or self._holds_too_much()
         )
         if pause and not self.paused:
             transport.pause_reading()
         elif self.paused and not pause:
             transport.resume_reading()
         self.paused = pause
+        self._book()
 
-    def _upload_is_full(self) -> bool:
+    def _holds_too_much(self) -> bool:
+        buffers = self.server.buffers
         upload = self.reading.upload if self.reading is not None else None
-        return upload is not None and upload.size > WINDOW_BYTES
+        if upload is not None:
+            return upload.size > buffers.budget.window_bytes(WINDOW_BYTES)
+        if not self._is_pipelined():
+            # Only the rest of the request lets the node release its bytes.
+            return False
+        limit = buffers.settings.connection_bytes
+        if buffers.budget.is_short:
+            limit = min(limit, _MIN_CONNECTION_BYTES)
+        return sum(item.held_bytes for item in self.exchanges) > limit
+
+    def _book(self) -> None:
+        """Books what the connection holds; may end this connection."""
+        held_bytes = self.unparsed_bytes
+        if self.head_since_s is not None:
+            held_bytes += self.head_bytes + len(self.headers) * _HEADER_COST
+        for exchange in self.exchanges:
+            held_bytes += exchange.held_bytes
+        if not self.writable.is_set() and self.transport is not None:
+            held_bytes += self.transport.get_write_buffer_size()
+            if self.streaming is not None:
+                held_bytes += WINDOW_BYTES
+        buffers = self.server.buffers
+        if self.paused and held_bytes > MIN_BOOKED_BYTES:
+            held_bytes += buffers.settings.receive_bytes
+        is_receiving = self.reading is not None or self.head_since_s is not None
+        buffers.book(
+            self.account,
+            held_bytes,
+            not self.writable.is_set() or (is_receiving and not self.paused),
+            self.received_bytes,
+        )
+
+    def release_buffers(self) -> None:
+        """Ends what the connection holds, because memory is short."""
+        if not self.writable.is_set():
+            self._record_close(CloseReason.NO_MEMORY)
+            self.abort()
+            return
+        exchange = self.reading
+        if exchange is None or exchange.upload is None:
+            self._reject(ErrorKind.NO_ROOM)
+            return
+        # The target may have got a part of the body.
+        exchange.cancel()
+        self._end_with_error(exchange, ErrorKind.BODY_STALLED)
 
     # Writing responses.
 
@@ -450,7 +542,9 @@
         self._flush()
 
     def _flush(self) -> None:
-        while self.exchanges and self.streaming is None:
+        while (
+            self.exchanges and self.streaming is None and self.writable.is_set()
+        ):
             exchange = self.exchanges[0]
             if exchange.response is None or self.transport is None:
                 return
@@ -476,6 +570,8 @@
         assert exchange.response is not None
         if exchange.response.rest is None or exchange.collected:
             return False
+        if not self.server.buffers.budget.accepts_long_bodies:
+            return False
         return any(
             item.task is not None
             for item in self.exchanges
@@ -484,10 +580,16 @@
 
     async def _collect(self, exchange: Exchange) -> None:
         assert exchange.response is not None
+
+        def on_size(size: int) -> None:
+            exchange.collected_bytes = size
+            self._book()
+
         exchange.response = await collect_body(
-            exchange.response, self.server.http_conventions
+            exchange.response, self.server.http_conventions, on_size
         )
         exchange.collected = True
+        exchange.collected_bytes = 0
         self.streaming = None
         self._flush()
 
@@ -587,6 +689,7 @@
             return
         idle = now_s - self.last_activity_s > limits.idle_timeout_ms / _MS_PER_S
         if idle and not self.writable.is_set():
+            self._record_close(CloseReason.TIMED_OUT)
             self.abort()
         elif idle and self.reading is not None and not self.ignores_input:
             self._reject(ErrorKind.HEAD_TIMEOUT)
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -6,6 +6,7 @@
 import attrs
 
 from pomelobank_node._http_conventions import HttpConventions
+from pomelobank_node.buffering import BufferManager
 from pomelobank_node.callers._connection import HttpConnection
 from pomelobank_node.callers._messages import (
     Handler,
@@ -35,6 +36,8 @@
         listen: Address to listen on; port 0 selects a free port.
         handler: Returns the response to each request.
         http_conventions: Defines the format of error responses.
+        name: Name of the listener, for logs and metrics.
+        buffers: Books what connections hold; servers of a process share it.
         limits: Limits on requests; replaced when the configuration changes.
         stop_timeout_ms: Maximum wait of `stop` for requests in flight.
         final_write_timeout_ms: Maximum time for sending the error responses of
@@ -54,6 +57,8 @@
     listen: str
     handler: Handler
     http_conventions: HttpConventions = attrs.field(factory=HttpConventions)
+    name: str = "callers"
+    buffers: BufferManager = attrs.field(factory=BufferManager)
     limits: HttpLimits = attrs.field(factory=HttpLimits)
     stop_timeout_ms: int = 1000
     final_write_timeout_ms: int = 50
@@ -83,6 +88,12 @@
                 port,
                 backlog=_LISTEN_BACKLOG,
             )
+        # Accepted connections inherit the size of the buffer.
+        self.server.sockets[0].setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            self.buffers.settings.receive_bytes,
+        )
         bound = self.server.sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
         if self.auto_check_timeouts:
