Serve the metrics of a node's process again

What operators saw: the metrics listener of a node on the platform answered every request with 500 `internal`.

Found by the test that asks all listeners while clients hold the descriptors; the tests of the metrics run in the test's process, where `ssl` is loaded.

Change: the first request for metrics lifts the block before it imports the library.

--- a/packages/pomelobank-node/src/pomelobank_node/_metrics_handler.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_metrics_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING
 
 import attrs
@@ -42,6 +43,10 @@
         return HttpResponse(200, _CONTENT_HEADERS, self.metrics.text())
 
     async def _load(self) -> Metrics:
+        if sys.modules.get("ssl", sys) is None:
+            # The program keeps the TLS library out of the process. The client
+            # library of the metrics imports it.
+            del sys.modules["ssl"]
         from pomelobank_node._metrics import Metrics
         from pomelobank_node._observations import observe_sidecar
 
