Accept connections only while there are descriptors for them

What callers saw: 700 connections on a process with 600 descriptors used them up; the target, peers and other callers found none, the readiness poll failed, and the log filled with thousands of EMFILE lines. Above the fixed limit of 3,000, which each listener had for itself, a legal caller got a reset.

Cause: limits a listener, beside one limit of the process, and asyncio's server accepts first.

Change: core divides the descriptors less the reserve among callers, the platform's listeners and peers. A listener of our own stops accepting at its limit, so that callers wait in the kernel's queue, and closes connections that are idle the longest, or whose request has been arriving without progress; those get 503 first. Connections with a request in flight stay, and new ones have half a second for their first bytes.

--- a/packages/pomelobank-core/src/pomelobank_core/buffering/_connection_limits.py
+++ b/packages/pomelobank-core/src/pomelobank_core/buffering/_connection_limits.py
@@ -92,6 +92,7 @@
 def connections_to_close(
     connections: Iterable[tuple[ConnectionT, ConnectionActivity, float]],
     limit: int,
+    latest_activity: float,
 ) -> list[ConnectionT]:
     """Chooses connections to close because others need their descriptors.
 
@@ -99,6 +100,8 @@
         connections: Each connection with its activity and with the time of its
             last activity.
         limit: Maximum number of connections.
+        latest_activity: Connections with a later activity stay open, so that a
+            new connection has time for its request.
 
     Returns:
         Connections without a request in flight: idle ones first, those first
@@ -109,6 +112,7 @@
             item
             for item in connections
             if item[1] is not ConnectionActivity.BUSY
+            and item[2] <= latest_activity
         ),
         key=lambda item: (item[1], item[2]),
     )
--- a/packages/pomelobank-core/src/pomelobank_core/buffering/tests/test_connection_limits.py
+++ b/packages/pomelobank-core/src/pomelobank_core/buffering/tests/test_connection_limits.py
@@ -28,7 +28,8 @@
         ("recent", IDLE, 3.0),
         ("old", IDLE, 2.0),
     ]
-    assert connections_to_close(connections, 32) == ["old"]
-    chosen = connections_to_close(connections, 128)
+    assert connections_to_close(connections, 32, 9.0) == ["old"]
+    chosen = connections_to_close(connections, 128, 9.0)
     assert chosen == ["old", "recent", "arriving"]
-    assert connections_to_close(connections[:1], 32) == []
+    assert connections_to_close(connections, 128, 2.0) == ["old", "arriving"]
+    assert connections_to_close(connections[:1], 32, 9.0) == []
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -392,7 +392,7 @@
         self.stopping = True
         self.owner.shutdown_admission.apply_schedule(schedule)
         _logger.info("node.draining", extra=self._work_in_progress())
-        if self.http.server is None and self.adapter.listener is not None:
+        if self.http.acceptor is None and self.adapter.listener is not None:
             # The stop was requested during the start. Callers that wait for the
             # listener can use another node at once.
             self.adapter.listener.close()
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -17,7 +17,11 @@
 import httptools
 
 from pomelobank_core import ErrorKind
-from pomelobank_core.buffering import BufferAccount, CloseReason
+from pomelobank_core.buffering import (
+    BufferAccount,
+    CloseReason,
+    ConnectionActivity,
+)
 from pomelobank_node._bodies import (
     MAX_INLINE_BODY_BYTES,
     WINDOW_BYTES,
@@ -97,8 +101,11 @@
     draining: bool
     connections: set[HttpConnection]
 
-    def accept(self, connection: HttpConnection) -> bool:
-        """Registers a new connection; returns False above the limit."""
+    def on_connected(self, connection: HttpConnection) -> None:
+        """Registers a new connection."""
+
+    def on_lost(self, connection: HttpConnection) -> None:
+        """Forgets a connection that was closed."""
 
 
 class HttpConnection(asyncio.Protocol):
@@ -180,13 +187,12 @@
     # Transport callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Registers the connection, or aborts it above the server's limit."""
+        """Registers the connection."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.loop = asyncio.get_running_loop()
-        self.last_activity_s = self.loop.time()
-        if not self.server.accept(self):
-            transport.abort()
+        self.received_s = self.last_activity_s = self.loop.time()
+        self.server.on_connected(self)
 
     def connection_lost(self, _: Exception | None) -> None:
         """Cancels the requests of a caller that has disconnected.
@@ -196,8 +202,7 @@
         and retry.
         """
         self.ignores_input = True
-        self.server.connections.discard(self)
-        self.server.buffers.budget.release(self.account)
+        self.server.on_lost(self)
         self.writable.set()
         if self.streaming is not None:
             self.streaming.cancel()
@@ -709,6 +714,27 @@
             if self.head_since_s is not None:
                 self.head_since_s = now_s
 
+    @property
+    def activity(self) -> ConnectionActivity:
+        """What the connection is doing."""
+        if any(item is not self.reading for item in self.exchanges):
+            return ConnectionActivity.BUSY
+        if self.reading is not None and self.reading.task is not None:
+            return ConnectionActivity.BUSY
+        if self.reading is not None or self.head_since_s is not None:
+            return ConnectionActivity.ARRIVING
+        return ConnectionActivity.IDLE
+
+    def give_way(self) -> None:
+        """Closes the connection, because others need its descriptor."""
+        if self.activity is ConnectionActivity.ARRIVING:
+            self._reject(ErrorKind.NO_ROOM)
+            return
+        self._record_close(CloseReason.NO_DESCRIPTOR)
+        self.ignores_input = True
+        if self.transport is not None:
+            self.transport.close()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in flight or arriving."""
         idle = not self.exchanges and self.head_since_s is None
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from pomelobank_core.buffering import connections_to_close
 from pomelobank_node._http_conventions import HttpConventions
 from pomelobank_node.buffering import BufferManager
 from pomelobank_node.callers._connection import HttpConnection
+from pomelobank_node.callers._listener import Listener
 from pomelobank_node.callers._messages import (
     Handler,
     HttpLimits,
@@ -18,14 +20,14 @@
 # them. If a burst of callers fills the queue, the kernel drops further SYN
 # packets, and their callers repeat them only after a second or more.
 _LISTEN_BACKLOG = 1024
-# Maximum number of open connections of callers. The limit is well below the
-# node's limit of file descriptors, so that streams to peers and to the target
-# can always be opened.
-_MAX_CONNECTIONS = 3000
 # Interval between checks of the connections' time-outs. The time-outs are
 # seconds long, so a check may be late by this interval.
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
+# Time for which a connection stays open without activity even if others wait
+# for its descriptor: a few round trips for the first request.
+_MIN_IDLE_S = 0.5
 _MS_PER_S = 1000
+CALLERS = "callers"
 
 
 @attrs.define(eq=False)
@@ -49,15 +51,15 @@
         address: Address that the server is bound to, once it listens.
         draining: Whether each connection is closed after its pending responses.
         connections: Open connections.
-        rejected_connections: Connections rejected above the limit, for the
-            metrics.
+        max_connections: Maximum number of open connections.
+        acceptor: Accepts connections; None before the start.
         timeout_task: Task that checks time-outs periodically.
     """
 
     listen: str
     handler: Handler
     http_conventions: HttpConventions = attrs.field(factory=HttpConventions)
-    name: str = "callers"
+    name: str = CALLERS
     buffers: BufferManager = attrs.field(factory=BufferManager)
     limits: HttpLimits = attrs.field(factory=HttpLimits)
     stop_timeout_ms: int = 1000
@@ -67,34 +69,30 @@
     address: str = ""
     draining: bool = False
     connections: set[HttpConnection] = attrs.field(factory=set)
-    rejected_connections: int = 0
-    server: asyncio.Server | None = None
+    max_connections: int = attrs.field()
+    acceptor: Listener | None = None
     timeout_task: asyncio.Task[None] | None = None
 
+    @max_connections.default
+    def _max_connections(self) -> int:
+        limits = self.buffers.connection_limits()
+        return limits.callers if self.name == CALLERS else limits.platform
+
     async def start(self) -> None:
         """Starts listening."""
-        loop = asyncio.get_running_loop()
-        if self.listener is not None:
-            self.server = await loop.create_server(
-                lambda: HttpConnection(self),
-                sock=self.listener,
-                backlog=_LISTEN_BACKLOG,
-            )
-        else:
-            host, port = parse_address(self.listen)
-            self.server = await loop.create_server(
-                lambda: HttpConnection(self),
-                host,
-                port,
-                backlog=_LISTEN_BACKLOG,
-            )
+        sock = self.listener or _open_listener(self.listen)
         # Accepted connections inherit the size of the buffer.
-        self.server.sockets[0].setsockopt(
+        sock.setsockopt(
             socket.SOL_SOCKET,
             socket.SO_RCVBUF,
             self.buffers.settings.receive_bytes,
         )
-        bound = self.server.sockets[0].getsockname()
+        sock.listen(_LISTEN_BACKLOG)
+        self.acceptor = Listener(
+            sock, lambda: HttpConnection(self), self.has_room
+        )
+        self.acceptor.resume()
+        bound = sock.getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
         if self.auto_check_timeouts:
             self.timeout_task = asyncio.create_task(
@@ -111,19 +109,43 @@
         now_s = asyncio.get_running_loop().time()
         for connection in list(self.connections):
             connection.check_timeouts(now_s)
+        acceptor = self.acceptor
+        if acceptor is not None and acceptor.paused and self.has_room(0):
+            acceptor.resume()
 
     @property
     def in_flight(self) -> int:
         """Number of requests whose response is not fully written."""
         return sum(len(item.exchanges) for item in self.connections)
 
-    def accept(self, connection: HttpConnection) -> bool:
-        """Registers a new connection; returns False above the limit."""
-        if len(self.connections) >= _MAX_CONNECTIONS:
-            self.rejected_connections += 1
-            return False
+    def has_room(self, pending: int) -> bool:
+        """Tells whether a connection may be accepted; else closes others.
+
+        Args:
+            pending: Connections that are being set up.
+        """
+        if len(self.connections) + pending < self.max_connections:
+            return True
+        activities = [
+            (item, item.activity, item.received_s) for item in self.connections
+        ]
+        now_s = asyncio.get_running_loop().time()
+        for connection in connections_to_close(
+            activities, self.max_connections, now_s - _MIN_IDLE_S
+        ):
+            connection.give_way()
+        return False
+
+    def on_connected(self, connection: HttpConnection) -> None:
+        """Registers a new connection."""
         self.connections.add(connection)
-        return True
+
+    def on_lost(self, connection: HttpConnection) -> None:
+        """Forgets a connection; accepts others if it was one too many."""
+        self.connections.discard(connection)
+        self.buffers.budget.release(connection.account)
+        if self.acceptor is not None:
+            self.acceptor.resume()
 
     def drain(self) -> None:
         """Closes idle connections now, and busy ones after their responses."""
@@ -136,8 +158,8 @@
 
         Requests that are still in flight then are ended with an error.
         """
-        if self.server is not None:
-            self.server.close()
+        if self.acceptor is not None:
+            self.acceptor.close()
         self.drain()
         if self.timeout_task is not None:
             self.timeout_task.cancel()
@@ -157,3 +179,17 @@
         while self.connections and loop.time() < deadline_s:
             await asyncio.sleep(0.01)
             self.drain()
+
+
+def _open_listener(address: str) -> socket.socket:
+    host, port = parse_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, port))
+    except OSError:
+        sock.close()
+        raise
+    sock.setblocking(False)
+    return sock
