Book what peers' streams hold, and let no stranger send long frames

What callers saw: 40 connections to the listener for peers, each with one frame of 16 MiB that does not become complete, cost a node 369 MiB; clients of one entry fill the windows of bodies at the node beside the target, which is another machine.

Cause: an accepted stream buffers up to 16 MiB of a frame and up to 8 MiB of frames that its peer does not read, and nothing bounded the sum over streams. Credit for bodies was granted without regard to what other bodies hold.

Change: before a peer has introduced itself, an incomplete frame may have 64 KiB. Incomplete and unread frames, the first parts of bodies and granted credit are booked on the node's budget: while memory is short, credit shrinks to 32 KiB a body, and a request with a body is declined unrun, so that its entry can try another target. Streams with incomplete or unread frames end first when the budget is exceeded.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -143,6 +143,7 @@
             self.feed,
             self.claims,
             departures=self.target.departures.peers,
+            buffers=self.buffers,
             stop_timeout_ms=_SERVER_STOP_TIMEOUT_MS,
         )
         self.operator = OperatorServer(listen.operator, operator)
--- a/packages/pomelobank-node/src/pomelobank_node/_body_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_body_frames.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from pomelobank_core.buffering import MIN_WINDOW_BYTES
 from pomelobank_node._bodies import CHUNK_BYTES, WINDOW_BYTES, BodySource
 from pomelobank_node._frames import FrameStream
 from pomelobank_node._requests import RequestError
@@ -48,24 +49,38 @@
     Attributes:
         send: Grants the sender a number of bytes.
         allowed: Bytes that the sender may still send.
-        freed: Bytes read since the last grant.
+        freed: Bytes read and not granted again.
+        window_bytes: Returns the size of the window. It may shrink while a body
+            is received; less is granted then until the body fits.
+        has_shrunk: Whether the window was ever smaller than the full one.
     """
 
     send: Callable[[int], None]
     allowed: int
     freed: int = 0
+    window_bytes: Callable[[], int] = lambda: WINDOW_BYTES
+    has_shrunk: bool = False
 
     def on_read(self, size: int) -> None:
         """Counts read bytes and grants credit for them."""
+        window_bytes = self.window_bytes()
         self.freed += size
         if not self.allowed and not self.freed:
             # The first read of a body whose sender has no credit yet: the whole
             # window is granted.
-            self.freed = WINDOW_BYTES
-        if self.freed >= WINDOW_BYTES // 2:
-            freed, self.freed = self.freed, 0
-            self.allowed += freed
-            self.send(freed)
+            self.freed = window_bytes
+        self.has_shrunk = self.has_shrunk or window_bytes < WINDOW_BYTES
+        # A window that has shrunk may never free half of the full one again.
+        step_bytes = MIN_WINDOW_BYTES if self.has_shrunk else WINDOW_BYTES
+        if self.freed < step_bytes // 2:
+            return
+        granted = self.freed
+        if window_bytes < WINDOW_BYTES:
+            granted = min(granted, window_bytes - self.allowed)
+        if granted > 0:
+            self.freed -= granted
+            self.allowed += granted
+            self.send(granted)
 
     def consume(self, size: int) -> bool:
         """Counts received bytes; returns False if they exceed the credit."""
--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -9,6 +9,7 @@
 import msgpack
 
 from pomelobank_node._socket_options import enable_dead_peer_detection
+from pomelobank_node.buffering import MIN_BOOKED_BYTES
 from pomelobank_schema import (
     SchemaError,
     SchemaErrorKind,
@@ -25,6 +26,10 @@
 # the receiving node closes the stream before the frame exhausts the node's
 # memory.
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# Maximum size of an incomplete frame on an accepted stream before the peer has
+# introduced itself. A client that is no peer then costs little more than its
+# connection.
+_MAX_FIRST_FRAME_BYTES = 64 * 1024
 # Queued bytes at which a stream is closed because its peer does not read. One
 # frozen peer then costs a node a few megabytes instead of all memory.
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
@@ -42,7 +47,7 @@
 
 
 def _ignore(_: int) -> None:
-    """Ignores a written frame."""
+    """Ignores a written frame, or a change of the bytes held."""
 
 
 class FrameStream(asyncio.Protocol):
@@ -61,6 +66,12 @@
         unpacker: Holds an incompletely received frame; None if every received
             frame is complete.
         fed_bytes: Bytes that were fed to the unpacker.
+        unpacked_bytes: Those among them that belong to complete frames.
+        is_introduced: Whether the peer has introduced itself, or this node
+            opened the stream.
+        on_held: Called with the bytes of the incomplete frame and of the queued
+            frames when they change, once they are many.
+        reported_bytes: Argument of the last call of `on_held`.
         queued_bytes: Bytes of the queued frames.
         closed: Whether the connection has been lost or closed.
         write_closed: Whether the sending side has been closed, so that no
@@ -78,6 +89,10 @@
         self.loop: asyncio.AbstractEventLoop
         self.unpacker: msgpack.Unpacker | None = None
         self.fed_bytes = 0
+        self.unpacked_bytes = 0
+        self.is_introduced = True
+        self.on_held: Callable[[int], None] = _ignore
+        self.reported_bytes = 0
         self.frames: deque[WireMessage] = deque()
         self.error: SchemaError | None = None
         self.reader: asyncio.Future[None] | None = None
@@ -133,6 +148,7 @@
             data, tag = self.queue.popleft()
             self.queued_bytes -= len(data)
             self._write(data, tag)
+        self._report_held()
         while self.turns and not self.paused:
             turn = self.turns.popleft()
             if not turn.done():
@@ -155,6 +171,7 @@
             return
         self.queue.append((data, tag))
         self.queued_bytes += len(data)
+        self._report_held()
         if self.queued_bytes > MAX_QUEUED_BYTES:
             _logger.warning(
                 "peer.slow_reader", extra={"queued_bytes": self.queued_bytes}
@@ -225,21 +242,35 @@
         # is incomplete.
         if self.unpacker is None:
             self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
-            self.fed_bytes = 0
+            self.fed_bytes = self.unpacked_bytes = 0
         unpacker = self.unpacker
         self.fed_bytes += len(data)
         unpacker.feed(data)
-        end = 0
         for values in unpacker:
-            end = unpacker.tell()
+            self.unpacked_bytes = unpacker.tell()
             self._decode(values)
-        if end == self.fed_bytes:
+        if self.unpacked_bytes == self.fed_bytes:
             self.unpacker = None
+        elif not self.is_introduced and (
+            self.fed_bytes - self.unpacked_bytes > _MAX_FIRST_FRAME_BYTES
+        ):
+            raise _malformed("the peer has not introduced itself")
+        self._report_held()
+
+    def _report_held(self) -> None:
+        held_bytes = self.fed_bytes - self.unpacked_bytes + self.queued_bytes
+        if held_bytes < MIN_BOOKED_BYTES:
+            held_bytes = 0
+        if held_bytes != self.reported_bytes:
+            self.reported_bytes = held_bytes
+            self.on_held(held_bytes)
 
     def _decode(self, values: object) -> None:
         try:
             frame = decode_values(values, peer.KINDS)
-            self.frames.append(unpack_frame(frame, peer.KINDS))
+            message = unpack_frame(frame, peer.KINDS)
+            self.is_introduced |= isinstance(message, peer.Hello)
+            self.frames.append(message)
         except SchemaError as error:
             if error.kind is not SchemaErrorKind.UNKNOWN_KIND:
                 raise
--- a/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_peer_server.py
@@ -9,6 +9,7 @@
 import attrs
 
 from pomelobank_core import ErrorKind, FrameAge
+from pomelobank_core.buffering import BufferAccount, CloseReason
 from pomelobank_node._bodies import (
     WINDOW_BYTES,
     BodyBuffer,
@@ -20,6 +21,7 @@
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner
 from pomelobank_node._requests import RequestError, error_reply
+from pomelobank_node.buffering import BufferManager
 from pomelobank_schema import (
     SchemaError,
     SchemaErrorKind,
@@ -71,10 +73,6 @@
 # their deadlines. The node rejects them at once, so that one peer cannot
 # exhaust this node's memory with tasks.
 MAX_RUNNING = 1024
-# Maximum number of accepted streams. A mesh of 1,000 nodes needs one stream for
-# each node. The remaining capacity is for a reconnect storm, in which the
-# streams that are being replaced still count.
-MAX_STREAMS = 2048
 # Length of the kernel's queue of unaccepted connections. After most of the
 # fleet has crashed, all returning nodes may know the same few members and
 # connect to them at once (a thundering herd). The kernel repeats a handshake
@@ -157,6 +155,12 @@
         duplicates: Number of requests whose id had been used before.
         expired: Number of requests that arrived after their deadline.
         late_frames: Number of frames of requests that had ended.
+        buffers: Books what the stream holds.
+        body_bytes: Size of the first parts of the running requests' bodies, by
+            request id.
+        frames_account: Frames that are incomplete or that the peer does not
+            read.
+        bodies_account: Bodies of requests, and credit for them.
     """
 
     stream: FrameStream
@@ -178,6 +182,31 @@
     duplicates: int = 0
     expired: int = 0
     late_frames: int = 0
+    buffers: BufferManager = attrs.field(factory=BufferManager)
+    body_bytes: dict[int, int] = attrs.field(factory=dict)
+    frames_account: BufferAccount = attrs.field(init=False)
+    bodies_account: BufferAccount = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.frames_account = BufferAccount(self)
+        self.bodies_account = BufferAccount(self)
+        self.stream.on_held = self._book_frames
+
+    def _book_frames(self, held_bytes: int) -> None:
+        received_bytes = self.stream.bytes_received
+        self.buffers.book(self.frames_account, held_bytes, True, received_bytes)
+
+    def _book_bodies(self) -> None:
+        held_bytes = sum(self.body_bytes.values()) + sum(
+            item.window.allowed + item.buffer.size
+            for item in self.uploads.values()
+        )
+        self.buffers.book(self.bodies_account, held_bytes, False, 0)
+
+    def release_buffers(self) -> None:
+        """Closes the stream, because memory is short."""
+        self.buffers.record(CloseReason.NO_MEMORY, "peers", "")
+        self.stream.abort()
 
     async def run(self) -> None:
         """Handles frames until the stream ends."""
@@ -190,6 +219,8 @@
             for task in list(self.running.values()):
                 task.cancel()
             self.stream.abort()
+            self.buffers.budget.release(self.frames_account)
+            self.buffers.budget.release(self.bodies_account)
 
     def start(self, request: ForwardRequest) -> None:
         """Runs one request in a task of its own."""
@@ -213,17 +244,26 @@
             self.expired += 1
             self._refuse(request, ErrorKind.DEADLINE_NOT_RUN)
             return
-        if len(self.running) >= MAX_RUNNING:
+        if len(self.running) >= MAX_RUNNING or not self._has_room(request):
             self._refuse(request, ErrorKind.OVERLOADED)
             return
         if age_ms:
             request = attrs.evolve(
                 request, remaining_ms=request.remaining_ms - age_ms
             )
+        if request.body:
+            self.body_bytes[request.request_id] = len(request.body)
         if request.more:
             request = self._with_body_buffer(request)
+        self._book_bodies()
         self._run(request)
 
+    def _has_room(self, request: ForwardRequest) -> bool:
+        budget = self.buffers.budget
+        if request.more:
+            return budget.accepts_long_bodies
+        return not request.body or budget.accepts_requests
+
     def _run(self, request: ForwardRequest) -> None:
         request_id = request.request_id
         task = asyncio.create_task(self._answer(request))
@@ -235,6 +275,8 @@
     def _ended(self, request_id: int) -> None:
         del self.running[request_id]
         self.uploads.pop(request_id, None)
+        if self.body_bytes.pop(request_id, 0) or self.bodies_account.held_bytes:
+            self._book_bodies()
 
     def _refuse(self, request: ForwardRequest, kind: ErrorKind) -> None:
         self.stream.send(error_reply(request.request_id, RequestError(kind)))
@@ -284,8 +326,13 @@
 
         def send_credit(size: int) -> None:
             self.stream.send(BodyCredit(request_id=request_id, bytes=size))
+            self._book_bodies()
 
-        window = ReceiveWindow(send_credit, 0)
+        window = ReceiveWindow(
+            send_credit,
+            0,
+            window_bytes=lambda: self.buffers.budget.window_bytes(WINDOW_BYTES),
+        )
         buffer = BodyBuffer(
             window.on_read, lambda: self._upload_closed(request_id)
         )
@@ -497,7 +544,9 @@
             not handle any.
         address: The bound address, once the server listens.
         connections: Accepted streams and their tasks.
-        rejected_streams: Number of streams closed because of `MAX_STREAMS`.
+        buffers: Books what streams hold.
+        max_streams: Maximum number of accepted streams.
+        rejected_streams: Number of streams closed above this limit.
         closed_bytes: Bytes sent on streams that have ended.
     """
 
@@ -516,9 +565,15 @@
     connections: dict[PeerConnection, asyncio.Task[None]] = attrs.field(
         factory=dict
     )
+    buffers: BufferManager = attrs.field(factory=BufferManager)
+    max_streams: int = attrs.field()
     rejected_streams: int = 0
     closed_bytes: int = 0
 
+    @max_streams.default
+    def _max_streams(self) -> int:
+        return self.buffers.connection_limits().peers
+
     async def start(self) -> None:
         """Starts listening."""
         host, port = parse_address(self.listen)
@@ -533,10 +588,11 @@
         self.address = f"{socket_address[0]}:{socket_address[1]}"
 
     def _accept(self, stream: FrameStream) -> None:
-        if len(self.connections) >= MAX_STREAMS:
+        if len(self.connections) >= self.max_streams:
             self.rejected_streams += 1
             stream.abort()
             return
+        stream.is_introduced = False
         connection = PeerConnection(
             stream,
             self.owner,
@@ -547,6 +603,7 @@
             self.usage_caps,
             self.departures,
             self.rollouts,
+            buffers=self.buffers,
         )
         task = asyncio.create_task(connection.run())
         self.connections[connection] = task
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -283,6 +283,7 @@
             self.usage_caps,
             self.target.departures.peers,
             self.rollouts,
+            buffers=self.buffers,
         )
         self.limits = LimitsWatch(self.store, self.http)
         self.membership.on_tick += [self.feed.tick, self._check_timeouts]
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
@@ -55,6 +55,28 @@
     assert list(stream.frames) == [peer.CancelRequest(request_id=7)]
 
 
+UNFINISHED = b"\xc6" + (1024 * 1024).to_bytes(4, "big") + bytes(100_000)
+
+
+def test_long_frame_before_the_introduction_is_an_error() -> None:
+    """Guards against clients that send endless frames and are no peers."""
+    stream = FrameStream()
+    stream.is_introduced = False
+    stream.data_received(UNFINISHED)
+    assert stream.error is not None
+
+
+def test_incomplete_frame_of_a_peer_is_reported() -> None:
+    """Guards against frames that are held without being booked."""
+    stream = FrameStream()
+    stream.is_introduced = False
+    reports: list[int] = []
+    stream.on_held = reports.append
+    stream.data_received(encode(peer.Hello(node="n")) + UNFINISHED)
+    assert stream.error is None
+    assert reports == [len(UNFINISHED)]
+
+
 def test_frames_before_an_error_are_kept() -> None:
     stream = FrameStream()
     stream.data_received(VALID + b"\xc1")
