Take a slot back from a body that is not moving while others want it

What callers saw: 30 clients with bodies that drip a byte a second held all nine slots of a target until their deadline; ordinary requests got 503 meanwhile. 30 clients that do not read a response of 27 MB did the same.

Cause: a long body is begun before it has arrived, and a slot is held until the end of the response's body, so a client's pace decides how long a slot is held.

Change: the owner measures each body that it sends to the target, and each response that it passes on, while it waits for the client. When a request arrives and no slot is free, bodies below `buffers.min_rate_bytes_per_s` lose theirs: an upload ends with 504 `body_stalled`, since the target may have got a part, and a response breaks off. Nothing is judged while a slot is free, nor while the target does not read. A response that had arrived whole from the target ends with an error for its reader, never as if it were complete.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -59,6 +59,9 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         self.clock = SystemClock()
+        self.buffers = BufferManager(
+            settings.buffers, settings.connections, self.clock
+        )
         identity = Identity.of(settings, self.clock)
         self.store = ConfigStore()
         self.log = LogClient(settings.log)
@@ -75,7 +78,12 @@
             self.clock,
         )
         self.crash_reports = CrashReports(self.table, self.links, self.clock)
-        self.owner = Owner(settings.requests, self.clock, self.crash_reports)
+        self.owner = Owner(
+            settings.requests,
+            self.clock,
+            self.crash_reports,
+            buffers=self.buffers,
+        )
         self.membership = Membership(
             self.table,
             settings.membership,
@@ -126,9 +134,6 @@
         listen = settings.listen
         admin_application = self.admin_api.application()
         admin_application.add_route("/metrics", self.metrics.handle_request)
-        self.buffers = BufferManager(
-            settings.buffers, settings.connections, self.clock
-        )
         self.http = CallerServer(
             listen.http,
             self.ingress,
--- a/packages/pomelobank-node/src/pomelobank_node/_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_bodies.py
@@ -178,6 +178,13 @@
             self.error = kind
         self._wake()
 
+    def break_off(self, kind: ErrorKind) -> None:
+        """Discards a body, even a complete one, that a reader must not end."""
+        self.close()
+        self.ended = False
+        self.error = kind
+        self._wake()
+
     def _wake(self) -> None:
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -26,7 +26,12 @@
     is_random_rejection,
 )
 from pomelobank_node._admission_queue import AdmissionQueue, new_admission
-from pomelobank_node._bodies import read_full_request, with_end_callback
+from pomelobank_node._bodies import (
+    StreamedReply,
+    StreamedRequest,
+    read_full_request,
+    with_end_callback,
+)
 from pomelobank_node._crash_detector import CrashDetector
 from pomelobank_node._crash_reports import CrashReports
 from pomelobank_node._http_conventions import HttpConventions
@@ -41,6 +46,7 @@
 from pomelobank_node._target_call import call_target
 from pomelobank_node._target_signals import TargetSignals
 from pomelobank_node._upstream_client import UpstreamPool
+from pomelobank_node.buffering import BufferManager, SlotBodies
 from pomelobank_schema import parse_address
 from pomelobank_schema.generated.settings import RequestSettings
 
@@ -62,6 +68,9 @@
 # Upper bound of the delay after which a request beyond the target's rate limit
 # is told to come back, as a multiple of the time to the next one allowed.
 MAX_RETRY_JITTER = 2.0
+# Iterations of the event loop until a request whose body broke off has released
+# its slot, at most.
+_SLOT_RELEASE_STEPS = 20
 SlotOfferer = Callable[[], Awaitable[bool]]
 _CONNECTION_LOST_ERRORS = frozenset(
     {ErrorKind.UPSTREAM_LOST, ErrorKind.ANSWER_TRUNCATED}
@@ -142,6 +151,8 @@
         on_leaving: Called with the target whose response says that it leaves;
             None if nothing handles it.
         rng: Source of randomness.
+        buffers: Books what clients make the node hold.
+        slot_bodies: Bodies that are sent to and from the target.
         draining: Whether new requests are rejected.
         shutdown_admission: Rejects requests that may outlast a stopping node.
     """
@@ -163,11 +174,17 @@
     is_condemned: Callable[[str, str], bool] = lambda *_: False
     on_leaving: Callable[[Target], None] | None = None
     rng: random.Random = attrs.field(factory=random.Random)
+    buffers: BufferManager = attrs.field(factory=BufferManager)
+    slot_bodies: SlotBodies = attrs.field()
     draining: bool = False
     shutdown_admission: ShutdownAdmission = attrs.field(
         factory=ShutdownAdmission
     )
 
+    @slot_bodies.default
+    def _new_slot_bodies(self) -> SlotBodies:
+        return SlotBodies(self.buffers)
+
     @crash_detector.default
     def _new_crash_detector(self) -> CrashDetector:
         return CrashDetector(self.crash_reports)
@@ -284,11 +301,26 @@
             objective_at_ms=now_ms + (request.aim_ms or request.remaining_ms),
             max_wait_ms=request.max_wait_ms or math.inf,
         )
+        if self.slot_bodies.running:
+            await self._release_stalled_slots()
         await self.admission_queue.acquire(admission_request)
         return await self._run_admitted(
             admission_request, self.pool, request, offer_slot
         )
 
+    async def _release_stalled_slots(self) -> None:
+        """Ends requests whose bodies are stalled if no slot is free."""
+        admission = self.admission_queue.admission
+        if admission.in_flight < admission.limit.current:
+            return
+        if not self.slot_bodies.end_stalled():
+            return
+        # The requests end in their own tasks.
+        for _ in range(_SLOT_RELEASE_STEPS):
+            if admission.in_flight < admission.limit.current:
+                return
+            await asyncio.sleep(0)
+
     def _raise_if_condemned(self, target: Target) -> None:
         # The sender may not know the verdict yet.
         if self.is_condemned(target.upstream, target.revision):
@@ -338,10 +370,13 @@
                 result = _work_result(error, result)
             self.admission_queue.release(admission_request, result)
             raise
-        return with_end_callback(
+        reply = with_end_callback(
             reply,
             lambda: self.admission_queue.release(admission_request, result),
         )
+        if not isinstance(reply, StreamedReply):
+            return reply
+        return attrs.evolve(reply, rest=self.slot_bodies.download(reply.rest))
 
     def _rate_limit_error(self, waiting: int = 0) -> RequestError:
         self.rate_limited += 1
@@ -375,6 +410,9 @@
             raise RequestError(ErrorKind.NO_TARGET)
         self._raise_if_condemned(target)
         started_ms = self.clock.now_ms()
+        if isinstance(request, StreamedRequest):
+            upload = self.slot_bodies.upload(request.rest)
+            request = attrs.evolve(request, rest=upload)
         with self.crash_detector.track(request):
             try:
                 reply = await call_target(
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -125,6 +125,9 @@
     def __attrs_post_init__(self) -> None:
         settings, adapter = self.settings, self.adapter
         self.clock = SystemClock()
+        self.buffers = BufferManager(
+            settings.buffers, settings.connections, self.clock
+        )
         identity = Identity.of(settings, self.clock)
         self.store = PublishedStore(adapter.decode)
         self.links = PeerLinks(
@@ -152,6 +155,7 @@
             self.clock,
             self.crash_reports,
             adapter.http_conventions,
+            buffers=self.buffers,
         )
         self.rollouts = self._new_rollouts(registry)
         self.membership = Membership(
@@ -248,9 +252,6 @@
 
     def _build_servers(self) -> None:
         listen, adapter = self.settings.listen, self.adapter
-        self.buffers = BufferManager(
-            self.settings.buffers, self.settings.connections, self.clock
-        )
         self.http = CallerServer(
             listen.http,
             self.ingress,
--- a/packages/pomelobank-node/src/pomelobank_node/buffering/__init__.py
+++ b/packages/pomelobank-node/src/pomelobank_node/buffering/__init__.py
@@ -5,5 +5,6 @@
     BufferHolder,
     BufferManager,
 )
+from pomelobank_node.buffering._slot_bodies import SlotBodies
 
-__all__ = ["MIN_BOOKED_BYTES", "BufferHolder", "BufferManager"]
+__all__ = ["MIN_BOOKED_BYTES", "BufferHolder", "BufferManager", "SlotBodies"]
