Measure a response's reader from its first part on

Found on reading the change before: the pace of a reader began at time zero, so a response could count as stalled right after its first part once another request wanted the slot. The test's clock began at zero, too, and did not see it; it now begins later, and fails before this change.

--- a/packages/pomelobank-node/src/pomelobank_node/buffering/_slot_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/buffering/_slot_bodies.py
@@ -78,7 +78,8 @@
             RequestError: If the body ended early.
         """
         self.started = True
-        self.pace.on_part(self.size, self.bodies.now_ms())
+        if self.pace.is_waiting:
+            self.pace.on_part(self.size, self.bodies.now_ms())
         data = await self.source.read()
         self.size = len(data)
         self.pace.on_wait(self.bodies.now_ms())
--- a/packages/pomelobank-node/src/pomelobank_node/buffering/tests/test_slot_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/buffering/tests/test_slot_bodies.py
@@ -12,7 +12,7 @@
     None
 ):
     """Guards against a response that is cut short without an error."""
-    clock = ManualClock()
+    clock = ManualClock(1_000_000)
     bodies = SlotBodies(BufferManager(clock=clock))
     buffer = BodyBuffer(lambda _: None, lambda: None)
     buffer.put(b"first")
