Bound what clients of the admin API may send

The admin API of the product's own node (uvicorn) had no limit of connections, no time for a request, no limit of a body, which its handlers read whole, and checked the number of headers only at a head's end.

Change: heads and trailers are checked in slices of 4 KiB and while they are parsed, for every server of this kind. The admin API accepts as many connections as the platform's listeners, bodies of 64 KiB, and requests that are complete within 10 s; the targets and logs of the tests keep their long bodies.

--- a/packages/pomelobank-node/src/pomelobank_node/_application.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_application.py
@@ -140,7 +140,11 @@
             buffers=self.buffers,
             limits=HttpLimits(body_bytes=settings.requests.max_body_bytes),
         )
-        self.admin = HttpServer(listen.admin, admin_application)
+        self.admin = HttpServer(
+            listen.admin,
+            admin_application,
+            max_connections=self.buffers.connection_limits().platform,
+        )
         self.peers = PeerServer(
             listen.peer,
             self.owner,
--- a/packages/pomelobank-node/src/pomelobank_node/_http_protocol.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_protocol.py
@@ -19,6 +19,12 @@
 # heads are errors of the caller or attacks.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_HEADERS = 128
+# Maximum size of a body. Announcements have a few hundred bytes.
+MAX_BODY_BYTES = 64 * 1024
+# Time limit for receiving a whole request.
+REQUEST_TIMEOUT_S = 10.0
+# Maximum number of bytes that are parsed before the limits are checked.
+_SLICE_BYTES = 4 * 1024
 _STATUS_LINE = b"HTTP/1.1 "
 _CONTINUE = b"HTTP/1.1 100"
 _HEAD_END = b"\r\n\r\n"
@@ -73,8 +79,8 @@
         coalescing_transport: The connection's transport, which sends a
             response's head together with its body.
         request_task: The task of the request in flight.
-        head_bytes: Bytes of the head that is being received.
-        in_head: Whether a head is being received.
+        received_bytes: Bytes of the request that is being received.
+        body_bytes: Bytes of its body.
     """
 
     def connection_made(  # type: ignore[override]
@@ -83,30 +89,47 @@
         """Wraps the transport of a new connection."""
         self.coalescing_transport = _CoalescingTransport(transport)
         self.request_task: asyncio.Task[None] | None = None
-        self.head_bytes = 0
-        self.in_head = False
+        self.received_bytes = self.body_bytes = 0
         super().connection_made(self.coalescing_transport)  # type: ignore[arg-type]
 
     def data_received(self, data: bytes) -> None:
-        """Parses received bytes; rejects a head that is too large."""
+        """Parses received bytes; closes at a request that is too large."""
+        while data and not self.transport.is_closing():
+            self._parse(data[:_SLICE_BYTES])
+            data = data[_SLICE_BYTES:]
+
+    def _parse(self, data: bytes) -> None:
+        self.received_bytes += len(data)
         super().data_received(data)
-        if self.in_head:
-            self.head_bytes += len(data)
-            if self.head_bytes > MAX_HEAD_BYTES:
-                self.send_400_response("")
+        if self.exceeds_limits():
+            self.send_400_response("")
+
+    def exceeds_limits(self) -> bool:
+        """Tells whether the request that is being received is too large."""
+        overhead_bytes = self.received_bytes - self.body_bytes
+        # A chunk of one byte has five bytes of framing.
+        return overhead_bytes > MAX_HEAD_BYTES + 8 * self.body_bytes
 
     def on_message_begin(self) -> None:
-        """Starts to count the bytes of a head."""
-        self.in_head = True
-        self.head_bytes = 0
+        """Starts to count the bytes of a request."""
+        self.received_bytes = self.body_bytes = 0
         super().on_message_begin()
 
-    def on_headers_complete(self) -> None:
-        """Starts the request, or rejects a head with too many headers."""
-        self.in_head = False
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header or a trailer, or rejects one too many."""
+        super().on_header(name, value)
         if len(self.headers) > MAX_HEADERS:
             raise httptools.HttpParserError("too many headers")
-        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Counts and stores a part of a body."""
+        self.body_bytes += len(body)
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """Ends the count of a complete request."""
+        self.received_bytes = self.body_bytes = 0
+        super().on_message_complete()
 
     def on_response_complete(self) -> None:
         """Sends a delayed head."""
@@ -133,6 +156,55 @@
         self.request_task = task
 
 
+class BoundedHttpProtocol(HttpProtocol):
+    """A connection that may send short requests only, each within some time.
+
+    Attributes:
+        request_timer: Closes the connection if the request is not complete.
+    """
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Starts the timer; closes the connection above the limit."""
+        self.request_timer: asyncio.TimerHandle | None = None
+        super().connection_made(transport)
+        self._start_timer()
+        limit = self.limit_concurrency
+        if limit is not None and len(self.connections) > limit:
+            transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stops the timer."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _start_timer(self) -> None:
+        self._stop_timer()
+        self.request_timer = self.loop.call_later(
+            REQUEST_TIMEOUT_S, self.transport.close
+        )
+
+    def _stop_timer(self) -> None:
+        if self.request_timer is not None:
+            self.request_timer.cancel()
+            self.request_timer = None
+
+    def exceeds_limits(self) -> bool:
+        """Tells whether the request that is being received is too large."""
+        return super().exceeds_limits() or self.body_bytes > MAX_BODY_BYTES
+
+    def on_message_begin(self) -> None:
+        """Starts the timer of a request."""
+        self._start_timer()
+        super().on_message_begin()
+
+    def on_message_complete(self) -> None:
+        """Stops the timer of a complete request."""
+        self._stop_timer()
+        super().on_message_complete()
+
+
 class CancellingHttpProtocol(HttpProtocol):
     """A connection whose loss cancels the request in flight."""
 
--- a/packages/pomelobank-node/src/pomelobank_node/_http_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_http_server.py
@@ -8,7 +8,11 @@
 import attrs
 import uvicorn
 
-from pomelobank_node._http_protocol import CancellingHttpProtocol, HttpProtocol
+from pomelobank_node._http_protocol import (
+    BoundedHttpProtocol,
+    CancellingHttpProtocol,
+    HttpProtocol,
+)
 from pomelobank_schema import parse_address
 
 _STOP_POLL_S = 0.05
@@ -32,6 +36,8 @@
         listen: Address to listen on; port 0 selects a free port.
         application: The ASGI application.
         address: Address that the server is bound to, once it listens.
+        max_connections: Maximum number of open connections, which may send
+            short requests only; None for no limit.
         cancel_on_disconnect: Whether a request is cancelled when its caller
             disconnects.
         server: The uvicorn server; None before the start.
@@ -41,6 +47,7 @@
     listen: str
     application: Any
     address: str = ""
+    max_connections: int | None = None
     cancel_on_disconnect: bool = False
     server: _Server | None = None
     task: asyncio.Task[None] | None = None
@@ -57,9 +64,7 @@
             host=host,
             port=port,
             loop="asyncio",
-            http=CancellingHttpProtocol
-            if self.cancel_on_disconnect
-            else HttpProtocol,
+            http=self._protocol(),
             ws="none",
             lifespan="off",
             access_log=False,
@@ -68,6 +73,7 @@
             date_header=False,
             proxy_headers=False,
             backlog=_LISTEN_BACKLOG,
+            limit_concurrency=self.max_connections,
         )
         self.server = _Server(config)
         self.task = asyncio.create_task(self.server.serve())
@@ -78,6 +84,13 @@
         bound = self.server.servers[0].sockets[0].getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
 
+    def _protocol(self) -> type[HttpProtocol]:
+        if self.max_connections is not None:
+            return BoundedHttpProtocol
+        if self.cancel_on_disconnect:
+            return CancellingHttpProtocol
+        return HttpProtocol
+
     async def stop(self) -> None:
         """Stops listening and waits for the requests in flight."""
         if self.server is not None and self.task is not None:
