Ignore the body of a request behind a closing response

What callers saw: nothing yet; found on reading the change. On a connection whose last response closes it, a request that arrived behind was ignored, but its body counted as bytes in which nothing became complete, and from the limit of a head on the caller got a final 431 for a request that nobody had read.

Change: once a head arrives behind such a response, the rest of the input is ignored, and errors of ignored input are no errors.

Measured result: test_request_behind_a_closing_response_gets_no_error got 200 and 431 before, and 200 alone now.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -264,7 +264,10 @@
             self.ignores_input = True
             self._close_after_last()
         except httptools.HttpParserError:
-            self._reject(self.parse_error)
+            if not self.ignores_input:
+                self._reject(self.parse_error)
+        if self.ignores_input:
+            return
         if self.parsed_bytes != parsed_bytes:
             self.unparsed_bytes = 0
             self.last_activity_s = self.received_s
@@ -301,7 +304,9 @@
         self.head_since_s = None
         self.head_bytes = 0
         self.head_length = len(self.headers)
-        if self.ignores_input or self.closing:
+        if self.closing:
+            self.ignores_input = True
+        if self.ignores_input:
             return
         exchange = Exchange(
             self.parser.get_method().decode("latin-1"),
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -457,6 +457,25 @@
     assert handler.cancelled == []
 
 
+async def test_request_behind_a_closing_response_gets_no_error() -> None:
+    """Guards against a final error for a request that is not read."""
+    handler = ClosingHandler()
+    async with running_server(handler) as server:
+        reader, writer = await connect(server)
+        writer.write(FIRST + SECOND)
+        await handler.wait_for([b"/first", b"/second"], handler.arrived)
+        handler.release_event(b"/first").set()
+        assert (await read_response(reader))[2] == b"/first"
+        head = b"POST /third HTTP/1.1\r\ncontent-length: 30000\r\n\r\n"
+        await send_in_pieces(writer, head + b"b" * 30_000, [len(head)])
+        handler.release_event(b"/second").set()
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            received = await reader.read()
+        writer.close()
+    assert re.findall(rb"HTTP/1.1 (\d+) ", received) == [b"200"]
+    assert b"connection: close" in received
+
+
 class BreakingHandler(HeldHandler):
     """Streams the first response, whose body breaks off once it is released.
 
