Forget an upload when its request ends before it

Found on reading the change: a body whose request was rejected before the target read from it stayed in the set of measured bodies, and its parts in memory.

Change: an upload is measured inside a context that ends with the request's call.

Measured result: test_upload_is_forgotten_when_its_request_ends_before_it, which the code before cannot pass, as nothing removed such a body; both tests of slots pass.

--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -404,15 +404,21 @@
 
     async def _run_on_target(
         self, pool: UpstreamPool, request: ForwardRequest
+    ) -> ForwardReply:
+        if not isinstance(request, StreamedRequest):
+            return await self._call_target(pool, request)
+        with self.slot_bodies.uploading(request.rest) as upload:
+            request = attrs.evolve(request, rest=upload)
+            return await self._call_target(pool, request)
+
+    async def _call_target(
+        self, pool: UpstreamPool, request: ForwardRequest
     ) -> ForwardReply:
         target = self.target
         if target is None:
             raise RequestError(ErrorKind.NO_TARGET)
         self._raise_if_condemned(target)
         started_ms = self.clock.now_ms()
-        if isinstance(request, StreamedRequest):
-            upload = self.slot_bodies.upload(request.rest)
-            request = attrs.evolve(request, rest=upload)
         with self.crash_detector.track(request):
             try:
                 reply = await call_target(
--- a/packages/pomelobank-node/src/pomelobank_node/buffering/_slot_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/buffering/_slot_bodies.py
@@ -1,5 +1,8 @@
 """Bodies of requests and responses that hold a slot of the target."""
 
+import contextlib
+from collections.abc import Iterator
+
 import attrs
 
 from pomelobank_core import ErrorKind
@@ -43,8 +46,7 @@
         return data
 
     def close(self) -> None:
-        """Discards the unread parts and ends the measurement."""
-        self.bodies.running.discard(self)
+        """Discards the unread parts."""
         self.source.close()
 
     def end(self) -> None:
@@ -118,26 +120,35 @@
         """Returns the current time."""
         return self.buffers.clock.now_ms()
 
-    def upload(self, source: BodySource) -> BodySource:
-        """Returns a request's body to send to the target in its place."""
+    @contextlib.contextmanager
+    def uploading(self, source: BodySource) -> Iterator[BodySource]:
+        """Measures a request's body until its response begins.
+
+        Yields:
+            The body to send to the target in its place.
+        """
         if not isinstance(source, BodyBuffer):
-            return source
-        return self._add(PacedUpload(source, self, self._new_pace()))
+            yield source
+            return
+        body = PacedUpload(source, self, self._new_pace())
+        self.running.add(body)
+        try:
+            yield body
+        finally:
+            self.running.discard(body)
 
     def download(self, source: BodySource) -> BodySource:
         """Returns a response's body to pass on in its place."""
         if not isinstance(source, BodyWithEndCallback):
             return source
-        return self._add(PacedDownload(source, self, self._new_pace()))
+        body = PacedDownload(source, self, self._new_pace())
+        self.running.add(body)
+        return body
 
     def _new_pace(self) -> BodyPace:
         settings = self.buffers.settings
         return BodyPace(settings.min_rate_bytes_per_s, settings.max_pause_ms)
 
-    def _add(self, body: PacedBody) -> PacedBody:
-        self.running.add(body)
-        return body
-
     def end_stalled(self) -> bool:
         """Ends the bodies that are stalled, because others want their slots.
 
--- a/packages/pomelobank-node/src/pomelobank_node/buffering/tests/test_slot_bodies.py
+++ b/packages/pomelobank-node/src/pomelobank_node/buffering/tests/test_slot_bodies.py
@@ -1,5 +1,7 @@
 """Slots that stalled bodies lose."""
 
+import contextlib
+
 import pytest
 
 from pomelobank_core import ErrorKind, ManualClock
@@ -32,3 +34,13 @@
     assert raised.value.kind is ErrorKind.ANSWER_TRUNCATED
     response.close()
     assert (released, bodies.running) == ([True], set())
+
+
+def test_upload_is_forgotten_when_its_request_ends_before_it() -> None:
+    """Guards against bodies that stay in memory after their request."""
+    bodies = SlotBodies(BufferManager(clock=ManualClock()))
+    buffer = BodyBuffer(lambda _: None, lambda: None)
+    with contextlib.suppress(RequestError), bodies.uploading(buffer):
+        assert len(bodies.running) == 1
+        raise RequestError(ErrorKind.UPSTREAM_UNREACHABLE)
+    assert bodies.running == set()
