Reject requests at once that would wait behind a thousand others

What callers saw: beside 250 clients that pipeline small, complete requests, an ordinary request got no answer within 30 s, and the node used a whole core.

Cause: up to 8,000 requests waited for the nine slots of one target, and each decision of admission looks at all that wait.

Change: at most `requests.max_waiting` (1,000) requests wait at an owner. A target of 18 slots runs a third of that before the longest deadlines of the users' pages; what waits behind cannot be served and is told so, unrun.

--- a/packages/pomelobank-node/src/pomelobank_node/_admission_queue.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_admission_queue.py
@@ -72,6 +72,8 @@
     Attributes:
         admission: Decides which request runs, waits or is rejected.
         clock: Source of the current time.
+        max_waiting: Maximum number of requests that wait. Each decision looks
+            at all of them, so a longer queue takes the time of those that run.
         waiting: Queued requests, each with the future that ends its wait.
         waiting_tasks: Tasks of the queued requests.
         wait_count: Number of requests that had to wait, for the metrics.
@@ -81,6 +83,7 @@
 
     admission: Admission | DeadlineAdmission
     clock: Clock
+    max_waiting: int = RequestSettings().max_waiting
     waiting: dict[AdmissionRequest, asyncio.Future[None]] = attrs.field(
         factory=dict
     )
@@ -117,6 +120,8 @@
             RequestError: OVERLOADED or DEADLINE_NOT_RUN; the request has not
                 run.
         """
+        if self.admission.waiting >= self.max_waiting:
+            raise RequestError(ErrorKind.OVERLOADED)
         decision = self.admission.offer(request, self.clock.now_ms())
         if isinstance(decision, Rejected):
             raise RequestError(decision.kind, decision.retry_after_ms)
--- a/packages/pomelobank-node/src/pomelobank_node/_owner.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_owner.py
@@ -191,7 +191,9 @@
 
     @admission_queue.default
     def _new_admission_queue(self) -> AdmissionQueue:
-        return AdmissionQueue(new_admission(self.settings), self.clock)
+        return AdmissionQueue(
+            new_admission(self.settings), self.clock, self.settings.max_waiting
+        )
 
     @property
     def in_flight(self) -> int:
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_admission_queue.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_admission_queue.py
@@ -96,3 +96,17 @@
     assert rejected.value.kind is ErrorKind.OVERLOADED
     assert rejected.value.retry_after_ms is not None
     assert rejected.value.retry_after_ms >= 500
+
+
+async def test_full_queue_rejects_at_once() -> None:
+    """Guards against a queue whose decisions take all processor time."""
+    queue = _new_queue()
+    queue.max_waiting = 1
+    first = _request(queue)
+    await queue.acquire(first)
+    waiting = await _start_waiting(queue, _request(queue))
+    with pytest.raises(RequestError) as raised:
+        await queue.acquire(_request(queue))
+    assert raised.value.kind is ErrorKind.OVERLOADED
+    queue.release(first, WorkResult.RESPONDED)
+    await waiting
