Measure the turns of a node's event loop

Cause: nothing in the logs or metrics tells why a process does not wait.

Change: a monitor in the selector and around each callback measures the longest turn with the task that ran, time, processor time and turns between two waits, and polls whose descriptors stay ready while no byte moves. Six metrics; four log lines, at most one of each a second; SIGUSR1 writes the stack of a process that no longer turns.

--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -1,13 +1,17 @@
 """The event loop and the garbage collector settings of a node's process."""
 
 import asyncio
+import faulthandler
 import gc
 import os
 import selectors
+import signal
 import sys
 from collections.abc import Coroutine
 from typing import NoReturn, TypeVar
 
+from pomelobank_node._loop_monitor import LoopMonitor
+
 # Consecutive loop iterations that may skip the poll for I/O events while
 # callbacks are ready. A request takes about this many iterations in a node, so
 # new events wait no longer than one request takes.
@@ -32,17 +36,20 @@
 
     Attributes:
         skipped_polls: Number of consecutive polls skipped so far.
+        monitor: Measures the loop's turns.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, monitor: LoopMonitor | None = None) -> None:
         super().__init__()
         self.skipped_polls = 0
+        self.monitor = monitor or LoopMonitor()
 
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Returns the ready events; an empty list if the poll is skipped."""
         is_non_blocking = timeout is not None and timeout <= 0
+        self.monitor.on_turn_ended()
         if is_non_blocking and self.skipped_polls < MAX_SKIPPED_POLLS:
             self.skipped_polls += 1
             return []
@@ -50,12 +57,29 @@
         events: list[tuple[selectors.SelectorKey, int]] = super().select(
             timeout
         )
+        ready = frozenset([key.fd for key, _ in events])
+        self.monitor.on_poll(ready, not is_non_blocking)
         return events
 
 
-def new_event_loop() -> asyncio.AbstractEventLoop:
-    """Creates the event loop of a node."""
-    return asyncio.SelectorEventLoop(PollSkippingSelector())
+class MonitoredEventLoop(asyncio.SelectorEventLoop):
+    """The event loop of a node.
+
+    Attributes:
+        monitor: Measures the loop's turns.
+    """
+
+    def __init__(self) -> None:
+        self.monitor = LoopMonitor()
+        super().__init__(PollSkippingSelector(self.monitor))
+
+
+def running_monitor() -> LoopMonitor:
+    """Returns the monitor of the running event loop; a new one without any."""
+    loop = asyncio.get_running_loop()
+    if isinstance(loop, MonitoredEventLoop):
+        return loop.monitor
+    return LoopMonitor()
 
 
 def tune_garbage_collector() -> None:
@@ -76,8 +100,17 @@
 
 
 def run_program(main: Coroutine[None, None, ResultT]) -> ResultT:
-    """Runs a program's main coroutine and returns its result."""
-    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+    """Runs a program's main coroutine and returns its result.
+
+    The signal SIGUSR1 writes the stack to standard error, also in a process
+    whose event loop no longer turns.
+    """
+    faulthandler.register(signal.SIGUSR1)
+    loop = MonitoredEventLoop()
+    with (
+        loop.monitor.measuring_callbacks(),
+        asyncio.Runner(loop_factory=lambda: loop) as runner,
+    ):
         return runner.run(main)
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -473,6 +473,39 @@
     "Lines dropped because nobody read the node's output.",
     monotonic=True,
 )
+LOOP_LONGEST_TURN = Instrument(
+    "pomelobank.loop.longest_turn",
+    "ms",
+    "Longest turn of the event loop since the start, in which no other request"
+    " was read.",
+)
+LOOP_LONG_TURNS = Instrument(
+    "pomelobank.loop.long_turns",
+    "1",
+    "Turns of the event loop that were logged as long.",
+    monotonic=True,
+)
+LOOP_LONGEST_STRETCH = Instrument(
+    "pomelobank.loop.longest_stretch",
+    "ms",
+    "Longest time since the start in which the process did not wait.",
+)
+LOOP_STRETCH_PROCESSOR = Instrument(
+    "pomelobank.loop.stretch_processor",
+    "ms",
+    "Most processor time since the start that the process used without a wait.",
+)
+LOOP_TURNS = Instrument(
+    "pomelobank.loop.turns_without_wait",
+    "1",
+    "Most turns of the event loop since the start between two waits.",
+)
+LOOP_UNMOVED_POLLS = Instrument(
+    "pomelobank.loop.unmoved_polls",
+    "1",
+    "Most consecutive polls since the start that reported the same descriptors"
+    " and whose handlers moved no byte; 0 below the number that is logged.",
+)
 
 WORKSPACE_REQUESTS = Instrument(
     "pomelobank.workspaces.requests",
--- /dev/null
+++ b/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
@@ -0,0 +1,270 @@
+"""Measures the turns of the event loop: how long they take, what runs in them.
+
+A turn runs the callbacks that were ready at its beginning; no other request is
+read meanwhile. A loop that finds callbacks or descriptors ready after each turn
+never waits. Neither shows in the metrics of requests, which measure with the
+same loop.
+"""
+
+import asyncio
+import contextlib
+import fcntl
+import logging
+import struct
+import termios
+import time
+from collections.abc import Callable, Iterator
+
+import attrs
+
+_logger = logging.getLogger(__name__)
+# A turn of this length is logged. Peers suspect a node that does not reply to a
+# probe for about this time, and requests that arrive meanwhile are read late.
+LONG_TURN_MS = 200.0
+# Time without a wait that is logged. Peers and clients of the store give up a
+# connection attempt or a call that gets no answer within this time.
+LONG_STRETCH_MS = 500.0
+# Turns without a wait that are logged. A request takes about a dozen turns, so
+# this many turns serve hundreds of requests, or none.
+MANY_TURNS = 10_000
+# Consecutive polls that report the same descriptors, while nothing but their
+# handlers runs, from which they are logged.
+MANY_UNMOVED_POLLS = 1000
+# Shortest time between two lines of one kind.
+_LOG_INTERVAL_S = 1.0
+_MS_PER_S = 1000
+
+
+def socket_queues(descriptor: int) -> tuple[int, int]:
+    """Returns the unread and the unsent bytes of a connection; 0 if unknown."""
+    sizes = []
+    for request in (termios.FIONREAD, termios.TIOCOUTQ):
+        try:
+            data = fcntl.ioctl(descriptor, request, bytes(4))
+        except OSError:
+            return 0, 0
+        sizes.append(struct.unpack("i", data)[0])
+    return sizes[0], sizes[1]
+
+
+@attrs.define(eq=False)
+class LoopMonitor:
+    """Figures of one event loop.
+
+    Attributes:
+        now_s: Returns a monotonic time in seconds.
+        processor_s: Returns the thread's processor time in seconds.
+        queues: Returns the unread and unsent bytes of a descriptor.
+        mark_s: End of the last callback or poll.
+        turn_began_s: Begin of the turn.
+        waited_s: End of the last wait.
+        waited_processor_s: Processor time at the end of the last wait.
+        callbacks: Callbacks of the turn so far.
+        slowest_s: Time of the slowest callback of the turn.
+        slowest: Handle of that callback.
+        turns_without_wait: Turns since the last wait.
+        ready: Descriptors that the last poll reported.
+        ready_queues: Their unread and unsent bytes at the poll, once
+            `unmoved_polls` is half of the number that is logged.
+        unmoved_polls: Consecutive polls that reported the same descriptors,
+            while nothing but their handlers ran.
+        longest_turn_ms: Longest turn.
+        longest_turn_callback: What took most of the longest turn.
+        longest_stretch_ms: Longest time between two waits.
+        longest_stretch_processor_ms: Most processor time between two waits.
+        most_turns_without_wait: Most turns between two waits.
+        most_unmoved_polls: Highest number of `unmoved_polls`.
+        long_turns: Number of turns of at least `LONG_TURN_MS`.
+        logged_s: Time of the last log line, by kind.
+    """
+
+    now_s: Callable[[], float] = time.perf_counter
+    processor_s: Callable[[], float] = time.thread_time
+    queues: Callable[[int], tuple[int, int]] = socket_queues
+    mark_s: float = 0.0
+    turn_began_s: float = 0.0
+    waited_s: float = 0.0
+    waited_processor_s: float = 0.0
+    callbacks: int = 0
+    slowest_s: float = 0.0
+    slowest: asyncio.Handle | None = None
+    turns_without_wait: int = 0
+    ready: frozenset[int] = frozenset()
+    ready_queues: dict[int, tuple[int, int]] = attrs.field(factory=dict)
+    unmoved_polls: int = 0
+    longest_turn_ms: float = 0.0
+    longest_turn_callback: str = ""
+    longest_stretch_ms: float = 0.0
+    longest_stretch_processor_ms: float = 0.0
+    most_turns_without_wait: int = 0
+    most_unmoved_polls: int = 0
+    long_turns: int = 0
+    logged_s: dict[str, float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        self.mark_s = self.turn_began_s = self.waited_s = self.now_s()
+        self.waited_processor_s = self.processor_s()
+
+    def on_turn_ended(self) -> None:
+        """Handles the end of a turn; the loop is about to poll."""
+        turn_ms = (self.mark_s - self.turn_began_s) * _MS_PER_S
+        if turn_ms > self.longest_turn_ms:
+            self.longest_turn_ms = turn_ms
+            self.longest_turn_callback = self._slowest_name()
+        if turn_ms >= LONG_TURN_MS:
+            self.long_turns += 1
+            self._log_turn(turn_ms)
+        self.turns_without_wait += 1
+        if not self.turns_without_wait % MANY_TURNS:
+            self._log_turns()
+        if self.ready_queues:
+            self._check_moved()
+        self.turn_began_s = self.mark_s
+        self.slowest_s = 0.0
+
+    def on_poll(self, ready: frozenset[int], waited: bool) -> None:
+        """Handles the end of a poll.
+
+        Args:
+            ready: Descriptors that it reported.
+            waited: Whether the poll could wait.
+        """
+        self._count_unmoved(ready)
+        now_s = self.now_s()
+        if waited:
+            self._end_stretch(now_s)
+        self.mark_s = self.turn_began_s = now_s
+        self.callbacks = 0
+
+    def _end_stretch(self, now_s: float) -> None:
+        stretch_ms = (self.mark_s - self.waited_s) * _MS_PER_S
+        processor_s = self.processor_s()
+        used_ms = (processor_s - self.waited_processor_s) * _MS_PER_S
+        self.most_turns_without_wait = max(
+            self.most_turns_without_wait, self.turns_without_wait
+        )
+        self.longest_stretch_ms = max(self.longest_stretch_ms, stretch_ms)
+        self.longest_stretch_processor_ms = max(
+            self.longest_stretch_processor_ms, used_ms
+        )
+        if stretch_ms >= LONG_STRETCH_MS and self._may_log("stretch"):
+            _logger.warning(
+                "loop.did_not_wait",
+                extra={
+                    "ms": round(stretch_ms),
+                    "processor_ms": round(used_ms),
+                    "turns": self.turns_without_wait,
+                    "longest_turn_ms": round(self.longest_turn_ms),
+                    "callback": self.longest_turn_callback,
+                },
+            )
+        self.waited_s = now_s
+        self.waited_processor_s = processor_s
+        self.turns_without_wait = 0
+
+    def _count_unmoved(self, ready: frozenset[int]) -> None:
+        handlers_only = self.callbacks <= len(self.ready)
+        if ready and ready == self.ready and handlers_only:
+            self.unmoved_polls += 1
+        else:
+            self.unmoved_polls = 0
+        self.ready = ready
+        if self.unmoved_polls < MANY_UNMOVED_POLLS // 2:
+            return
+        # A client that sends byte by byte looks the same so far, and often its
+        # next byte has arrived when the queues are compared.
+        self.ready_queues = {item: self.queues(item) for item in ready}
+
+    def _check_moved(self) -> None:
+        before, self.ready_queues = self.ready_queues, {}
+        if any(self.queues(item) != sizes for item, sizes in before.items()):
+            self.unmoved_polls = 0
+        if self.unmoved_polls < MANY_UNMOVED_POLLS:
+            return
+        self.most_unmoved_polls = max(
+            self.most_unmoved_polls, self.unmoved_polls
+        )
+        if self._may_log("unmoved"):
+            _logger.warning(
+                "loop.descriptors_stay_ready",
+                extra={
+                    "polls": self.unmoved_polls,
+                    "descriptors": sorted(before),
+                    "callback": self._slowest_name(),
+                },
+            )
+
+    def _log_turn(self, turn_ms: float) -> None:
+        if not self._may_log("turn"):
+            return
+        _logger.warning(
+            "loop.long_turn",
+            extra={
+                "ms": round(turn_ms),
+                "callbacks": self.callbacks,
+                "callback": self._slowest_name(),
+                "callback_ms": round(self.slowest_s * _MS_PER_S),
+                "long_turns": self.long_turns,
+            },
+        )
+
+    def _log_turns(self) -> None:
+        if not self._may_log("turns"):
+            return
+        _logger.warning(
+            "loop.no_wait",
+            extra={
+                "turns": self.turns_without_wait,
+                "ms": round((self.mark_s - self.waited_s) * _MS_PER_S),
+                "callback": self._slowest_name(),
+            },
+        )
+
+    def _may_log(self, kind: str) -> bool:
+        last_s = self.logged_s.get(kind)
+        if last_s is not None and self.mark_s - last_s < _LOG_INTERVAL_S:
+            return False
+        self.logged_s[kind] = self.mark_s
+        return True
+
+    def _slowest_name(self) -> str:
+        return "" if self.slowest is None else describe_handle(self.slowest)
+
+    @contextlib.contextmanager
+    def measuring_callbacks(self) -> Iterator[None]:
+        """Measures all callbacks of the process's event loop meanwhile.
+
+        asyncio names slow callbacks only in its debug mode, which costs several
+        times as much as a callback itself.
+        """
+        run = asyncio.Handle._run
+        read_clock_s = self.now_s
+
+        def run_and_measure(handle: asyncio.Handle) -> None:
+            run(handle)
+            now_s = read_clock_s()
+            took_s = now_s - self.mark_s
+            self.mark_s = now_s
+            self.callbacks += 1
+            if took_s > self.slowest_s:
+                self.slowest_s = took_s
+                self.slowest = handle
+
+        asyncio.Handle._run = run_and_measure  # type: ignore[assignment]
+        try:
+            yield
+        finally:
+            asyncio.Handle._run = run  # type: ignore[method-assign]
+
+
+def describe_handle(handle: asyncio.Handle) -> str:
+    """Returns the name of a handle's task and coroutine, or of its callback."""
+    callback = getattr(handle, "_callback", None)
+    owner = getattr(callback, "__self__", None)
+    if isinstance(owner, asyncio.Task):
+        coroutine = owner.get_coro()
+        name = getattr(coroutine, "__qualname__", type(coroutine).__name__)
+        return f"{owner.get_name()} {name}"
+    if callback is None:
+        return "cancelled"
+    return getattr(callback, "__qualname__", repr(callback))
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -8,6 +8,7 @@
 
 from pomelobank_core import TwoChoices
 from pomelobank_node import _instruments as instruments
+from pomelobank_node._event_loop import running_monitor
 from pomelobank_node._metrics import Instrument, Metrics, ValueCallback
 
 if TYPE_CHECKING:
@@ -183,6 +184,7 @@
         _quarantine(node),
         _rollouts(node),
         _workspaces(node),
+        _event_loop(),
     ):
         for instrument, read in readings:
             metrics.observe(instrument, read)
@@ -249,6 +251,7 @@
         _quarantine(node),
         _workspaces(node),
         _claims(node),
+        _event_loop(),
     ):
         for instrument, read in readings:
             metrics.observe(instrument, read)
@@ -370,6 +373,19 @@
     yield instruments.BUFFERS_CAPACITY, lambda: buffers.budget.capacity_bytes
 
 
+def _event_loop() -> Readings:
+    monitor = running_monitor()
+    yield instruments.LOOP_LONGEST_TURN, lambda: monitor.longest_turn_ms
+    yield instruments.LOOP_LONG_TURNS, lambda: monitor.long_turns
+    yield instruments.LOOP_LONGEST_STRETCH, lambda: monitor.longest_stretch_ms
+    yield (
+        instruments.LOOP_STRETCH_PROCESSOR,
+        lambda: monitor.longest_stretch_processor_ms,
+    )
+    yield instruments.LOOP_TURNS, lambda: monitor.most_turns_without_wait
+    yield instruments.LOOP_UNMOVED_POLLS, lambda: monitor.most_unmoved_polls
+
+
 def _load_balancing(node: ObservedNode) -> Readings:
     load_balancer = node.forwarder.load_balancer
     if isinstance(load_balancer, TwoChoices):
