Let requests that stop waiting together cost one look each

Cause: the end of a queued request's wait made admission rank all the others, drop and start some. When n requests stop waiting in one turn (their callers' connections are reset, a peer's stream is lost, the target leaves or stops), the turn ranks the queue n times. Requests that admission itself dropped did so again when their tasks withdrew them.

Change: a queued request that leaves frees no slot and only shortens the wait of the others, so nothing is decided. The queue is a dictionary (removal without a search), the rank of each request is computed once a decision with the expected time of each route once, and the share left by better ranks once a rank.

--- a/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_deadline_admission.py
@@ -1,14 +1,16 @@
 """Admission by priority, latency objective and deadline."""
 
 import math
+import operator
 import random
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
 from pomelobank_core._admission_request import (
     AdmissionDecision,
     AdmissionRequest,
+    QueueChange,
     Queued,
     Rejected,
     Started,
@@ -51,6 +53,11 @@
 MAX_RETRY_FORECAST_MS = 1000.0
 
 
+# Order of a queued request: priority, whether it will miss its objective, and
+# its slack or deadline.
+SortKey = tuple[int, bool, float]
+
+
 @attrs.define
 class DeadlineAdmission(BaseAdmission):
     """Slots and queue of one target, ordered by priority and slack.
@@ -72,7 +79,8 @@
         service_times: Measured service times.
         rank_load: Slot time that each rank was given recently.
         running: Requests at the target.
-        queue: Queued requests.
+        queue: Queued requests in the order of their arrival. The values mean
+            nothing; a dictionary removes a request without a search.
         brief_work: Tells which requests are short next to the target's others.
     """
 
@@ -81,7 +89,7 @@
     service_times: RouteTimes = attrs.field(factory=RouteTimes)
     rank_load: RankLoad = attrs.field(factory=RankLoad)
     running: set[AdmissionRequest] = attrs.field(factory=set)
-    queue: list[AdmissionRequest] = attrs.field(factory=list)
+    queue: dict[AdmissionRequest, None] = attrs.field(factory=dict)
     brief_work: BriefWork = attrs.field(init=False)
 
     @brief_work.default
@@ -133,7 +141,7 @@
                 ErrorKind.OVERLOADED, self._retry_after_ms(request, now_ms)
             )
         self._add_rank_load(request, now_ms)
-        self.queue.append(request)
+        self.queue[request] = None
         return Queued()
 
     def _add_rank_load(self, request: AdmissionRequest, now_ms: float) -> None:
@@ -184,9 +192,17 @@
         # meet theirs go first. If the caller were told the wait of a request's
         # first attempt, its retry would be rejected again.
         retry_key = (request.priority, True, math.inf)
-        return min(
-            self._wait_ms(request, retry_key, now_ms), MAX_RETRY_FORECAST_MS
-        )
+        return min(self._wait_ms(retry_key, now_ms), MAX_RETRY_FORECAST_MS)
+
+    def cancel(self, request: AdmissionRequest, now_ms: float) -> QueueChange:
+        """Removes a queued request whose caller went away."""
+        if request is self.isolated_request:
+            return super().cancel(request, now_ms)
+        # No slot is free because of this, and the other requests wait for less.
+        # If each of many requests that leave together caused a decision about
+        # those that are left, their work would grow as their square.
+        self._remove_queued(request)
+        return QueueChange((), ())
 
     def expected_ms(self, request: AdmissionRequest, now_ms: float) -> float:
         """Returns the expected service time of a request in ms."""
@@ -230,34 +246,28 @@
 
     def wait_ms(self, request: AdmissionRequest, now_ms: float) -> float:
         """Returns the expected time until a new request gets a slot, in ms."""
-        return self._wait_ms(request, self._sort_key(request, now_ms), now_ms)
-
-    def _wait_ms(
-        self,
-        request: AdmissionRequest,
-        own_key: tuple[int, bool, float],
-        now_ms: float,
-    ) -> float:
+        return self._wait_ms(self._new_sort_key(now_ms)(request), now_ms)
+
+    def _wait_ms(self, own_key: SortKey, now_ms: float) -> float:
+        sort_key = self._new_sort_key(now_ms)
+        routes: dict[str, int] = {}
+        for item in self.queue:
+            if sort_key(item) <= own_key:
+                routes[item.route] = routes.get(item.route, 0) + 1
         ahead_ms = sum(
-            self.expected_ms(item, now_ms)
-            for item in self.queue
-            if self._sort_key(item, now_ms) <= own_key
+            count * self.service_times.expected_ms(route, now_ms)
+            for route, count in routes.items()
         )
         slots = max(1, self.limit.current)
         queue_wait_ms = self._slot_wait_ms(now_ms) + ahead_ms / slots
-        return self._wait_with_overtaking_ms(own_key, queue_wait_ms, now_ms)
+        return queue_wait_ms / self._available_fraction(own_key, now_ms)
 
-    def _wait_with_overtaking_ms(
-        self,
-        own_key: tuple[int, bool, float],
-        queue_wait_ms: float,
-        now_ms: float,
-    ) -> float:
+    def _available_fraction(self, key: SortKey, now_ms: float) -> float:
+        """Returns the fraction of the slots that better ranks leave."""
         slots = max(1, self.limit.current)
-        available = self.rank_load.available_fraction(
-            Rank(own_key[0], own_key[1]), slots, now_ms
+        return self.rank_load.available_fraction(
+            Rank(key[0], key[1]), slots, now_ms
         )
-        return queue_wait_ms / available
 
     def _slot_wait_ms(self, now_ms: float) -> float:
         if self.isolated_request is None and self._has_slot():
@@ -270,17 +280,32 @@
         # remaining time, the first ends after 2 / (n + 1) of that mean.
         return remaining_ms / slots * 2 / (slots + 1)
 
-    def _sort_key(
-        self, request: AdmissionRequest, now_ms: float
-    ) -> tuple[int, bool, float]:
-        if request.brief:
-            return request.priority, False, -math.inf
-        if self._will_miss_objective(request, now_ms):
-            return request.priority, True, request.deadline_ms
-        slack_ms = (
-            request.objective_at_ms - now_ms - self.expected_ms(request, now_ms)
-        )
-        return request.priority, False, slack_ms
+    def _new_sort_key(
+        self, now_ms: float
+    ) -> Callable[[AdmissionRequest], SortKey]:
+        """Returns the function that ranks requests at a time.
+
+        It computes the expected time of each route once.
+        """
+        expected_ms: dict[str, float] = {}
+
+        def sort_key(request: AdmissionRequest) -> SortKey:
+            if request.brief:
+                return request.priority, False, -math.inf
+            if request.past_objective:
+                return request.priority, True, request.deadline_ms
+            service_ms = expected_ms.get(request.route)
+            if service_ms is None:
+                service_ms = self.service_times.expected_ms(
+                    request.route, now_ms
+                )
+                expected_ms[request.route] = service_ms
+            slack_ms = request.objective_at_ms - now_ms - service_ms
+            if slack_ms < 0:
+                return request.priority, True, request.deadline_ms
+            return request.priority, False, slack_ms
+
+        return sort_key
 
     def _will_miss_objective(
         self, request: AdmissionRequest, now_ms: float
@@ -332,56 +357,65 @@
         self.running.discard(request)
 
     def _remove_queued(self, request: AdmissionRequest) -> None:
-        if request in self.queue:
-            self.queue.remove(request)
+        self.queue.pop(request, None)
 
     def _start_queued(self, now_ms: float) -> Iterator[AdmissionRequest]:
+        if not self.queue or not self._has_slot():
+            return
+        sort_key = self._new_sort_key(now_ms)
         while self.queue and self._has_slot():
-            request = min(
-                self.queue, key=lambda item: self._sort_key(item, now_ms)
-            )
-            self.queue.remove(request)
+            request = min(self.queue, key=sort_key)
+            del self.queue[request]
             self._start(request, now_ms)
             yield request
 
     def _drop_queued(self, now_ms: float) -> list[AdmissionRequest]:
         # The caller of a dropped request gets its error now instead of at its
         # deadline.
-        dropped = self._expected_to_time_out(now_ms)
+        if not self.queue:
+            return []
+        sort_key = self._new_sort_key(now_ms)
+        ranked = sorted(
+            ((sort_key(item), item) for item in self.queue),
+            key=operator.itemgetter(0),
+        )
+        dropped = self._expected_to_time_out(ranked, now_ms)
         for request in dropped:
-            self.queue.remove(request)
-        excess = self._excess_past_objective(now_ms)
+            del self.queue[request]
+        excess = self._excess_past_objective(ranked)
         for request in excess:
-            self.queue.remove(request)
+            del self.queue[request]
         return dropped + excess
 
-    def _expected_to_time_out(self, now_ms: float) -> list[AdmissionRequest]:
+    def _expected_to_time_out(
+        self, ranked: list[tuple[SortKey, AdmissionRequest]], now_ms: float
+    ) -> list[AdmissionRequest]:
         # Later arrivals with a better rank lengthen the wait that was estimated
         # on arrival, so the wait is estimated again for the whole queue.
-        if not self.queue:
-            return []
         timing_out = []
         queue_wait_ms = self._slot_wait_ms(now_ms)
         slots = max(1, self.limit.current)
-        keyed = [(self._sort_key(item, now_ms), item) for item in self.queue]
-        for key, request in sorted(keyed, key=lambda pair: pair[0]):
-            wait_ms = self._wait_with_overtaking_ms(key, queue_wait_ms, now_ms)
+        available: dict[tuple[int, bool], float] = {}
+        for key, request in ranked:
+            rank = key[:2]
+            if rank not in available:
+                available[rank] = self._available_fraction(key, now_ms)
+            wait_ms = queue_wait_ms / available[rank]
             if self._would_time_out(request, wait_ms, now_ms):
                 timing_out.append(request)
             else:
                 queue_wait_ms += self.expected_ms(request, now_ms) / slots
         return timing_out
 
-    def _excess_past_objective(self, now_ms: float) -> list[AdmissionRequest]:
+    def _excess_past_objective(
+        self, ranked: list[tuple[SortKey, AdmissionRequest]]
+    ) -> list[AdmissionRequest]:
         # Without this limit, a request that could meet its objective on arrival
         # and no longer can would be overtaken by every new request that can,
         # until its maximum wait ends.
         past_objective = [
-            item
-            for item in self.queue
-            if self._will_miss_objective(item, now_ms)
+            item for key, item in ranked if key[1] and item in self.queue
         ]
-        past_objective.sort(key=lambda item: self._sort_key(item, now_ms))
         return past_objective[self._max_past_objective() :]
 
     def _max_past_objective(self) -> int:
--- a/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
+++ b/packages/pomelobank-testing/src/pomelobank_testing/experiment/_mechanisms.py
@@ -18,6 +18,7 @@
     SlotLimit,
     TwoChoices,
 )
+from pomelobank_core._deadline_admission import SortKey
 from pomelobank_core._route_times import PLAIN_MEAN_SAMPLES
 from pomelobank_core.shedding import (
     FULL_TARGET_DELAY_MS,
@@ -80,14 +81,18 @@
 class _NoLimitPastObjective(DeadlineAdmission):
     """Keeps requests queued past their objective until their wait deadline."""
 
-    def _expected_to_time_out(self, now_ms: float) -> list[AdmissionRequest]:
+    def _expected_to_time_out(
+        self, ranked: list[tuple[SortKey, AdmissionRequest]], now_ms: float
+    ) -> list[AdmissionRequest]:
         return [
             ticket
-            for ticket in self.queue
+            for _, ticket in ranked
             if now_ms >= self.wait_deadline_ms(ticket)
         ]
 
-    def _excess_past_objective(self, now_ms: float) -> list[AdmissionRequest]:
+    def _excess_past_objective(
+        self, ranked: list[tuple[SortKey, AdmissionRequest]]
+    ) -> list[AdmissionRequest]:
         return []
 
 
