--- a/packages/pomelobank-schema/src/pomelobank_schema/_checks.py
+++ b/packages/pomelobank-schema/src/pomelobank_schema/_checks.py
@@ -13,6 +13,10 @@
 Validator = Callable[[Any, "attrs.Attribute[Any]", Any], None]
 
 
+# Maximum length of an invalid text in an error message.
+_MAX_QUOTED = 100
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Splits an address of the form IP:PORT.
 
@@ -35,11 +39,18 @@
         ipaddress.ip_address(host)
     except ValueError:
         separator = ""
-    if not separator or not port.isdecimal() or int(port) > MAX_PORT:
+    # The number of digits is checked first: `int` refuses a text of thousands.
+    is_port = (
+        port.isascii()
+        and port.isdecimal()
+        and len(port) <= len(str(MAX_PORT))
+        and int(port) <= MAX_PORT
+    )
+    if not separator or not is_port:
         raise SchemaError(
             SchemaErrorKind.OUT_OF_RANGE,
             "",
-            f"{text!r} is not an address of the form IP:PORT",
+            f"{text[:_MAX_QUOTED]!r} is not an address of the form IP:PORT",
         )
     return host, int(port)
 
