Run a node's long-lived tasks again after an unexpected error

What callers saw: nothing yet by a trace. A node whose reader, membership or first contact ended with an unexpected error went on looking healthy: it followed no change, or no member, until it was restarted, and nothing was logged.

Cause: nothing awaits these tasks before the node stops, and the stop drops their errors. Each caught only the error that its author expected.

--- a/packages/pomelobank-node/src/pomelobank_node/_claims.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_claims.py
@@ -27,6 +27,7 @@
 from pomelobank_node._claims_shard import DispatchFunction, ShardWorker
 from pomelobank_node._keyed_requests import KeyedRequest
 from pomelobank_node._log import Log
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import (
     ForwardReply,
@@ -126,9 +127,7 @@
 
     async def start(self) -> None:
         """Starts the periodic check for idle shards."""
-        self.task = asyncio.create_task(
-            self._stop_idle_workers(), name="claims"
-        )
+        self.task = start_long_lived(self._stop_idle_workers, "claims")
 
     async def stop(self) -> None:
         """Stops the workers of all shards."""
--- a/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_config_feed.py
@@ -22,6 +22,7 @@
 from pomelobank_node._config_store import ConfigStore
 from pomelobank_node._log import Log, LogError
 from pomelobank_node._log_reader import LogReader
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._snapshot_writer import SnapshotWriter
 from pomelobank_schema import SchemaError, WireMessage, decode, encode
@@ -125,12 +126,12 @@
 
     async def start(self) -> None:
         """Starts the tasks that read the log and send to peers."""
-        for coroutine in (
-            self._read_log(),
-            self._run_heartbeats(),
-            self._write_snapshots(),
+        for name, work in (
+            ("log-reader", self._read_log),
+            ("heartbeats", self._run_heartbeats),
+            ("snapshots", self._write_snapshots),
         ):
-            self.tasks.append(asyncio.create_task(coroutine))
+            self.tasks.append(start_long_lived(work, name))
 
     async def stop(self) -> None:
         """Cancels all tasks and waits until they have ended."""
--- a/packages/pomelobank-node/src/pomelobank_node/_membership.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_membership.py
@@ -21,6 +21,7 @@
 )
 from pomelobank_node._contact_finder import ContactFinder
 from pomelobank_node._log import Log
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_schema import WireMessage
@@ -125,8 +126,8 @@
         self.links.on_frame = self._receive_from_link
         self.finder.contacts.add(self.settings.seeds)
         self.tasks = [
-            asyncio.create_task(self._run(), name="membership"),
-            asyncio.create_task(self.finder.run(), name="first-contact"),
+            start_long_lived(self._run, "membership"),
+            start_long_lived(self.finder.run, "first-contact"),
         ]
 
     async def stop(self) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_sidecar.py
@@ -32,6 +32,7 @@
 from pomelobank_node._identity import Identity
 from pomelobank_node._log import Log
 from pomelobank_node._log_output import BoundedOutput
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._membership import Membership
 from pomelobank_node._metrics_handler import MetricsHandler
 from pomelobank_node._owner import Owner
@@ -546,7 +547,7 @@
 
     async def start(self) -> None:
         """Starts the task that waits for new configurations."""
-        self.task = asyncio.create_task(self._follow())
+        self.task = start_long_lived(self._follow, "limits")
 
     async def stop(self) -> None:
         """Cancels the task."""
--- a/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_target_watch.py
@@ -13,6 +13,7 @@
     TargetLease,
 )
 from pomelobank_core.departures import is_departure_of
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._membership import Membership
 from pomelobank_node._owner import Owner, Target
 from pomelobank_node.departures import (
@@ -71,7 +72,7 @@
         self.owner.on_leaving = self._handle_leaving_response
         self.departures.on_learned.append(self._check_departed)
         await self.departures.start()
-        self._spawn(self._handle_held_back())
+        self._track(start_long_lived(self._handle_held_back, "held-back"))
 
     async def stop(self) -> None:
         """Cancels the background tasks and stops the departure registry."""
@@ -82,7 +83,9 @@
         await self._cancel_rejection()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+        self._track(asyncio.create_task(work))
+
+    def _track(self, task: asyncio.Task[None]) -> None:
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_server.py
@@ -7,6 +7,7 @@
 
 from pomelobank_core.buffering import connections_to_close
 from pomelobank_node._http_conventions import HttpConventions
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node.buffering import BufferManager
 from pomelobank_node.callers._connection import HttpConnection
 from pomelobank_node.callers._listener import Listener
@@ -95,8 +96,8 @@
         bound = sock.getsockname()
         self.address = f"{bound[0]}:{bound[1]}"
         if self.auto_check_timeouts:
-            self.timeout_task = asyncio.create_task(
-                self._check_timeouts_periodically()
+            self.timeout_task = start_long_lived(
+                self._check_timeouts_periodically, f"{self.name}-timeouts"
             )
 
     async def _check_timeouts_periodically(self) -> None:
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_departure_log.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_departure_log.py
@@ -15,6 +15,7 @@
     LogError,
     LogErrorKind,
 )
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_schema import SchemaError, decode, encode
 from pomelobank_schema.generated.records import KINDS, DepartureRecord
 
@@ -61,7 +62,9 @@
 
     async def start(self) -> None:
         """Starts to store departures again whenever the log has lost them."""
-        self.task = asyncio.create_task(self._store_again_when_due())
+        self.task = start_long_lived(
+            self._store_again_when_due, "departures-storing"
+        )
 
     async def stop(self) -> None:
         """Stops storing."""
--- a/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
+++ b/packages/pomelobank-node/src/pomelobank_node/departures/_registry.py
@@ -14,6 +14,7 @@
     key_of,
 )
 from pomelobank_node._log import Log, LogError
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._membership import Membership
 from pomelobank_node.departures._departure_log import DepartureLog
 from pomelobank_node.departures._peer_departures import PeerDepartures
@@ -104,8 +105,8 @@
             self.complete.set()
             return
         self.tasks += [
-            asyncio.create_task(self._load_from_log()),
-            asyncio.create_task(self._load_from_peers()),
+            start_long_lived(self._load_from_log, "departures-log"),
+            start_long_lived(self._load_from_peers, "departures-peers"),
             asyncio.create_task(self._log_long_load()),
         ]
 
--- a/packages/pomelobank-node/src/pomelobank_node/platform_api.py
+++ b/packages/pomelobank-node/src/pomelobank_node/platform_api.py
@@ -11,6 +11,7 @@
 from pomelobank_node._log_era import LogEra
 from pomelobank_node._log_output import BoundedOutput
 from pomelobank_node._logging import set_up_logging
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._requests import RequestError
 from pomelobank_node._sidecar import PlatformAdapter, SidecarNode
 from pomelobank_node._upstream_client import (
@@ -61,5 +62,6 @@
     "find_header",
     "run_program",
     "set_up_logging",
+    "start_long_lived",
     "tune_garbage_collector",
 ]
--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -11,6 +11,7 @@
 
 from pomelobank_core import Clock, MemberTable, ReadingOrder, ReadingRole
 from pomelobank_node._log_era import LogEra
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node.published._packing import PackingError, unpack
 from pomelobank_node.published._peer_publisher import (
@@ -234,7 +235,7 @@
         """Starts to read the source."""
         self.started_ms = self.clock.now_ms()
         self.source.on_progress = self._on_progress
-        self.task = asyncio.create_task(self._read(), name="published-reader")
+        self.task = start_long_lived(self._read, "published-reader")
 
     async def stop(self) -> None:
         """Stops reading and sending."""
--- a/packages/pomelobank-node/src/pomelobank_node/rollouts/_service.py
+++ b/packages/pomelobank-node/src/pomelobank_node/rollouts/_service.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._owner import Owner
 from pomelobank_node.rollouts._answers import TargetAnswers
 from pomelobank_node.rollouts._exposure import Exposure
@@ -87,8 +88,8 @@
 
     async def start(self) -> None:
         """Starts the background tasks."""
-        self._spawn(self._report_and_judge())
-        self._spawn(self._store_statuses())
+        self._track(start_long_lived(self._report_and_judge, "rollouts-judge"))
+        self._track(start_long_lived(self._store_statuses, "rollouts-store"))
 
     async def stop(self) -> None:
         """Cancels the background tasks."""
@@ -99,7 +100,9 @@
         await self.registry.stop()
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+        self._track(asyncio.create_task(work))
+
+    def _track(self, task: asyncio.Task[None]) -> None:
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_freshness_queries.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_freshness_queries.py
@@ -17,6 +17,7 @@
     FreshnessSchedule,
     QueryScope,
 )
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_schema.generated.peer import (
     FreshnessQuery,
     FreshnessReply,
@@ -96,7 +97,7 @@
     async def start(self) -> None:
         """Starts to query peers if the settings request strict revocation."""
         if self.freshness.revoke_ms:
-            self.task = asyncio.create_task(self._run(), name="freshness")
+            self.task = start_long_lived(self._run, "freshness")
 
     async def stop(self) -> None:
         """Stops querying."""
--- a/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
+++ b/packages/pomelobank-node/src/pomelobank_node/workspaces/_usage_caps.py
@@ -25,6 +25,7 @@
     Workspace,
     WorkspaceTable,
 )
+from pomelobank_node._long_lived import start_long_lived
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import RequestError
 from pomelobank_node.workspaces._capped_entry import CappedEntry
@@ -122,7 +123,7 @@
 
     async def start(self) -> None:
         """Starts to estimate which part of the mesh this node reaches."""
-        self._spawn(self._run_rounds(), "usage-caps")
+        self._track(start_long_lived(self._run_rounds, "usage-caps"))
 
     async def stop(self) -> None:
         """Rejects waiting requests and ends all tasks."""
@@ -136,7 +137,9 @@
     def _spawn(
         self, work: Coroutine[Any, Any, None], name: str
     ) -> asyncio.Task[None]:
-        task = asyncio.create_task(work, name=name)
+        return self._track(asyncio.create_task(work, name=name))
+
+    def _track(self, task: asyncio.Task[None]) -> asyncio.Task[None]:
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
