Wake bodies whose stream was lost or closed before their turn

What callers saw: nothing yet by a trace. A body that asked for its turn on a stream that had been lost while its writing was paused waited for ever, with its task and its target's slot; bodies queued behind a stream's close waited until the peer closed its end.

Cause: the end of a stream was looked at only after the wait, and the close took a turn among the bodies without giving it on.

Change: a turn is refused at once where no frame can be sent, and the close of the sending side wakes all that wait.

Tests: test_turn_on_a_lost_stream_is_refused and test_close_of_a_stream_does_not_keep_the_turn; both timed out before.

--- a/packages/pomelobank-node/src/pomelobank_node/_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_frames.py
@@ -132,6 +132,9 @@
         self.closed = True
         self.lost.set()
         self._resume_reader()
+        self._end_turns()
+
+    def _end_turns(self) -> None:
         while self.turns:
             turn = self.turns.popleft()
             if not turn.done():
@@ -163,7 +166,7 @@
             tag: Passed to `on_written` once bytes of the frame may have been
                 sent.
         """
-        if self.closed or self.write_closed:
+        if not self._can_send():
             return
         data = encode_frame(message)
         if not self.paused and not self.queue:
@@ -201,9 +204,9 @@
         first, so that a look-up never waits for more than one part of a body.
 
         Returns:
-            Whether the stream is still open.
+            Whether frames can still be sent.
         """
-        if self.paused or self.queue or self.turns:
+        if self._can_send() and (self.paused or self.queue or self.turns):
             waiting = self.loop.create_future()
             self.turns.append(waiting)
             try:
@@ -211,7 +214,10 @@
             except asyncio.CancelledError:
                 self.release_turn()
                 raise
-        return not self.closed
+        return self._can_send()
+
+    def _can_send(self) -> bool:
+        return not self.closed and not self.write_closed
 
     def release_turn(self) -> None:
         """Gives the next body its turn; called after a part was sent."""
@@ -327,6 +333,7 @@
                     # Frames of the peer still arrive meanwhile; a reply to
                     # them must not be written after the end of the stream.
                     self.write_closed = True
+                    self._end_turns()
                     self.transport.write_eof()
                 await self.lost.wait()
         except (OSError, TimeoutError):
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_frames.py
@@ -196,3 +196,37 @@
     assert stream.unpacker is not None
     stream.data_received(VALID[-1:])
     assert stream.unpacker is None
+
+
+async def _paused_stream() -> FrameStream:
+    stream, _ = new_stuck_stream()
+    stream.loop = asyncio.get_running_loop()
+    stream.pause_writing()
+    return stream
+
+
+async def test_turn_on_a_lost_stream_is_refused() -> None:
+    """Guards against a body that waits for a stream which was lost before."""
+    stream = await _paused_stream()
+    stream.connection_lost(None)
+    async with asyncio.timeout(5):
+        assert not await stream.acquire_turn()
+
+
+async def test_close_of_a_stream_does_not_keep_the_turn() -> None:
+    """Guards against bodies that wait behind the close of their stream.
+
+    The close takes its turn among them. A body whose turn never came would
+    wait until the peer closes its end, and its target's slot with it.
+    """
+    stream = await _paused_stream()
+    stream.send(peer.CancelRequest(request_id=1))
+    closing = asyncio.create_task(stream.close())
+    await asyncio.sleep(0)
+    body = asyncio.create_task(stream.acquire_turn())
+    await asyncio.sleep(0)
+    stream.resume_writing()
+    async with asyncio.timeout(5):
+        assert not await body
+    stream.connection_lost(None)
+    await closing
