Pace reads of the source that bring no record

What callers saw: nothing yet by a trace. A source that answers at once, with no record and an end beyond the position or with nothing before the wait is over, was read again and again without a pause, which uses up the store's reads.

Cause: only the source's own wait paced the reader.

Change: reads that do not move the position begin at least 100 ms apart; the heartbeat about the read is sent before the pause.

--- a/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/_feed.py
@@ -49,6 +49,10 @@
 # several changes in quick succession could cost a call, although only the last
 # change counts.
 PAUSE_AFTER_UPDATE_MS = 200
+# Shortest time between the begins of two reads that bring no record. It delays
+# a change that follows such a read by a twentieth of the time that operators
+# allow.
+MIN_READ_INTERVAL_MS = 100
 # Age of the newest known read of the source at which a node reads the source
 # itself. It exceeds a long poll by half a second, in which a busy reader's
 # heartbeat arrives; of the 2 s for a change, 0.8 s remain for the read and the
@@ -271,6 +275,7 @@
                 self._send_unable_heartbeat()
                 await asyncio.sleep(self._backoff_pause_ms() / _MS_PER_S)
                 continue
+            position = self.position
             try:
                 updated = await self._read_once()
             except SourceError as error:
@@ -290,6 +295,16 @@
                 # heartbeat now would make all of them pull it from this node.
                 await asyncio.sleep(PAUSE_AFTER_UPDATE_MS / _MS_PER_S)
             self._send_heartbeat(ReadingRole.READER, self._read_age_ms())
+            if self.position == position:
+                await self._pace_reads()
+
+    async def _pace_reads(self) -> None:
+        # The wait for new records is the source's part, which may respond at
+        # once all the same.
+        elapsed_ms = self.clock.now_ms() - self.read_started_ms
+        if elapsed_ms < MIN_READ_INTERVAL_MS:
+            pause_ms = MIN_READ_INTERVAL_MS - elapsed_ms
+            await asyncio.sleep(pause_ms / _MS_PER_S)
 
     async def _delay_first_read(self) -> None:
         line_mbps = max(1, self.members.own.line_mbps)
--- a/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
+++ b/packages/pomelobank-node/src/pomelobank_node/published/tests/test_published.py
@@ -19,6 +19,7 @@
 from pomelobank_node.published._feed import (
     HEARTBEAT_MS,
     MAX_READ_AGE_MS,
+    MIN_READ_INTERVAL_MS,
     PULL_DELAY_MS,
     PULL_TIMEOUT_MS,
     RANK_DELAY_MS,
@@ -185,6 +186,34 @@
     assert source.positions[:3] == [None, 4, None]
 
 
+@pytest.mark.parametrize(
+    "document",
+    [
+        pytest.param(
+            Document(b"", 5, complete=False), id="more, but no record"
+        ),
+        pytest.param(None, id="nothing, without the wait"),
+    ],
+)
+async def test_reads_without_progress_are_paced(
+    document: Document | None,
+) -> None:
+    """Guards against a source that is read without a pause.
+
+    Its responses come at once and hold nothing after the position.
+    """
+    first = Document(b"7", 5)
+    source = Source(first, *1000 * [document])
+    feed = create_feed(source)
+    await feed.start()
+    async with asyncio.timeout(TEST_TIMEOUT_S):
+        while len(source.positions) < 2:  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+    await asyncio.sleep(5 * MIN_READ_INTERVAL_MS / 1000)
+    await feed.stop()
+    assert len(source.positions) <= 8
+
+
 async def test_a_version_announced_twice_is_pulled_once() -> None:
     """Two digests announce the same new version.
 
