Measure the event loop at its polls only

Cause: the monitor did its bookkeeping in every iteration of the loop, also in those whose poll is skipped; it is cost without knowledge, because new requests are read at polls.

Change: a turn is what runs between two polls. Iterations without a wait are counted in the skipping branch's own counter.

--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -49,10 +49,10 @@
     ) -> list[tuple[selectors.SelectorKey, int]]:
         """Returns the ready events; an empty list if the poll is skipped."""
         is_non_blocking = timeout is not None and timeout <= 0
-        self.monitor.on_turn_ended()
         if is_non_blocking and self.skipped_polls < MAX_SKIPPED_POLLS:
             self.skipped_polls += 1
             return []
+        self.monitor.on_turn_ended(1 + self.skipped_polls)
         self.skipped_polls = 0
         events: list[tuple[selectors.SelectorKey, int]] = super().select(
             timeout
--- a/packages/pomelobank-node/src/pomelobank_node/_instruments.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_instruments.py
@@ -476,13 +476,13 @@
 LOOP_LONGEST_TURN = Instrument(
     "pomelobank.loop.longest_turn",
     "ms",
-    "Longest turn of the event loop since the start, in which no other request"
+    "Longest time since the start between two polls, in which no other request"
     " was read.",
 )
 LOOP_LONG_TURNS = Instrument(
     "pomelobank.loop.long_turns",
     "1",
-    "Turns of the event loop that were logged as long.",
+    "Turns of the event loop that are logged as long.",
     monotonic=True,
 )
 LOOP_LONGEST_STRETCH = Instrument(
@@ -495,10 +495,10 @@
     "ms",
     "Most processor time since the start that the process used without a wait.",
 )
-LOOP_TURNS = Instrument(
-    "pomelobank.loop.turns_without_wait",
+LOOP_ITERATIONS = Instrument(
+    "pomelobank.loop.iterations_without_wait",
     "1",
-    "Most turns of the event loop since the start between two waits.",
+    "Most iterations of the event loop since the start between two waits.",
 )
 LOOP_UNMOVED_POLLS = Instrument(
     "pomelobank.loop.unmoved_polls",
--- a/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
@@ -1,9 +1,8 @@
 """Measures the turns of the event loop: how long they take, what runs in them.
 
-A turn runs the callbacks that were ready at its beginning; no other request is
-read meanwhile. A loop that finds callbacks or descriptors ready after each turn
-never waits. Neither shows in the metrics of requests, which measure with the
-same loop.
+A turn is what runs between two polls; no other request is read meanwhile. A
+loop that finds callbacks or descriptors ready after each turn never waits.
+Neither shows in the metrics of requests, which measure with the same loop.
 """
 
 import asyncio
@@ -24,9 +23,9 @@
 # Time without a wait that is logged. Peers and clients of the store give up a
 # connection attempt or a call that gets no answer within this time.
 LONG_STRETCH_MS = 500.0
-# Turns without a wait that are logged. A request takes about a dozen turns, so
-# this many turns serve hundreds of requests, or none.
-MANY_TURNS = 10_000
+# Iterations of the loop without a wait that are logged. A request takes about a
+# dozen, so this many serve hundreds of requests, or none.
+MANY_ITERATIONS = 10_000
 # Consecutive polls that report the same descriptors, while nothing but their
 # handlers runs, from which they are logged.
 MANY_UNMOVED_POLLS = 1000
@@ -62,7 +61,7 @@
         callbacks: Callbacks of the turn so far.
         slowest_s: Time of the slowest callback of the turn.
         slowest: Handle of that callback.
-        turns_without_wait: Turns since the last wait.
+        iterations_without_wait: Iterations of the loop since the last wait.
         ready: Descriptors that the last poll reported.
         ready_queues: Their unread and unsent bytes at the poll, once
             `unmoved_polls` is half of the number that is logged.
@@ -72,7 +71,7 @@
         longest_turn_callback: What took most of the longest turn.
         longest_stretch_ms: Longest time between two waits.
         longest_stretch_processor_ms: Most processor time between two waits.
-        most_turns_without_wait: Most turns between two waits.
+        most_iterations_without_wait: Most iterations between two waits.
         most_unmoved_polls: Highest number of `unmoved_polls`.
         long_turns: Number of turns of at least `LONG_TURN_MS`.
         logged_s: Time of the last log line, by kind.
@@ -88,7 +87,7 @@
     callbacks: int = 0
     slowest_s: float = 0.0
     slowest: asyncio.Handle | None = None
-    turns_without_wait: int = 0
+    iterations_without_wait: int = 0
     ready: frozenset[int] = frozenset()
     ready_queues: dict[int, tuple[int, int]] = attrs.field(factory=dict)
     unmoved_polls: int = 0
@@ -96,7 +95,7 @@
     longest_turn_callback: str = ""
     longest_stretch_ms: float = 0.0
     longest_stretch_processor_ms: float = 0.0
-    most_turns_without_wait: int = 0
+    most_iterations_without_wait: int = 0
     most_unmoved_polls: int = 0
     long_turns: int = 0
     logged_s: dict[str, float] = attrs.field(factory=dict)
@@ -105,8 +104,12 @@
         self.mark_s = self.turn_began_s = self.waited_s = self.now_s()
         self.waited_processor_s = self.processor_s()
 
-    def on_turn_ended(self) -> None:
-        """Handles the end of a turn; the loop is about to poll."""
+    def on_turn_ended(self, iterations: int) -> None:
+        """Handles the end of a turn; the loop is about to poll.
+
+        Args:
+            iterations: Iterations of the loop in the turn.
+        """
         turn_ms = (self.mark_s - self.turn_began_s) * _MS_PER_S
         if turn_ms > self.longest_turn_ms:
             self.longest_turn_ms = turn_ms
@@ -114,9 +117,9 @@
         if turn_ms >= LONG_TURN_MS:
             self.long_turns += 1
             self._log_turn(turn_ms)
-        self.turns_without_wait += 1
-        if not self.turns_without_wait % MANY_TURNS:
-            self._log_turns()
+        self.iterations_without_wait += iterations
+        if self.iterations_without_wait >= MANY_ITERATIONS:
+            self._log_iterations()
         if self.ready_queues:
             self._check_moved()
         self.turn_began_s = self.mark_s
@@ -140,8 +143,8 @@
         stretch_ms = (self.mark_s - self.waited_s) * _MS_PER_S
         processor_s = self.processor_s()
         used_ms = (processor_s - self.waited_processor_s) * _MS_PER_S
-        self.most_turns_without_wait = max(
-            self.most_turns_without_wait, self.turns_without_wait
+        self.most_iterations_without_wait = max(
+            self.most_iterations_without_wait, self.iterations_without_wait
         )
         self.longest_stretch_ms = max(self.longest_stretch_ms, stretch_ms)
         self.longest_stretch_processor_ms = max(
@@ -153,14 +156,14 @@
                 extra={
                     "ms": round(stretch_ms),
                     "processor_ms": round(used_ms),
-                    "turns": self.turns_without_wait,
+                    "iterations": self.iterations_without_wait,
                     "longest_turn_ms": round(self.longest_turn_ms),
                     "callback": self.longest_turn_callback,
                 },
             )
         self.waited_s = now_s
         self.waited_processor_s = processor_s
-        self.turns_without_wait = 0
+        self.iterations_without_wait = 0
 
     def _count_unmoved(self, ready: frozenset[int]) -> None:
         handlers_only = self.callbacks <= len(self.ready)
@@ -208,13 +211,13 @@
             },
         )
 
-    def _log_turns(self) -> None:
-        if not self._may_log("turns"):
+    def _log_iterations(self) -> None:
+        if not self._may_log("iterations"):
             return
         _logger.warning(
             "loop.no_wait",
             extra={
-                "turns": self.turns_without_wait,
+                "iterations": self.iterations_without_wait,
                 "ms": round((self.mark_s - self.waited_s) * _MS_PER_S),
                 "callback": self._slowest_name(),
             },
--- a/packages/pomelobank-node/src/pomelobank_node/_observations.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_observations.py
@@ -382,7 +382,10 @@
         instruments.LOOP_STRETCH_PROCESSOR,
         lambda: monitor.longest_stretch_processor_ms,
     )
-    yield instruments.LOOP_TURNS, lambda: monitor.most_turns_without_wait
+    yield (
+        instruments.LOOP_ITERATIONS,
+        lambda: monitor.most_iterations_without_wait,
+    )
     yield instruments.LOOP_UNMOVED_POLLS, lambda: monitor.most_unmoved_polls
 
 
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_loop_monitor.py
@@ -64,7 +64,7 @@
     """Keeps pauses of a busy machine out of the log."""
     for name in ("LONG_TURN_MS", "LONG_STRETCH_MS"):
         monkeypatch.setattr(_loop_monitor, name, 1e6)
-    for name in ("MANY_TURNS", "MANY_UNMOVED_POLLS"):
+    for name in ("MANY_ITERATIONS", "MANY_UNMOVED_POLLS"):
         monkeypatch.setattr(_loop_monitor, name, 200)
 
 
@@ -106,7 +106,7 @@
     monitor = LoopMonitor(lambda: now_s, lambda: now_s)
     now_s = 0.1
     monitor.mark_s = now_s
-    monitor.on_turn_ended()
+    monitor.on_turn_ended(1)
     now_s = 60.0
     monitor.on_poll(frozenset(), waited=True)
     assert monitor.longest_turn_ms == monitor.longest_stretch_ms == 100
@@ -122,6 +122,6 @@
         for _ in range(100):
             now_s += 0.5
             monitor.mark_s = now_s
-            monitor.on_turn_ended()
+            monitor.on_turn_ended(1)
     assert monitor.long_turns == 100
     assert len(caplog.records) == 50
