Decide with a few looks which gone members a node polls

What callers saw: nothing yet by a trace. After the loss of many members a node spent up to half of a core for 15 s on the choice of those that it polls.

Cause: the choice ranked the node among all present members for each gone one, in each probe period: their product, beyond the cache of the hashes.

Change: is_among_first stops at the second member that precedes the node. Which members are polled does not change. Crash reports use it too.

--- a/packages/pomelobank-core/src/pomelobank_core/__init__.py
+++ b/packages/pomelobank-core/src/pomelobank_core/__init__.py
@@ -147,6 +147,7 @@
         ReadingRole,
     )
     from pomelobank_core._rendezvous import (
+        is_among_first,
         rank_of,
         rendezvous_order,
     )
@@ -346,6 +347,7 @@
     "find_neighbours",
     "fingerprint",
     "handle_frame",
+    "is_among_first",
     "is_idempotent",
     "isolation_target",
     "lost_error_kind",
@@ -497,6 +499,7 @@
         "ReadingRole",
     ),
     "_rendezvous": (
+        "is_among_first",
         "rank_of",
         "rendezvous_order",
     ),
--- a/packages/pomelobank-core/src/pomelobank_core/_rendezvous.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_rendezvous.py
@@ -33,3 +33,23 @@
     """Returns how many nodes precede a node in the rendezvous order."""
     own = (-_weight(salt, node), node)
     return sum((-_weight(salt, other), other) < own for other in nodes)
+
+
+def is_among_first(
+    node: str, nodes: Iterable[str], salt: str, count: int
+) -> bool:
+    """Returns whether fewer than `count` nodes precede a node.
+
+    Most nodes are not among the first, and a few others show that. The rank of
+    a node takes a look at all of them.
+
+    >>> is_among_first("a", {"a", "b"}, "reader", 2)
+    True
+    """
+    own = (-_weight(salt, node), node)
+    for other in nodes:
+        if (-_weight(salt, other), other) < own:
+            count -= 1
+        if count <= 0:
+            return False
+    return count > 0
--- a/packages/pomelobank-core/src/pomelobank_core/_swim.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_swim.py
@@ -14,7 +14,7 @@
 from pomelobank_core._member_digest import BUCKET_COUNT, TableDigest, bucket_of
 from pomelobank_core._members import MemberState, MemberTable
 from pomelobank_core._probing import Prober
-from pomelobank_core._rendezvous import rank_of
+from pomelobank_core._rendezvous import is_among_first
 from pomelobank_schema import WireMessage
 from pomelobank_schema.generated.peer import (
     Gossip,
@@ -500,8 +500,9 @@
             if now_ms - gone_ms < RECENTLY_GONE_MS
             and (entry := self.table.others.get(node))
             and entry.peer_address
-            and rank_of(self.table.own.node, present, node)
-            < POLLERS_PER_GONE_MEMBER
+            and is_among_first(
+                self.table.own.node, present, node, POLLERS_PER_GONE_MEMBER
+            )
         ]
 
     def _sync_with_gone_member(self) -> list[SwimAction]:
--- a/packages/pomelobank-node/src/pomelobank_node/_crash_reports.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_crash_reports.py
@@ -18,7 +18,7 @@
     QuarantineState,
     QuarantineTable,
     fingerprint,
-    rank_of,
+    is_among_first,
 )
 from pomelobank_node._peer_links import PeerLinks
 from pomelobank_node._requests import ForwardRequest, RequestError
@@ -147,8 +147,8 @@
         if not self.table.entries or not entry.peer_address:
             return
         others = {item.node for item in self.members.present()} - {entry.node}
-        own_rank = rank_of(self.members.own.node, others, entry.node)
-        if own_rank < _SYNC_SENDERS:
+        own = self.members.own.node
+        if is_among_first(own, others, entry.node, _SYNC_SENDERS):
             entries = self.table.newest(self.clock.now_ms(), _MAX_SYNCED)
             self._post(
                 entry.peer_address, SuspicionSync(entries=tuple(entries))
