Name a callback without describing its object

Cause: the monitor's name of a callback fell back to repr, and evaluated it always. The repr of a method of an attrs class describes the whole tree of components. A new longest turn, of which a start has several, built that text.

Change: the name is the callback's or its type's qualified name.

Test: test_name_of_a_callback_describes_no_object; three cases failed before.

--- a/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
@@ -270,4 +270,6 @@
         return f"{owner.get_name()} {name}"
     if callback is None:
         return "cancelled"
-    return getattr(callback, "__qualname__", repr(callback))
+    # No `repr`: that of a bound method holds the method's whole object.
+    name = getattr(callback, "__qualname__", type(callback).__qualname__)
+    return str(name)
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_loop_monitor.py
@@ -1,17 +1,18 @@
 """The figures of the event loop and the log lines about them."""
 
 import asyncio
+import functools
 import logging
 import socket
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import pytest
 
 from pomelobank_node import _loop_monitor
 from pomelobank_node._event_loop import run_program, running_monitor
-from pomelobank_node._loop_monitor import LoopMonitor
+from pomelobank_node._loop_monitor import LoopMonitor, describe_handle
 
 
 async def _long_turn() -> None:
@@ -112,6 +113,41 @@
     assert monitor.longest_turn_ms == monitor.longest_stretch_ms == 100
 
 
+class _LargeComponent:
+    """A component whose text takes more memory than a process has."""
+
+    def __call__(self) -> None:
+        """Does nothing."""
+
+    def work(self) -> None:
+        """Does nothing."""
+
+    def __repr__(self) -> str:
+        raise MemoryError
+
+
+@pytest.mark.parametrize(
+    ("callback", "name"),
+    [
+        pytest.param(
+            _LargeComponent().work, "_LargeComponent.work", id="method"
+        ),
+        pytest.param(_LargeComponent(), "_LargeComponent", id="object"),
+        pytest.param(
+            functools.partial(_LargeComponent().work), "partial", id="partial"
+        ),
+    ],
+)
+def test_name_of_a_callback_describes_no_object(
+    callback: Callable[[], None], name: str
+) -> None:
+    """Guards against log lines as large as the node's whole state."""
+    loop = asyncio.new_event_loop()
+    handle = loop.call_soon(callback)
+    assert describe_handle(handle) == name
+    loop.close()
+
+
 def test_lines_about_long_turns_are_limited(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
