Compare full targets with a quarter of the calls

Cause: where the drawn targets are full, each attempt and each decision about a retry compares all targets of the upstream, a dozen calls each.

Change: one loop looks at each usable target once, takes the estimate of a data centre once, and computes the cost of a full target only while no other one is found. The order is that of _rank, for which a test with drawn states stands.

--- a/packages/pomelobank-core/src/pomelobank_core/_target_load.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_target_load.py
@@ -107,7 +107,9 @@
 
     def is_full(self, traffic_class: str, now_ms: float) -> bool:
         """Returns whether the target refused a class or accepts no requests."""
-        if not self.accepts_requests(now_ms):
+        if now_ms < self.not_accepting_until_ms:
+            return True
+        if now_ms < self.limited_until_ms:
             return True
         hint = self.full_hints.get(traffic_class)
         return hint is not None and now_ms < hint.until_ms
@@ -139,7 +141,11 @@
         When many nodes use a target, each node sees only a small part of the
         load. The latency ratio shows the load caused by the other nodes.
         """
-        used = (self.estimated_requests(now_ms) + 1) / self.usable_slots(
-            slots, now_ms
-        )
-        return used * latency_ratio
+        requests = float(self.own_requests)
+        age_ms = now_ms - self.reported_ms
+        if self.other_requests and age_ms < REPORT_MAX_AGE_MS:
+            requests = self.estimated_requests(now_ms)
+        usable_slots = float(max(1, slots))
+        if now_ms - self.ramp_from_ms < self.ramp.length_ms:
+            usable_slots = self.usable_slots(slots, now_ms)
+        return (requests + 1) / usable_slots * latency_ratio
--- a/packages/pomelobank-core/src/pomelobank_core/_two_choices.py
+++ b/packages/pomelobank-core/src/pomelobank_core/_two_choices.py
@@ -245,18 +245,19 @@
         data_centre_ratio.add(ratio, now_ms)
 
     def _latency_ratio(self, target: MemberEntry, now_ms: float) -> float:
+        estimate = self._estimated_ratio(target, now_ms)
+        return self._load(target).latency_ratio.at(now_ms, estimate)
+
+    def _estimated_ratio(self, target: MemberEntry, now_ms: float) -> float:
         # Each of many remote targets responds to this node only occasionally,
         # so that the target's own ratio is often outdated. The ratio of all
         # targets of its data centre is as good an estimate.
         data_centre_ratio = self.latency_ratios.get(
             (target.upstream, target.data_centre)
         )
-        estimate = (
-            DEFAULT_LATENCY_RATIO
-            if data_centre_ratio is None
-            else data_centre_ratio.at(now_ms)
-        )
-        return self._load(target).latency_ratio.at(now_ms, estimate)
+        if data_centre_ratio is None:
+            return DEFAULT_LATENCY_RATIO
+        return data_centre_ratio.at(now_ms)
 
     def _update_known_targets(
         self, candidates: Candidates, now_ms: float
@@ -306,10 +307,50 @@
                 drawn.append(entry)
         found = self._cheapest(drawn, traffic_class, now_ms)
         if found is None or self._load(found).is_full(traffic_class, now_ms):
-            usable = [e for e in targets if self._usable(e, attempted, now_ms)]
-            return self._cheapest(usable, traffic_class, now_ms)
+            return self._cheapest_usable(
+                targets, attempted, traffic_class, now_ms
+            )
         return found
 
+    def _cheapest_usable(
+        self,
+        targets: Sequence[MemberEntry],
+        attempted: AbstractSet[str],
+        traffic_class: str,
+        now_ms: float,
+    ) -> MemberEntry | None:
+        """Compares all targets, in the order of `_rank`.
+
+        Under overload each attempt of each request does so. The loop therefore
+        computes what targets of one data centre share once, and the cost of a
+        full target only while no other one is found.
+        """
+        best: MemberEntry | None = None
+        best_is_full = True
+        best_cost = math.inf
+        estimates: dict[str, float] = {}
+        loads = self.loads
+        for entry in targets:
+            if entry.node in attempted:
+                continue
+            load = loads.get(entry.node)
+            if load is None or load.incarnation != entry.incarnation:
+                load = self._load(entry)
+            if load.ejection.until_ms > 0 and not load.ejection.allows(now_ms):
+                continue
+            is_full = load.is_full(traffic_class, now_ms)
+            if is_full and not best_is_full:
+                continue
+            estimate = estimates.get(entry.data_centre)
+            if estimate is None:
+                estimate = self._estimated_ratio(entry, now_ms)
+                estimates[entry.data_centre] = estimate
+            ratio = load.latency_ratio.at(now_ms, estimate)
+            cost = load.cost(entry.slots, ratio, now_ms)
+            if best is None or cost < best_cost or is_full < best_is_full:
+                best, best_is_full, best_cost = entry, is_full, cost
+        return best
+
     def _cheapest(
         self, entries: Sequence[MemberEntry], traffic_class: str, now_ms: float
     ) -> MemberEntry | None:
--- a/packages/pomelobank-core/src/pomelobank_core/tests/test_two_choices.py
+++ b/packages/pomelobank-core/src/pomelobank_core/tests/test_two_choices.py
@@ -1,6 +1,7 @@
 """Responses to callers when targets differ in speed, fail and return."""
 
 import random
+import sys
 
 import pytest
 
@@ -11,8 +12,11 @@
     TargetResult,
     TwoChoices,
 )
+from pomelobank_core._candidates import Candidates
+from pomelobank_core._target_load import Ramp
 from pomelobank_core.tests.fleet_support import TRAFFIC_CLASS, Fleet, member
 from pomelobank_core.tests.load_support import quantile
+from pomelobank_schema.generated.peer import MemberEntry
 
 FOUR = [member(f"t{number}") for number in range(4)]
 
@@ -286,3 +290,99 @@
     even.events.run()
     local_runs = sum(even.targets[entry.node].runs for entry in local)
     assert local_runs > 0.95 * len(even.calls)
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_comparison_of_all_targets_finds_the_best_rank(seed: int) -> None:
+    """Guards against a comparison that orders targets otherwise than `_rank`.
+
+    The comparison of all targets computes the parts of the rank by itself.
+    """
+    rng = random.Random(seed)
+    balancer = TwoChoices(rng, Ramp(0.5, 3000))
+    now_ms = 100_000.0
+    targets = [
+        MemberEntry(
+            node=f"node-{number}",
+            incarnation=rng.randint(1, 2),
+            state="ready",
+            data_centre=rng.choice("ab"),
+            upstream="blue",
+            slots=rng.randint(0, 9),
+        )
+        for number in range(20)
+    ]
+    candidates = Candidates(tuple(targets))
+    outcomes = [
+        RequestOutcome(
+            result,
+            took_ms=rng.randint(1, 900),
+            retry_after_ms=rng.randint(0, 400),
+            outstanding=rng.randint(0, 9),
+            traffic_class="interactive",
+            route="/a",
+            aim_ms=rng.choice([0, 300]),
+        )
+        for result in TargetResult
+    ]
+    for _ in range(120):
+        now_ms += rng.uniform(0, 90)
+        target = rng.choice(targets)
+        balancer.on_sent(target, now_ms)
+        if rng.random() < 0.9:
+            balancer.on_ended(target, candidates, rng.choice(outcomes), now_ms)
+        if rng.random() < 0.1:
+            balancer.loads[target.node].ramp_from_ms = now_ms
+        attempted = {item.node for item in rng.sample(targets, 3)}
+        usable = [
+            item
+            for item in targets
+            if balancer._usable(item, attempted, now_ms)
+        ]
+        found = balancer._cheapest_usable(
+            targets, attempted, "interactive", now_ms
+        )
+        ranks = [balancer._rank(item, "interactive", now_ms) for item in usable]
+        if not usable:
+            assert found is None
+            continue
+        assert found is not None
+        assert balancer._rank(found, "interactive", now_ms) == min(ranks)
+        assert found is usable[ranks.index(min(ranks))]
+
+
+def test_comparison_of_full_targets_takes_few_calls() -> None:
+    """Guards against picks that take most of the time under overload."""
+    balancer = TwoChoices(random.Random(1))
+    targets = [
+        MemberEntry(
+            node=f"node-{number}",
+            state="ready",
+            data_centre="a",
+            upstream="blue",
+            slots=5,
+        )
+        for number in range(40)
+    ]
+    candidates = Candidates(tuple(targets))
+    balancer.pick(candidates, set(), "interactive", 0)
+    full = RequestOutcome(
+        TargetResult.WOULD_WAIT,
+        retry_after_ms=300,
+        traffic_class="interactive",
+    )
+    for target in targets:
+        balancer.on_sent(target, 1)
+        balancer.on_ended(target, candidates, full, 1)
+    calls = 0
+
+    def on_event(_: object, event: str, __: object) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(on_event)
+    try:
+        balancer.pick(candidates, set(), "interactive", 2)
+    finally:
+        sys.setprofile(None)
+    assert calls <= 5 * len(targets)
