End a connection whose half-close fails

Cause: a node closes its sending side after a response to a request that it does not read to its end. If the client has reset the connection since, the kernel refuses the half-close, and the error left whatever had caused it: a request's task, the parser, or the check of time-outs. That check runs in the membership's tick, whose task ended with it, without a line, before long-lived tasks ran again.

Change: a failed half-close aborts the connection.

Test: test_half_close_of_a_reset_connection_ends_it failed before with the same error.

--- a/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/_connection.py
@@ -633,10 +633,19 @@
             self.reading = None
             self._adjust_reading()
             self.write_closed_s = self.loop.time()
-            self.transport.write_eof()
+            self._close_sending_side()
         else:
             self.transport.close()
 
+    def _close_sending_side(self) -> None:
+        assert self.transport is not None
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The caller has reset the connection, which the event loop has not
+            # read yet.
+            self.transport.abort()
+
     async def _stream(self, exchange: Exchange, closes: bool) -> None:
         response = exchange.response
         assert response is not None
--- a/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
+++ b/packages/pomelobank-node/src/pomelobank_node/callers/tests/test_connection.py
@@ -1,6 +1,9 @@
 """Callers' connections: response order, limits, disconnects and stops."""
 
 import asyncio
+import contextlib
+import errno
+import gc
 import itertools
 import re
 from collections.abc import AsyncIterator
@@ -640,3 +643,35 @@
     (request,) = requests
     names = [name for name, _ in request.head_headers]
     assert names == [b"host", b"transfer-encoding"]
+
+
+async def test_half_close_of_a_reset_connection_ends_it() -> None:
+    """Guards against a connection that stays after its caller has reset it.
+
+    The reset arrives between the response to a request whose body is not read
+    to its end and the close of the sending side.
+    """
+    errors: list[object] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context))
+
+    def fail() -> None:
+        raise OSError(errno.ENOTCONN, "Transport endpoint is not connected")
+
+    async def respond_at_once(_: HttpRequest) -> HttpResponse:
+        (connection,) = server.connections
+        connection.transport.write_eof = fail  # type: ignore[method-assign, union-attr]
+        return HttpResponse(200)
+
+    async with running_server(respond_at_once) as server:
+        reader, writer = await connect(server)
+        head = b"POST /first HTTP/1.1\r\nhost: shop\r\ncontent-length: 190000"
+        writer.write(head + b"\r\n\r\n" + bytes(100_000))
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            with contextlib.suppress(OSError):
+                while await reader.read(65536):
+                    pass
+        assert not server.connections
+    gc.collect()
+    loop.set_exception_handler(None)
+    assert errors == []
