Read the processor time at most twenty times a second

Cause: the monitor read the thread's processor time at the end of each wait, a system call each, and built a set of the ready descriptors at each poll.

Change: the processor time is read 50 ms apart or more, so that up to 50 ms of the time before count in a stretch; descriptors are compared only where nothing but their handlers ran.

--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -57,7 +57,7 @@
         events: list[tuple[selectors.SelectorKey, int]] = super().select(
             timeout
         )
-        ready = frozenset([key.fd for key, _ in events])
+        ready = [key.fd for key, _ in events]
         self.monitor.on_poll(ready, not is_non_blocking)
         return events
 
--- a/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
@@ -29,6 +29,9 @@
 # Consecutive polls that report the same descriptors, while nothing but their
 # handlers runs, from which they are logged.
 MANY_UNMOVED_POLLS = 1000
+# Shortest time between two readings of the processor time, which cost a system
+# call each.
+_PROCESSOR_READING_INTERVAL_S = 0.05
 # Shortest time between two lines of one kind.
 _LOG_INTERVAL_S = 1.0
 _MS_PER_S = 1000
@@ -57,7 +60,9 @@
         mark_s: End of the last callback or poll.
         turn_began_s: Begin of the turn.
         waited_s: End of the last wait.
-        waited_processor_s: Processor time at the end of the last wait.
+        processor_read_s: Time of the last reading of the processor time, at the
+            end of a wait.
+        last_processor_s: Processor time then.
         callbacks: Callbacks of the turn so far.
         slowest_s: Time of the slowest callback of the turn.
         slowest: Handle of that callback.
@@ -70,7 +75,8 @@
         longest_turn_ms: Longest turn.
         longest_turn_callback: What took most of the longest turn.
         longest_stretch_ms: Longest time between two waits.
-        longest_stretch_processor_ms: Most processor time between two waits.
+        longest_stretch_processor_ms: Most processor time between two waits;
+            up to 50 ms of the time before the first of them may be part of it.
         most_iterations_without_wait: Most iterations between two waits.
         most_unmoved_polls: Highest number of `unmoved_polls`.
         long_turns: Number of turns of at least `LONG_TURN_MS`.
@@ -83,12 +89,13 @@
     mark_s: float = 0.0
     turn_began_s: float = 0.0
     waited_s: float = 0.0
-    waited_processor_s: float = 0.0
+    processor_read_s: float = 0.0
+    last_processor_s: float = 0.0
     callbacks: int = 0
     slowest_s: float = 0.0
     slowest: asyncio.Handle | None = None
     iterations_without_wait: int = 0
-    ready: frozenset[int] = frozenset()
+    ready: list[int] = attrs.field(factory=list)
     ready_queues: dict[int, tuple[int, int]] = attrs.field(factory=dict)
     unmoved_polls: int = 0
     longest_turn_ms: float = 0.0
@@ -102,7 +109,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.mark_s = self.turn_began_s = self.waited_s = self.now_s()
-        self.waited_processor_s = self.processor_s()
+        self.processor_read_s = self.mark_s
+        self.last_processor_s = self.processor_s()
 
     def on_turn_ended(self, iterations: int) -> None:
         """Handles the end of a turn; the loop is about to poll.
@@ -125,14 +133,18 @@
         self.turn_began_s = self.mark_s
         self.slowest_s = 0.0
 
-    def on_poll(self, ready: frozenset[int], waited: bool) -> None:
+    def on_poll(self, ready: list[int], waited: bool) -> None:
         """Handles the end of a poll.
 
         Args:
             ready: Descriptors that it reported.
             waited: Whether the poll could wait.
         """
-        self._count_unmoved(ready)
+        if ready and self.callbacks <= len(self.ready) and ready == self.ready:
+            self._count_unmoved()
+        else:
+            self.unmoved_polls = 0
+        self.ready = ready
         now_s = self.now_s()
         if waited:
             self._end_stretch(now_s)
@@ -141,15 +153,22 @@
 
     def _end_stretch(self, now_s: float) -> None:
         stretch_ms = (self.mark_s - self.waited_s) * _MS_PER_S
+        if self.iterations_without_wait > self.most_iterations_without_wait:
+            self.most_iterations_without_wait = self.iterations_without_wait
+        if stretch_ms > self.longest_stretch_ms:
+            self.longest_stretch_ms = stretch_ms
+        if now_s - self.processor_read_s >= _PROCESSOR_READING_INTERVAL_S:
+            self._read_processor_time(now_s, stretch_ms)
+        self.waited_s = now_s
+        self.iterations_without_wait = 0
+
+    def _read_processor_time(self, now_s: float, stretch_ms: float) -> None:
         processor_s = self.processor_s()
-        used_ms = (processor_s - self.waited_processor_s) * _MS_PER_S
-        self.most_iterations_without_wait = max(
-            self.most_iterations_without_wait, self.iterations_without_wait
-        )
-        self.longest_stretch_ms = max(self.longest_stretch_ms, stretch_ms)
-        self.longest_stretch_processor_ms = max(
-            self.longest_stretch_processor_ms, used_ms
-        )
+        used_ms = (processor_s - self.last_processor_s) * _MS_PER_S
+        self.last_processor_s = processor_s
+        self.processor_read_s = now_s
+        if used_ms > self.longest_stretch_processor_ms:
+            self.longest_stretch_processor_ms = used_ms
         # In a simulation of the platform, the clock may stand still between two
         # waits, and only the processor time tells.
         is_long = max(stretch_ms, used_ms) >= LONG_STRETCH_MS
@@ -164,22 +183,14 @@
                     "callback": self.longest_turn_callback,
                 },
             )
-        self.waited_s = now_s
-        self.waited_processor_s = processor_s
-        self.iterations_without_wait = 0
 
-    def _count_unmoved(self, ready: frozenset[int]) -> None:
-        handlers_only = self.callbacks <= len(self.ready)
-        if ready and ready == self.ready and handlers_only:
-            self.unmoved_polls += 1
-        else:
-            self.unmoved_polls = 0
-        self.ready = ready
+    def _count_unmoved(self) -> None:
+        self.unmoved_polls += 1
         if self.unmoved_polls < MANY_UNMOVED_POLLS // 2:
             return
         # A client that sends byte by byte looks the same so far, and often its
         # next byte has arrived when the queues are compared.
-        self.ready_queues = {item: self.queues(item) for item in ready}
+        self.ready_queues = {item: self.queues(item) for item in self.ready}
 
     def _check_moved(self) -> None:
         before, self.ready_queues = self.ready_queues, {}
--- a/packages/pomelobank-node/src/pomelobank_node/tests/test_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/tests/test_loop_monitor.py
@@ -106,12 +106,12 @@
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     """Guards against a busy process whose clock stands still meanwhile."""
-    processor_s = 0.0
-    monitor = LoopMonitor(lambda: 0.0, lambda: processor_s)
+    now_s = processor_s = 0.0
+    monitor = LoopMonitor(lambda: now_s, lambda: processor_s)
     with caplog.at_level(logging.WARNING):
         monitor.on_turn_ended(1)
-        processor_s = 0.6
-        monitor.on_poll(frozenset(), waited=True)
+        now_s = processor_s = 0.6
+        monitor.on_poll([], waited=True)
     (line,) = caplog.records
     assert line.message == "loop.did_not_wait"
     assert (line.ms, line.processor_ms) == (0, 600)
@@ -124,7 +124,7 @@
     monitor.mark_s = now_s
     monitor.on_turn_ended(1)
     now_s = 60.0
-    monitor.on_poll(frozenset(), waited=True)
+    monitor.on_poll([], waited=True)
     assert monitor.longest_turn_ms == monitor.longest_stretch_ms == 100
 
 
