Measure callbacks only for a while after a finding

Cause: a clock reading for each callback.

Change: turns are measured at the polls, which costs two readings each; a finding makes the monitor measure callbacks for a minute, so that the next one names what ran. Whether only handlers ran follows from the iterations of the turn.

Test: test_longest_turn_names_the_task_that_ran has two long turns now, of which the second is named.

--- a/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_event_loop.py
@@ -107,11 +107,11 @@
     """
     faulthandler.register(signal.SIGUSR1)
     loop = MonitoredEventLoop()
-    with (
-        loop.monitor.measuring_callbacks(),
-        asyncio.Runner(loop_factory=lambda: loop) as runner,
-    ):
-        return runner.run(main)
+    try:
+        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+            return runner.run(main)
+    finally:
+        loop.monitor.stop_naming()
 
 
 def end_process(status: int) -> NoReturn:
--- a/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
+++ b/packages/pomelobank-node/src/pomelobank_node/_loop_monitor.py
@@ -3,16 +3,19 @@
 A turn is what runs between two polls; no other request is read meanwhile. A
 loop that finds callbacks or descriptors ready after each turn never waits.
 Neither shows in the metrics of requests, which measure with the same loop.
+
+Polls are measured all the time, callbacks only for a while after a finding: a
+reading of the clock for each callback would cost a loaded node two percent of
+its processor time.
 """
 
 import asyncio
-import contextlib
 import fcntl
 import logging
 import struct
 import termios
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 
@@ -32,6 +35,9 @@
 # Shortest time between two readings of the processor time, which cost a system
 # call each.
 _PROCESSOR_READING_INTERVAL_S = 0.05
+# Time for which callbacks are measured after a finding, so that the next one
+# names what ran.
+_NAMING_S = 60.0
 # Shortest time between two lines of one kind.
 _LOG_INTERVAL_S = 1.0
 _MS_PER_S = 1000
@@ -63,8 +69,11 @@
         processor_read_s: Time of the last reading of the processor time, at the
             end of a wait.
         last_processor_s: Processor time then.
-        callbacks: Callbacks of the turn so far.
-        slowest_s: Time of the slowest callback of the turn.
+        turn_iterations: Iterations of the loop in the last turn.
+        names_until_s: Time until which callbacks are measured.
+        run_handle: The function that runs a handle while callbacks are
+            measured; None while they are not.
+        slowest_s: Time of the slowest measured callback of the turn.
         slowest: Handle of that callback.
         iterations_without_wait: Iterations of the loop since the last wait.
         ready: Descriptors that the last poll reported.
@@ -73,7 +82,8 @@
         unmoved_polls: Consecutive polls that reported the same descriptors,
             while nothing but their handlers ran.
         longest_turn_ms: Longest turn.
-        longest_turn_callback: What took most of the longest turn.
+        longest_turn_callback: What took most of the longest turn; empty if
+            callbacks were not measured then.
         longest_stretch_ms: Longest time between two waits.
         longest_stretch_processor_ms: Most processor time between two waits;
             up to 50 ms of the time before the first of them may be part of it.
@@ -91,7 +101,9 @@
     waited_s: float = 0.0
     processor_read_s: float = 0.0
     last_processor_s: float = 0.0
-    callbacks: int = 0
+    turn_iterations: int = 0
+    names_until_s: float = 0.0
+    run_handle: Callable[[asyncio.Handle], None] | None = None
     slowest_s: float = 0.0
     slowest: asyncio.Handle | None = None
     iterations_without_wait: int = 0
@@ -118,6 +130,7 @@
         Args:
             iterations: Iterations of the loop in the turn.
         """
+        self.mark_s = self.now_s()
         turn_ms = (self.mark_s - self.turn_began_s) * _MS_PER_S
         if turn_ms > self.longest_turn_ms:
             self.longest_turn_ms = turn_ms
@@ -125,13 +138,16 @@
         if turn_ms >= LONG_TURN_MS:
             self.long_turns += 1
             self._log_turn(turn_ms)
+        self.turn_iterations = iterations
         self.iterations_without_wait += iterations
         if self.iterations_without_wait >= MANY_ITERATIONS:
             self._log_iterations()
         if self.ready_queues:
             self._check_moved()
-        self.turn_began_s = self.mark_s
-        self.slowest_s = 0.0
+        if self.run_handle is not None:
+            self.slowest_s, self.slowest = 0.0, None
+            if self.mark_s > self.names_until_s:
+                self.stop_naming()
 
     def on_poll(self, ready: list[int], waited: bool) -> None:
         """Handles the end of a poll.
@@ -140,7 +156,9 @@
             ready: Descriptors that it reported.
             waited: Whether the poll could wait.
         """
-        if ready and self.callbacks <= len(self.ready) and ready == self.ready:
+        # After an iteration in which only handlers ran, and none caused further
+        # callbacks, the loop may wait.
+        if ready and self.turn_iterations == 1 and ready == self.ready:
             self._count_unmoved()
         else:
             self.unmoved_polls = 0
@@ -149,7 +167,6 @@
         if waited:
             self._end_stretch(now_s)
         self.mark_s = self.turn_began_s = now_s
-        self.callbacks = 0
 
     def _end_stretch(self, now_s: float) -> None:
         stretch_ms = (self.mark_s - self.waited_s) * _MS_PER_S
@@ -218,7 +235,7 @@
             "loop.long_turn",
             extra={
                 "ms": round(turn_ms),
-                "callbacks": self.callbacks,
+                "iterations": self.turn_iterations,
                 "callback": self._slowest_name(),
                 "callback_ms": round(self.slowest_s * _MS_PER_S),
                 "long_turns": self.long_turns,
@@ -238,6 +255,7 @@
         )
 
     def _may_log(self, kind: str) -> bool:
+        self._name_callbacks()
         last_s = self.logged_s.get(kind)
         if last_s is not None and self.mark_s - last_s < _LOG_INTERVAL_S:
             return False
@@ -247,14 +265,16 @@
     def _slowest_name(self) -> str:
         return "" if self.slowest is None else describe_handle(self.slowest)
 
-    @contextlib.contextmanager
-    def measuring_callbacks(self) -> Iterator[None]:
-        """Measures all callbacks of the process's event loop meanwhile.
+    def _name_callbacks(self) -> None:
+        """Measures all callbacks of the process's event loop for a while.
 
         asyncio names slow callbacks only in its debug mode, which costs several
         times as much as a callback itself.
         """
-        run = asyncio.Handle._run
+        self.names_until_s = self.mark_s + _NAMING_S
+        if self.run_handle is not None:
+            return
+        run = self.run_handle = asyncio.Handle._run
         read_clock_s = self.now_s
 
         def run_and_measure(handle: asyncio.Handle) -> None:
@@ -262,16 +282,17 @@
             now_s = read_clock_s()
             took_s = now_s - self.mark_s
             self.mark_s = now_s
-            self.callbacks += 1
             if took_s > self.slowest_s:
                 self.slowest_s = took_s
                 self.slowest = handle
 
         asyncio.Handle._run = run_and_measure  # type: ignore[assignment]
-        try:
-            yield
-        finally:
-            asyncio.Handle._run = run  # type: ignore[method-assign]
+
+    def stop_naming(self) -> None:
+        """Measures callbacks no longer."""
+        if self.run_handle is not None:
+            asyncio.Handle._run = self.run_handle  # type: ignore
+            self.run_handle = None
 
 
 def describe_handle(handle: asyncio.Handle) -> str:
